--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/job/JobRecord.java
@@ -0,0 +1,109 @@
+package org.fuchsiaspindle.core.job;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+
+/**
+ * A batch job without its bodies and texts, as one version of its row.
+ *
+ * @param id the identifier that its client gave it, not null
+ * @param route the name of the route on which it was submitted
+ * @param host the host of the submission
+ * @param path the path of the submission
+ * @param owner the process that runs it
+ * @param epoch grows with each change of the owner
+ * @param itemCount the number of its items, positive
+ * @param waitingTokens the tokens of its items that are not listed
+ * @param acceptedAtMillis the steady clock of the store when it was accepted
+ * @param ended whether its client ended it
+ * @param listed the items that have results, by position
+ * @param failures how often items failed at targets, by item
+ */
+public record JobRecord(
+        String id,
+        String route,
+        String host,
+        String path,
+        JobOwner owner,
+        long epoch,
+        int itemCount,
+        long waitingTokens,
+        long acceptedAtMillis,
+        boolean ended,
+        ImmutableList<ListedItem> listed,
+        ImmutableMap<Integer, Integer> failures) {
+
+    /** Checks the arguments. */
+    public JobRecord {
+        checkNotNull(id, "id");
+        checkNotNull(owner, "owner");
+        checkArgument(itemCount > 0, "items of job %s not positive: %s", id, itemCount);
+        checkArgument(listed.size() <= itemCount, "job %s lists %s items", id, listed.size());
+    }
+
+    /** Returns whether items may still run. */
+    public boolean isOpen() {
+        return !ended && listed.size() < itemCount;
+    }
+
+    /** Returns the items that have results. */
+    public Set<Integer> listedItems() {
+        Set<Integer> items = new HashSet<>();
+        listed.forEach(entry -> items.add(entry.item()));
+        return items;
+    }
+
+    /** Returns the job with another owner in a new epoch. */
+    public JobRecord ownedBy(JobOwner newOwner) {
+        return copy(newOwner, epoch + 1, waitingTokens, ended, listed, failures);
+    }
+
+    /** Returns the job after its client ended it. */
+    public JobRecord end() {
+        return copy(owner, epoch, 0, true, listed, failures);
+    }
+
+    /** Returns the job with further results behind the present ones. */
+    public JobRecord withResults(List<ListedItem> results, long newWaitingTokens) {
+        ImmutableList<ListedItem> all =
+                ImmutableList.<ListedItem>builder().addAll(listed).addAll(results).build();
+        return copy(owner, epoch, newWaitingTokens, ended, all, failures);
+    }
+
+    /** Returns the job with failure counts that are at least the given ones. */
+    public JobRecord withFailures(Map<Integer, Integer> counts) {
+        Map<Integer, Integer> merged = new HashMap<>(failures);
+        counts.forEach((item, count) -> merged.merge(item, count, Math::max));
+        return copy(owner, epoch, waitingTokens, ended, listed, ImmutableMap.copyOf(merged));
+    }
+
+    private JobRecord copy(
+            JobOwner newOwner,
+            long newEpoch,
+            long newWaitingTokens,
+            boolean newEnded,
+            ImmutableList<ListedItem> newListed,
+            ImmutableMap<Integer, Integer> newFailures) {
+        return new JobRecord(
+                id,
+                route,
+                host,
+                path,
+                newOwner,
+                newEpoch,
+                itemCount,
+                newWaitingTokens,
+                acceptedAtMillis,
+                newEnded,
+                newListed,
+                newFailures);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/job/ListedItem.java
@@ -0,0 +1,22 @@
+package org.fuchsiaspindle.core.job;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+/**
+ * An item that has its one result; its position in the list is the position of the result.
+ *
+ * @param item the index of the item in the submission, from 0
+ * @param itemId the identifier of the item, not null
+ * @param completed whether it was done; otherwise it was given up
+ * @param chunks the rows that hold its text
+ */
+public record ListedItem(int item, String itemId, boolean completed, int chunks) {
+
+    /** Checks the arguments. */
+    public ListedItem {
+        checkArgument(item >= 0, "negative item: %s", item);
+        checkNotNull(itemId, "itemId");
+        checkArgument(chunks >= 0, "negative chunks: %s", chunks);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/BatchYield.java
@@ -0,0 +1,31 @@
+package org.fuchsiaspindle.core.serving;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Decides how many batch items of this process leave a target that has more work than slots.
+ *
+ * <p>Every process that runs batch items at the target computes the same division from the shared
+ * loads, so together they free the missing slots without exchanging a message.
+ */
+public final class BatchYield {
+
+    private BatchYield() {}
+
+    /**
+     * Returns how many of the own batch items leave.
+     *
+     * @param slots the slots of the target, positive
+     * @param load its load over all processes
+     * @param ownBatch the batch items that this process runs there, not negative
+     * @param batchOfEarlierPeers the batch items there of processes whose identifier sorts before
+     *     this one; they leave first
+     */
+    public static int itemsToStop(
+            int slots, TargetLoad load, int ownBatch, int batchOfEarlierPeers) {
+        checkArgument(slots > 0, "slots not positive: %s", slots);
+        checkArgument(ownBatch >= 0, "negative batch items: %s", ownBatch);
+        int excess = Math.max(0, load.total() - slots);
+        return Math.min(ownBatch, Math.max(0, excess - batchOfEarlierPeers));
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/ClientLimits.java
@@ -0,0 +1,29 @@
+package org.fuchsiaspindle.core.serving;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.time.Duration;
+
+/**
+ * Limits on what a client may send and how long it may take.
+ *
+ * @param headerBytes the largest request head, in bytes
+ * @param bodyBytes the largest request body, in bytes
+ * @param headerTimeout how long a request head may take once it has begun
+ * @param idleTimeout how long a connection may stay without a request
+ */
+public record ClientLimits(
+        int headerBytes, int bodyBytes, Duration headerTimeout, Duration idleTimeout) {
+
+    /** Limits in force before a configuration is known. */
+    public static final ClientLimits INITIAL =
+            new ClientLimits(16 * 1024, 4 << 20, Duration.ofSeconds(3), Duration.ofSeconds(15));
+
+    /** Checks the arguments. */
+    public ClientLimits {
+        checkArgument(headerBytes > 0, "header bytes not positive: %s", headerBytes);
+        checkArgument(bodyBytes > 0, "body bytes not positive: %s", bodyBytes);
+        checkArgument(headerTimeout.isPositive(), "header timeout: %s", headerTimeout);
+        checkArgument(idleTimeout.isPositive(), "idle timeout: %s", idleTimeout);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/Route.java
@@ -0,0 +1,102 @@
+package org.fuchsiaspindle.core.serving;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * A route from a host and a path prefix to services.
+ *
+ * @param name the unique name, not null
+ * @param host the host that the request names, not null
+ * @param pathPrefix the prefix of the path, begins and ends with a slash
+ * @param kind what the requests are, not null
+ * @param services the services with their weights, not empty
+ * @param timeout the longest time that a request may be kept waiting, positive
+ * @param latencyTarget the time within which an answer has its full value
+ * @param priority the rank, 0 is the most urgent
+ * @param maxAttempts how many targets one client attempt may run on, positive
+ * @param resumable whether a stream may go on at another target after its last event
+ * @param eventGapTarget the longest pause between events of a stream that is on time, if limited
+ * @param batch the limits of batch jobs, present for batch routes
+ */
+public record Route(
+        String name,
+        String host,
+        String pathPrefix,
+        RouteKind kind,
+        List<WeightedService> services,
+        Duration timeout,
+        Duration latencyTarget,
+        int priority,
+        int maxAttempts,
+        boolean resumable,
+        Optional<Duration> eventGapTarget,
+        Optional<BatchLimits> batch) {
+
+    /**
+     * Limits of the batch jobs of a route.
+     *
+     * @param completionTarget the time from the first submission until all results are due
+     * @param retention the time from the first submission after which an item may be given up
+     * @param maxWaitingTokens the tokens that may wait on the route over all clients, 0 for no
+     *     limit
+     */
+    public record BatchLimits(
+            Duration completionTarget, Duration retention, long maxWaitingTokens) {
+
+        /** Checks the arguments. */
+        public BatchLimits {
+            checkNotNull(completionTarget, "completionTarget");
+            checkNotNull(retention, "retention");
+            checkArgument(maxWaitingTokens >= 0, "negative limit: %s", maxWaitingTokens);
+        }
+    }
+
+    /** Checks the arguments. */
+    public Route {
+        checkNotNull(name, "name");
+        checkNotNull(host, "host");
+        checkArgument(
+                pathPrefix.startsWith("/") && pathPrefix.endsWith("/"),
+                "prefix of route %s does not begin and end with a slash: %s",
+                name,
+                pathPrefix);
+        checkNotNull(kind, "kind");
+        services = List.copyOf(services);
+        checkArgument(!services.isEmpty(), "route %s has no service", name);
+        checkArgument(
+                timeout.isPositive(), "timeout of route %s is not positive: %s", name, timeout);
+        checkNotNull(latencyTarget, "latencyTarget");
+        checkArgument(maxAttempts > 0, "attempts of route %s not positive: %s", name, maxAttempts);
+        checkNotNull(eventGapTarget, "eventGapTarget");
+        checkNotNull(batch, "batch");
+        checkArgument(
+                kind != RouteKind.BATCH || batch.isPresent(), "batch route %s has no limits", name);
+    }
+
+    /** Returns whether a request that may have run may run again from the start. */
+    public boolean isIdempotent() {
+        return switch (kind) {
+            case IDEMPOTENT, BATCH -> true;
+            case AT_MOST_ONCE -> false;
+            case STREAM -> resumable;
+        };
+    }
+
+    /** Returns the service of a request, drawn by weight with a number from 0 to under 1. */
+    public String chooseService(double draw) {
+        double total = services.stream().mapToDouble(WeightedService::weight).sum();
+        double left = draw * total;
+        for (WeightedService candidate : services) {
+            left -= candidate.weight();
+            if (left < 0) {
+                return candidate.service();
+            }
+        }
+        return services.getLast().service();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/WaitingLine.java
@@ -0,0 +1,115 @@
+package org.fuchsiaspindle.core.serving;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Requests of one service that wait for a target, in the order in which they should start.
+ *
+ * <p>The most urgent route goes first. Within a route, requests that can still be answered within
+ * their latency target go before late ones, because a late answer is worth a fraction; within each
+ * group the oldest goes first. Not thread-safe.
+ *
+ * @param <T> the waiting request
+ */
+public final class WaitingLine<T> {
+
+    /**
+     * One waiting request.
+     *
+     * @param request the request, not null
+     * @param priority the rank of its route, 0 is the most urgent
+     * @param onTimeUntilNanos the latest start, in monotonic nanoseconds, for an answer in time
+     * @param startUntilNanos the latest start that is of any use, in monotonic nanoseconds
+     * @param arrivedNanos when it arrived, in monotonic nanoseconds
+     * @param <T> the request
+     */
+    public record Entry<T>(
+            T request,
+            int priority,
+            long onTimeUntilNanos,
+            long startUntilNanos,
+            long arrivedNanos) {
+
+        /** Checks the arguments. */
+        public Entry {
+            checkNotNull(request, "request");
+        }
+    }
+
+    private final List<Entry<T>> entries = new ArrayList<>();
+
+    /** Creates an empty line. */
+    public WaitingLine() {}
+
+    /** Adds a request. */
+    public void add(Entry<T> entry) {
+        entries.add(checkNotNull(entry, "entry"));
+    }
+
+    /** Removes a request; returns whether it was waiting. */
+    public boolean remove(T request) {
+        return entries.removeIf(entry -> entry.request() == request);
+    }
+
+    /** Returns the number of waiting requests. */
+    public int size() {
+        return entries.size();
+    }
+
+    /** Returns how many requests go before a new one of a priority that is on time. */
+    public int ahead(int priority, long nowNanos) {
+        int count = 0;
+        for (Entry<T> entry : entries) {
+            boolean onTime = entry.onTimeUntilNanos() - nowNanos >= 0;
+            if (entry.priority() < priority || entry.priority() == priority && onTime) {
+                count++;
+            }
+        }
+        return count;
+    }
+
+    /** Returns the request that starts next; it stays in the line. */
+    public Optional<T> peek(long nowNanos) {
+        return entries.stream().min(startOrder(nowNanos)).map(Entry::request);
+    }
+
+    /** Removes and returns the requests whose latest useful start has passed. */
+    public List<T> removeExpired(long nowNanos) {
+        List<T> expired = new ArrayList<>();
+        entries.removeIf(
+                entry -> {
+                    boolean isExpired = entry.startUntilNanos() - nowNanos < 0;
+                    if (isExpired) {
+                        expired.add(entry.request());
+                    }
+                    return isExpired;
+                });
+        return expired;
+    }
+
+    /**
+     * Estimates how long a new request waits.
+     *
+     * @param ahead the requests that start before it
+     * @param slots the slots of all targets of the service
+     * @param serviceTime how long one request holds a slot
+     */
+    public static Duration estimateWait(int ahead, int slots, Duration serviceTime) {
+        if (slots <= 0) {
+            return Duration.ofDays(1);
+        }
+        return serviceTime.multipliedBy(ahead + 1L).dividedBy(slots);
+    }
+
+    private Comparator<Entry<T>> startOrder(long nowNanos) {
+        return Comparator.comparingInt((Entry<T> entry) -> entry.priority())
+                .thenComparing(entry -> entry.onTimeUntilNanos() - nowNanos < 0)
+                .thenComparingLong(Entry::arrivedNanos);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaspindle/core/serving/ServingConfigTest.java
@@ -0,0 +1,70 @@
+package org.fuchsiaspindle.core.serving;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import org.junit.jupiter.api.Test;
+
+/** Guards the choice of routes and services. */
+final class ServingConfigTest {
+
+    @Test
+    void longestPrefix_wins() {
+        ServingConfig config =
+                ServingConfig.of(
+                        3,
+                        List.of(route("short", "/a/", "s"), route("long", "/a/b/", "s")),
+                        List.of(),
+                        ClientLimits.INITIAL);
+        assertThat(config.match("H.example", "/a/b/c").map(Route::name)).contains("long");
+        assertThat(config.match("h.example", "/a/x").map(Route::name)).contains("short");
+        assertThat(config.match("h.example", "/ab")).isEmpty();
+        assertThat(config.match("other.example", "/a/x")).isEmpty();
+    }
+
+    @Test
+    void split_followsTheWeights() {
+        Route route =
+                new Route(
+                        "split",
+                        "h.example",
+                        "/a/",
+                        RouteKind.STREAM,
+                        List.of(new WeightedService("big", 90), new WeightedService("small", 10)),
+                        Duration.ofSeconds(1),
+                        Duration.ofSeconds(1),
+                        0,
+                        1,
+                        false,
+                        Optional.empty(),
+                        Optional.empty());
+        assertThat(route.chooseService(0.0)).isEqualTo("big");
+        assertThat(route.chooseService(0.89)).isEqualTo("big");
+        assertThat(route.chooseService(0.91)).isEqualTo("small");
+        assertThat(route.isIdempotent()).isFalse();
+    }
+
+    @Test
+    void prefixWithoutSlash_isNamedInTheError() {
+        assertThatThrownBy(() -> route("bad", "/a", "s")).hasMessageContaining("/a");
+    }
+
+    private static Route route(String name, String prefix, String service) {
+        return new Route(
+                name,
+                "h.example",
+                prefix,
+                RouteKind.IDEMPOTENT,
+                List.of(new WeightedService(service, 1)),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
+                0,
+                1,
+                false,
+                Optional.empty(),
+                Optional.empty());
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -0,0 +1,230 @@
+package org.fuchsiaspindle.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.net.HostAndPort;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.error.FuchsiaspindleException;
+import org.fuchsiaspindle.core.error.ResultCode;
+import org.fuchsiaspindle.core.job.JobOwner;
+import org.fuchsiaspindle.core.time.Clock;
+import org.fuchsiaspindle.gateway.batch.JobOwnership;
+import org.fuchsiaspindle.gateway.batch.JobReads;
+import org.fuchsiaspindle.gateway.batch.JobRelay;
+import org.fuchsiaspindle.gateway.batch.JobRunner;
+import org.fuchsiaspindle.gateway.batch.JobStore;
+import org.fuchsiaspindle.gateway.batch.JobSubmissions;
+import org.fuchsiaspindle.gateway.batch.JobTable;
+import org.fuchsiaspindle.gateway.batch.StoreClock;
+import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
+import org.fuchsiaspindle.gateway.peer.PeerMesh;
+import org.fuchsiaspindle.gateway.target.TargetFleet;
+import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
+import org.fuchsiaspindle.gateway.view.FleetViews;
+import org.fuchsiaspindle.gateway.watch.ConfigWatch;
+import org.fuchsiaspindle.gateway.watch.StoreHealth;
+import org.fuchsiaspindle.gateway.watch.TargetWatch;
+import org.fuchsiaspindle.platform.ingress.ClientServer;
+import org.fuchsiaspindle.platform.ingress.StatusServer;
+import org.fuchsiaspindle.platform.settings.ProcessSettings;
+import org.fuchsiaspindle.platform.store.HttpStoreClient;
+import org.fuchsiaspindle.platform.store.StoreClient;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** One gateway process: puts its parts together, starts and stops them. */
+public final class Gateway implements AutoCloseable {
+
+    private static final Logger LOG = LoggerFactory.getLogger(Gateway.class);
+
+    /** Time until the platform's balancer has noticed that this process is not ready. */
+    private static final Duration BALANCER_TIME = Duration.ofMillis(2600);
+
+    /** Time before the end of the platform's grace at which the process ends at the latest. */
+    private static final Duration GRACE_MARGIN = Duration.ofMillis(500);
+
+    private static final Duration CLOSE_TIME = Duration.ofSeconds(1);
+    private static final Duration STOP_CHECK = Duration.ofMillis(50);
+
+    private final ProcessSettings settings;
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final EventLoop requestLoop = group.next();
+    private final EventLoop storeLoop = group.next();
+    private final FleetViews views = new FleetViews();
+    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final StoreHealth storeHealth = StoreHealth.create(Clock.system());
+    private final StoreClock storeClock = StoreClock.create(Clock.system());
+    private final StoreClient storeClient;
+    private final TargetFleet fleet;
+    private final PeerMesh mesh;
+    private final OnlineDispatcher online;
+    private final JobTable table;
+    private final JobStore jobStore;
+    private final JobOwner self;
+    private JobRunner runner;
+    private JobOwnership ownership;
+    private ClientServer clients;
+    private volatile boolean stopping;
+
+    private Gateway(ProcessSettings settings, String incarnation) {
+        this.settings = settings;
+        this.storeClient = HttpStoreClient.create(storeLoop, settings.store().address());
+        this.fleet = TargetFleet.create(requestLoop, settings.ip(), settings.dataCentre());
+        this.mesh =
+                PeerMesh.create(
+                        requestLoop,
+                        new PeerMesh.Self(
+                                settings.node(), settings.ip(), settings.firstPort(), incarnation),
+                        views,
+                        storeHealth,
+                        fleet);
+        this.online = OnlineDispatcher.create(requestLoop, fleet, metrics);
+        this.table = JobTable.create(requestLoop);
+        this.jobStore = JobStore.on(storeClient);
+        this.self = new JobOwner(settings.ip(), incarnation);
+    }
+
+    /**
+     * Starts a gateway; returns when its ports are open.
+     *
+     * @param settings the settings, not null
+     * @param incarnation identifies this life of the process, not null
+     */
+    public static Gateway start(ProcessSettings settings, String incarnation) {
+        Gateway gateway =
+                new Gateway(
+                        checkNotNull(settings, "settings"),
+                        checkNotNull(incarnation, "incarnation"));
+        gateway.start();
+        return gateway;
+    }
+
+    private void start() {
+        HostAndPort clientAddress = required(settings.clientAddress(), "listen.front");
+        HostAndPort statusAddress = required(settings.readinessAddress(), "listen.readiness");
+        views.addListener(view -> requestLoop.execute(() -> fleet.apply(view.directory())));
+        ConfigWatch.start(storeLoop, storeClient, storeHealth, views);
+        TargetWatch.start(storeLoop, storeClient, storeHealth, views);
+        fleet.addCapacityListener(online);
+        runner =
+                JobRunner.start(
+                        new JobRunner.Parts(
+                                requestLoop,
+                                views,
+                                fleet,
+                                online,
+                                jobStore,
+                                table,
+                                storeClock,
+                                self,
+                                metrics));
+        ownership =
+                JobOwnership.start(
+                        requestLoop, storeClient, jobStore, table, runner, self, storeClock);
+        table.start(storeLoop, storeClient, storeHealth);
+        fleet.start(mesh);
+        mesh.start(settings.peerIps());
+        clients = ClientServer.create(requestLoop, () -> views.view().limits(), router());
+        clients.listen(clientAddress);
+        StatusServer.start(requestLoop, statusAddress, this::isReady, metrics::text);
+        LOG.info(
+                "gateway: started node={} ip={} zone={} incarnation={} store={}",
+                settings.node(),
+                settings.ip(),
+                settings.dataCentre(),
+                self.incarnation(),
+                settings.store().address());
+    }
+
+    private RequestRouter router() {
+        JobRelay relay =
+                JobRelay.create(
+                        requestLoop, mesh, settings.clientAddress().orElseThrow().getPort());
+        JobSubmissions submissions =
+                JobSubmissions.create(
+                        new JobSubmissions.Parts(
+                                requestLoop,
+                                jobStore,
+                                table,
+                                runner,
+                                relay,
+                                self,
+                                storeClock,
+                                storeHealth));
+        JobReads reads = JobReads.create(requestLoop, jobStore, table, relay);
+        return new RequestRouter(views, online, submissions, reads);
+    }
+
+    private static HostAndPort required(java.util.Optional<HostAndPort> address, String name) {
+        return address.orElseThrow(
+                () ->
+                        new FuchsiaspindleException(
+                                ResultCode.INVALID_SETTING, name + " is missing"));
+    }
+
+    /** Returns whether the gateway takes new clients. */
+    public boolean isReady() {
+        return !stopping && views.view().config().isPresent();
+    }
+
+    /** Adds addresses of other gateways after the settings changed. */
+    public void peersChanged(List<String> ips) {
+        requestLoop.execute(() -> mesh.learn(ips));
+    }
+
+    /**
+     * Stops the gateway without cutting off a request.
+     *
+     * <p>It is not ready at once, hands its jobs over, and answers until the balancer has noticed
+     * and all requests are done, or the platform's grace is nearly over.
+     *
+     * @return completes when the process may end
+     */
+    public CompletableFuture<Void> stop() {
+        stopping = true;
+        CompletableFuture<Void> stopped = new CompletableFuture<>();
+        long begun = System.nanoTime();
+        requestLoop.execute(
+                () -> {
+                    LOG.info("gateway: stopping jobs={}", runner.ownedJobs());
+                    clients.drain();
+                    mesh.announceStop();
+                    ownership.stop();
+                    runner.handOver();
+                    requestLoop.schedule(
+                            () -> finishStop(begun, stopped),
+                            BALANCER_TIME.toMillis(),
+                            TimeUnit.MILLISECONDS);
+                });
+        return stopped;
+    }
+
+    /** Ends the gateway at once, without answering what is under way. */
+    @Override
+    public void close() {
+        stopping = true;
+        group.shutdownGracefully(0, CLOSE_TIME.toMillis(), TimeUnit.MILLISECONDS)
+                .syncUninterruptibly();
+    }
+
+    private void finishStop(long begun, CompletableFuture<Void> stopped) {
+        Duration elapsed = Duration.ofNanos(System.nanoTime() - begun);
+        Duration limit = settings.timings().stopGrace().minus(GRACE_MARGIN);
+        clients.closeIdle();
+        if (clients.busyConnections() == 0 || elapsed.compareTo(limit) > 0) {
+            LOG.info("gateway: stopped after={}ms", elapsed.toMillis());
+            stopped.complete(null);
+        } else {
+            requestLoop.schedule(
+                    () -> finishStop(begun, stopped), STOP_CHECK.toMillis(), TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/GatewayMain.java
@@ -0,0 +1,76 @@
+package org.fuchsiaspindle.gateway;
+
+import java.nio.file.Path;
+import java.security.SecureRandom;
+import java.util.HexFormat;
+import java.util.Optional;
+import java.util.concurrent.atomic.AtomicBoolean;
+import org.fuchsiaspindle.core.error.FuchsiaspindleException;
+import org.fuchsiaspindle.core.error.ResultCode;
+import org.fuchsiaspindle.platform.settings.ProcessSettings;
+import org.fuchsiaspindle.platform.settings.SettingsFile;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Entry point of the gateway daemon; its settings come from the platform's settings file. */
+public final class GatewayMain {
+
+    private static final Logger LOG = LoggerFactory.getLogger(GatewayMain.class);
+
+    /** Exit code for a bad setting. */
+    static final int EXIT_INVALID_SETTING = 2;
+
+    /** Exit code for a start that failed for another reason. */
+    static final int EXIT_START_FAILED = 3;
+
+    private static final int INCARNATION_BYTES = 6;
+
+    private GatewayMain() {}
+
+    /** Runs the gateway until it is told to stop. */
+    public static void main(String[] args) {
+        // The platform signals changed settings; without a handler the signal would end the JVM.
+        ProcessSignals.handle("HUP", () -> LOG.info("settings: reload requested before the start"));
+        Optional<Path> path =
+                Optional.ofNullable(System.getenv(SettingsFile.VARIABLE)).map(Path::of);
+        try {
+            run(path.orElseThrow(() -> missing(SettingsFile.VARIABLE)));
+        } catch (FuchsiaspindleException failure) {
+            LOG.error(
+                    "error {} {}: {}",
+                    failure.code().number(),
+                    failure.code(),
+                    failure.getMessage());
+            System.exit(
+                    failure.code() == ResultCode.INVALID_SETTING
+                            ? EXIT_INVALID_SETTING
+                            : EXIT_START_FAILED);
+        }
+    }
+
+    private static void run(Path path) {
+        ProcessSettings settings = SettingsFile.read(path);
+        Gateway gateway = Gateway.start(settings, newIncarnation());
+        SettingsReload reload = SettingsReload.start(path, gateway);
+        ProcessSignals.handle("HUP", reload::request);
+        AtomicBoolean stopRequested = new AtomicBoolean();
+        ProcessSignals.handle(
+                "TERM",
+                () -> {
+                    if (stopRequested.compareAndSet(false, true)) {
+                        gateway.stop().thenRun(() -> System.exit(0));
+                    }
+                });
+    }
+
+    private static String newIncarnation() {
+        byte[] bytes = new byte[INCARNATION_BYTES];
+        new SecureRandom().nextBytes(bytes);
+        return HexFormat.of().formatHex(bytes);
+    }
+
+    private static FuchsiaspindleException missing(String variable) {
+        return new FuchsiaspindleException(
+                ResultCode.INVALID_SETTING, "environment variable " + variable + " is not set");
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
@@ -0,0 +1,85 @@
+package org.fuchsiaspindle.gateway;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import org.fuchsiaspindle.core.error.ResultCode;
+import org.fuchsiaspindle.core.serving.Route;
+import org.fuchsiaspindle.core.serving.RouteKind;
+import org.fuchsiaspindle.core.serving.ServingConfig;
+import org.fuchsiaspindle.gateway.batch.JobReads;
+import org.fuchsiaspindle.gateway.batch.JobSubmissions;
+import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
+import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
+import org.fuchsiaspindle.gateway.view.FleetViews;
+import org.fuchsiaspindle.platform.ingress.ClientExchange;
+import org.fuchsiaspindle.platform.ingress.ClientRequest;
+import org.fuchsiaspindle.platform.ingress.ClientRequestHandler;
+import org.fuchsiaspindle.platform.ingress.Refusal;
+import org.fuchsiaspindle.platform.job.JobCalls;
+
+/** Decides by the configuration which part of the gateway answers a request. */
+final class RequestRouter implements ClientRequestHandler {
+
+    private static final int STATUS_NOT_FOUND = 404;
+    private static final int STATUS_BAD_REQUEST = 400;
+    private static final Duration CONFIG_RETRY_AFTER = Duration.ofMillis(300);
+
+    private final FleetViews views;
+    private final OnlineDispatcher online;
+    private final JobSubmissions submissions;
+    private final JobReads reads;
+
+    RequestRouter(
+            FleetViews views, OnlineDispatcher online, JobSubmissions submissions, JobReads reads) {
+        this.views = checkNotNull(views, "views");
+        this.online = checkNotNull(online, "online");
+        this.submissions = checkNotNull(submissions, "submissions");
+        this.reads = checkNotNull(reads, "reads");
+    }
+
+    @Override
+    public void handle(ClientExchange exchange) {
+        ClientRequest request = exchange.request();
+        Optional<ServingConfig> config = views.view().config();
+        if (config.isEmpty()) {
+            exchange.refuse(Refusal.notRun(ResultCode.NO_TARGET, CONFIG_RETRY_AFTER));
+            return;
+        }
+        Optional<Route> route = config.get().match(request.host(), request.path());
+        if (route.isPresent()) {
+            start(exchange, route.get());
+            return;
+        }
+        JobCalls.decode(request)
+                .ifPresentOrElse(
+                        call -> reads.handle(exchange, call),
+                        () -> notFound(exchange, config.get()));
+    }
+
+    private void start(ClientExchange exchange, Route route) {
+        if (route.kind() == RouteKind.BATCH) {
+            submissions.handle(exchange, route);
+        } else if (exchange.request().id().isEmpty()) {
+            exchange.refuse(Refusal.of(STATUS_BAD_REQUEST, ResultCode.MALFORMED_REQUEST));
+        } else {
+            double draw = ThreadLocalRandom.current().nextDouble();
+            online.handle(exchange, route, route.chooseService(draw));
+        }
+    }
+
+    private static void notFound(ClientExchange exchange, ServingConfig config) {
+        DecisionLog.online(
+                exchange.request().id(),
+                "-",
+                "-",
+                "-",
+                "not_found",
+                "config version " + config.version(),
+                0,
+                0);
+        exchange.refuse(Refusal.of(STATUS_NOT_FOUND, ResultCode.NOT_FOUND));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -0,0 +1,144 @@
+package org.fuchsiaspindle.gateway.batch;
+
+import java.nio.charset.StandardCharsets;
+import java.util.OptionalLong;
+import org.fuchsiaspindle.gateway.target.TargetCall;
+import org.fuchsiaspindle.platform.job.BatchItem;
+import org.fuchsiaspindle.platform.target.EventSplitter;
+
+/**
+ * One item on its way to its result: waiting, running at a target, or finished and to be stored.
+ *
+ * <p>The text of whole events is kept over interruptions, so a later run goes on behind it. Not
+ * thread-safe.
+ */
+final class ItemRun {
+
+    private enum State {
+        PENDING,
+        RUNNING,
+        FINISHED
+    }
+
+    private final OwnedJob job;
+    private final int index;
+    private final BatchItem item;
+    private final StringBuilder text = new StringBuilder();
+    private State state = State.PENDING;
+    private OptionalLong lastEvent = OptionalLong.empty();
+    private TargetCall call;
+    private boolean completed;
+    private long notBeforeNanos = System.nanoTime();
+    private int interruptions;
+    private String targetId = "-";
+
+    ItemRun(OwnedJob job, int index, BatchItem item) {
+        this.job = job;
+        this.index = index;
+        this.item = item;
+    }
+
+    OwnedJob job() {
+        return job;
+    }
+
+    int index() {
+        return index;
+    }
+
+    BatchItem item() {
+        return item;
+    }
+
+    TargetCall call() {
+        return call;
+    }
+
+    OptionalLong lastEvent() {
+        return lastEvent;
+    }
+
+    boolean isPending() {
+        return state == State.PENDING;
+    }
+
+    boolean mayStart(long now) {
+        return state == State.PENDING && now - notBeforeNanos >= 0;
+    }
+
+    boolean isRunning() {
+        return state == State.RUNNING;
+    }
+
+    boolean isFinished() {
+        return state == State.FINISHED;
+    }
+
+    boolean isCompleted() {
+        return completed;
+    }
+
+    byte[] result() {
+        return completed ? text.toString().getBytes(StandardCharsets.UTF_8) : new byte[0];
+    }
+
+    /** Returns the target of the present or the last run, a dash before the first. */
+    String targetId() {
+        return targetId;
+    }
+
+    void started(TargetCall newCall) {
+        state = State.RUNNING;
+        call = newCall;
+        targetId = newCall.instance().id();
+    }
+
+    void add(EventSplitter.Event event) {
+        boolean repeated =
+                event.id().isPresent()
+                        && lastEvent.isPresent()
+                        && event.id().getAsLong() <= lastEvent.getAsLong();
+        if (!repeated) {
+            if (lastEvent.isPresent()) {
+                text.append('\n');
+            }
+            text.append(event.data());
+            lastEvent = event.id();
+        }
+        event.bytes().release();
+    }
+
+    /** Puts the item back to wait, not to be started before a monotonic time. */
+    void interrupted(long newNotBeforeNanos) {
+        state = State.PENDING;
+        call = null;
+        interruptions++;
+        notBeforeNanos = newNotBeforeNanos;
+    }
+
+    int interruptions() {
+        return interruptions;
+    }
+
+    /** Drops the text, so that the next run begins from the start. */
+    void restart() {
+        text.setLength(0);
+        lastEvent = OptionalLong.empty();
+    }
+
+    void finish(boolean newCompleted) {
+        state = State.FINISHED;
+        completed = newCompleted;
+        call = null;
+    }
+
+    void stop() {
+        if (call != null) {
+            call.cancel();
+            call = null;
+        }
+        if (state == State.RUNNING) {
+            state = State.PENDING;
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCommitter.java
@@ -0,0 +1,174 @@
+package org.fuchsiaspindle.gateway.batch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.fuchsiaspindle.core.job.JobOwner;
+import org.fuchsiaspindle.core.job.JobRecord;
+import org.fuchsiaspindle.core.job.ListedItem;
+import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
+import org.fuchsiaspindle.platform.store.CommitResult;
+import org.fuchsiaspindle.platform.store.StoredRow;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Stores results, one transaction a job at a time.
+ *
+ * <p>A transaction whose outcome is unknown is resolved by reading the row. It is never followed by
+ * another one based on an older version, so a position gets one result only.
+ */
+final class JobCommitter {
+
+    private static final Logger LOG = LoggerFactory.getLogger(JobCommitter.class);
+    private static final Duration RETRY_DELAY = Duration.ofMillis(250);
+
+    private final EventLoop loop;
+    private final JobStore store;
+    private final JobTable table;
+    private final StoreClock storeClock;
+    private final JobOwner self;
+    private final Consumer<OwnedJob> ownershipLost;
+
+    JobCommitter(
+            EventLoop loop,
+            JobStore store,
+            JobTable table,
+            StoreClock storeClock,
+            JobOwner self,
+            Consumer<OwnedJob> ownershipLost) {
+        this.loop = checkNotNull(loop, "loop");
+        this.store = checkNotNull(store, "store");
+        this.table = checkNotNull(table, "table");
+        this.storeClock = checkNotNull(storeClock, "storeClock");
+        this.self = checkNotNull(self, "self");
+        this.ownershipLost = checkNotNull(ownershipLost, "ownershipLost");
+    }
+
+    /** Stores what is finished of a job, unless a transaction of the job is under way. */
+    void commit(OwnedJob owned) {
+        List<ItemRun> finished = owned.finishedRuns();
+        boolean nothing = finished.isEmpty() && !owned.hasFailuresToStore();
+        if (owned.isCommitting() || nothing || System.nanoTime() - owned.retryAtNanos() < 0) {
+            return;
+        }
+        JobRecord job = owned.job();
+        List<ListedItem> results = new ArrayList<>();
+        List<JobStore.Text> texts = new ArrayList<>();
+        int bytes = 0;
+        int rows = 0;
+        for (ItemRun run : finished) {
+            byte[] text = run.result();
+            int chunks = JobStore.chunks(text);
+            boolean full =
+                    bytes + text.length > JobStore.MAX_COMMIT_BYTES
+                            || rows + chunks > JobStore.MAX_COMMIT_ROWS;
+            if (!results.isEmpty() && full) {
+                break;
+            }
+            bytes += text.length;
+            rows += chunks;
+            int position = job.listed().size() + results.size();
+            texts.add(new JobStore.Text(position, text));
+            results.add(new ListedItem(run.index(), run.item().id(), run.isCompleted(), chunks));
+        }
+        Set<Integer> listed = new HashSet<>(job.listedItems());
+        results.forEach(result -> listed.add(result.item()));
+        JobRecord updated =
+                job.withResults(results, job.ended() ? 0 : owned.tokensWithout(listed))
+                        .withFailures(owned.failures());
+        owned.failuresTaken();
+        send(owned, updated, texts);
+    }
+
+    /** Hands a job back, so that another gateway runs what is left of it. */
+    void release(OwnedJob owned) {
+        if (!owned.isCommitting()) {
+            send(owned, owned.job().ownedBy(JobOwner.NONE), List.of());
+        }
+    }
+
+    private void send(OwnedJob owned, JobRecord updated, List<JobStore.Text> texts) {
+        owned.setCommitting(true);
+        store.update(updated, owned.stored().version(), texts)
+                .whenCompleteAsync(
+                        (result, failure) -> committed(owned, updated, result, failure), loop);
+    }
+
+    private void committed(
+            OwnedJob owned, JobRecord updated, CommitResult result, Throwable failure) {
+        if (failure != null) {
+            LOG.error("batch: commit failed job={}", owned.id(), failure);
+            resolve(owned);
+            return;
+        }
+        switch (result) {
+            case CommitResult.Committed done -> {
+                storeClock.answered(done.storeMillis());
+                VersionedJob newer = new VersionedJob(updated, done.version());
+                settle(owned, Optional.of(newer));
+            }
+            case CommitResult.Conflict conflict -> settle(owned, present(conflict.rows()));
+            case CommitResult.NotDone notDone -> {
+                LOG.info("batch: not stored job={} reason={}", owned.id(), notDone.reason());
+                owned.setCommitting(false);
+                retryLater(owned);
+            }
+            case CommitResult.Unknown unknown -> {
+                LOG.info("batch: outcome open job={} reason={}", owned.id(), unknown.reason());
+                resolve(owned);
+            }
+        }
+    }
+
+    private static Optional<VersionedJob> present(List<StoredRow> rows) {
+        return rows.stream().findFirst().flatMap(JobStore::decode);
+    }
+
+    /** Finds out by a read what became of a transaction. */
+    private void resolve(OwnedJob owned) {
+        store.read(owned.id())
+                .whenCompleteAsync(
+                        (found, failure) -> {
+                            if (failure != null) {
+                                loop.schedule(
+                                        () -> resolve(owned),
+                                        RETRY_DELAY.toMillis(),
+                                        TimeUnit.MILLISECONDS);
+                            } else {
+                                settle(owned, found);
+                            }
+                        },
+                        loop);
+    }
+
+    /** Goes on from the row as it is now. */
+    private void settle(OwnedJob owned, Optional<VersionedJob> now) {
+        owned.setCommitting(false);
+        if (now.isEmpty()) {
+            LOG.error("batch: row missing job={}", owned.id());
+            ownershipLost.accept(owned);
+            return;
+        }
+        table.offer(now.get());
+        if (!now.get().job().owner().equals(self)) {
+            ownershipLost.accept(owned);
+            return;
+        }
+        owned.rebase(now.get());
+        commit(owned);
+    }
+
+    private void retryLater(OwnedJob owned) {
+        owned.retryAt(System.nanoTime() + RETRY_DELAY.toNanos());
+        loop.schedule(() -> commit(owned), RETRY_DELAY.toMillis() + 1, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRelay.java
@@ -0,0 +1,149 @@
+package org.fuchsiaspindle.gateway.batch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.net.HostAndPort;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.error.ResultCode;
+import org.fuchsiaspindle.gateway.peer.PeerInfo;
+import org.fuchsiaspindle.gateway.peer.PeerMesh;
+import org.fuchsiaspindle.platform.channel.ExchangeFailure;
+import org.fuchsiaspindle.platform.channel.ExchangeListener;
+import org.fuchsiaspindle.platform.channel.HttpConnection;
+import org.fuchsiaspindle.platform.channel.HttpHeads;
+import org.fuchsiaspindle.platform.ingress.ClientExchange;
+import org.fuchsiaspindle.platform.ingress.ClientRequest;
+import org.fuchsiaspindle.platform.ingress.Refusal;
+import org.fuchsiaspindle.platform.target.TargetAnswer;
+import org.fuchsiaspindle.platform.target.TargetProtocol;
+
+/**
+ * Passes calls on jobs to a gateway that the store serves, while it does not serve this one.
+ *
+ * <p>A call is passed on once. Confined to its event loop.
+ */
+public final class JobRelay {
+
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(400);
+    private static final Duration DEFAULT_TIMEOUT = Duration.ofSeconds(3);
+    private static final Duration RETRY_AFTER = Duration.ofMillis(400);
+
+    private final EventLoop loop;
+    private final PeerMesh mesh;
+    private final int clientPort;
+
+    private JobRelay(EventLoop loop, PeerMesh mesh, int clientPort) {
+        this.loop = loop;
+        this.mesh = mesh;
+        this.clientPort = clientPort;
+    }
+
+    /** Creates a relay to the port on which all gateways accept clients. */
+    public static JobRelay create(EventLoop loop, PeerMesh mesh, int clientPort) {
+        return new JobRelay(checkNotNull(loop, "loop"), checkNotNull(mesh, "mesh"), clientPort);
+    }
+
+    /** Returns whether a gateway is known that the store serves and the call was not passed on. */
+    boolean canRelay(ClientExchange exchange) {
+        return !exchange.request().relayed() && !ablePeers().isEmpty();
+    }
+
+    private List<PeerInfo> ablePeers() {
+        return mesh.peers().stream()
+                .filter(peer -> peer.storeReachable() && !peer.stopping())
+                .toList();
+    }
+
+    /** Passes a call on, or refuses it if no gateway can serve it. */
+    void relay(ClientExchange exchange) {
+        List<PeerInfo> able = ablePeers();
+        if (able.isEmpty() || exchange.request().relayed()) {
+            exchange.refuse(Refusal.notRun(ResultCode.TABLE_UNAVAILABLE, RETRY_AFTER));
+            return;
+        }
+        PeerInfo peer = able.get(ThreadLocalRandom.current().nextInt(able.size()));
+        HttpConnection.open(
+                loop,
+                HostAndPort.fromParts(peer.ip(), clientPort),
+                CONNECT_TIMEOUT,
+                connection -> send(exchange, connection),
+                failure ->
+                        exchange.refuse(Refusal.notRun(ResultCode.TABLE_UNAVAILABLE, RETRY_AFTER)));
+    }
+
+    private void send(ClientExchange exchange, HttpConnection connection) {
+        Relayed relayed = new Relayed(exchange, connection);
+        exchange.onClientGone(connection::close);
+        connection.send(request(exchange.request()), relayed);
+        Duration limit = exchange.request().deadline().orElse(DEFAULT_TIMEOUT);
+        loop.schedule(relayed::expire, limit.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private static FullHttpRequest request(ClientRequest original) {
+        FullHttpRequest request =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        original.method(),
+                        original.uri(),
+                        Unpooled.wrappedBuffer(original.body()));
+        HttpHeads.copyEndToEnd(original.headers(), request.headers());
+        request.headers()
+                .set(ClientRequest.RELAYED, "1")
+                .set(HttpHeaderNames.CONNECTION, "close")
+                .set(HttpHeaderNames.CONTENT_LENGTH, original.body().length);
+        return request;
+    }
+
+    private static final class Relayed implements ExchangeListener {
+
+        private final ClientExchange exchange;
+        private final HttpConnection connection;
+        private final ByteBuf body = Unpooled.buffer();
+        private TargetAnswer answer;
+
+        Relayed(ClientExchange exchange, HttpConnection connection) {
+            this.exchange = exchange;
+            this.connection = connection;
+        }
+
+        @Override
+        public boolean onHead(HttpResponse head) {
+            answer = TargetProtocol.decode(head);
+            return true;
+        }
+
+        @Override
+        public void onData(ByteBuf data) {
+            body.writeBytes(data);
+        }
+
+        @Override
+        public void onComplete() {
+            exchange.answer(answer, body);
+        }
+
+        @Override
+        public void onFailure(ExchangeFailure failure) {
+            // The other gateway may have accepted the job.
+            exchange.refuse(Refusal.mayHaveRun(ResultCode.WRITE_OUTCOME_UNKNOWN));
+        }
+
+        void expire() {
+            if (!exchange.isDone()) {
+                connection.close();
+                exchange.refuse(Refusal.mayHaveRun(ResultCode.WRITE_OUTCOME_UNKNOWN));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
@@ -0,0 +1,261 @@
+package org.fuchsiaspindle.gateway.batch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.hash.Hashing;
+import java.io.ByteArrayOutputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.fuchsiaspindle.core.job.JobRecord;
+import org.fuchsiaspindle.core.job.ListedItem;
+import org.fuchsiaspindle.platform.job.JobCalls;
+import org.fuchsiaspindle.platform.store.CommitResult;
+import org.fuchsiaspindle.platform.store.RowKey;
+import org.fuchsiaspindle.platform.store.RowTransaction;
+import org.fuchsiaspindle.platform.store.StoreClient;
+import org.fuchsiaspindle.platform.store.StoreUnavailableException;
+import org.fuchsiaspindle.platform.store.StoredRow;
+
+/**
+ * Where the parts of a job lie in the store.
+ *
+ * <p>The row of the job, the rows of its submission and those of its texts share a partition, so
+ * that one conditional transaction accepts a job and one lists results with their texts.
+ * Thread-safe; results arrive on the store's event loop.
+ */
+public final class JobStore {
+
+    /** Table of the jobs. */
+    public static final String JOBS = "job";
+
+    private static final String TEXTS = "result";
+    private static final String SUBMISSIONS = "submission";
+
+    /** Partitions over which the jobs are spread, since one takes a bounded number of writes. */
+    private static final int PARTITIONS = 16;
+
+    /** Bytes of text in one row; the encoded row stays below the limit of the store. */
+    private static final int CHUNK_BYTES = 45_000;
+
+    /** Text bytes that one transaction carries; its limit is 1 MB after encoding. */
+    static final int MAX_COMMIT_BYTES = 600_000;
+
+    /** Rows that one transaction writes; its limit is 100. */
+    static final int MAX_COMMIT_ROWS = 80;
+
+    /** Text bytes that one read of results returns. */
+    private static final int MAX_READ_BYTES = 700_000;
+
+    private final StoreClient store;
+
+    private JobStore(StoreClient store) {
+        this.store = store;
+    }
+
+    /** Creates the store of jobs on the platform's store. */
+    public static JobStore on(StoreClient store) {
+        return new JobStore(checkNotNull(store, "store"));
+    }
+
+    /**
+     * A job with the version of its row.
+     *
+     * @param job the job
+     * @param version the version of its row
+     */
+    public record VersionedJob(JobRecord job, long version) {}
+
+    /**
+     * A text that is listed together with its item.
+     *
+     * @param position the position of the result
+     * @param text the text, not null
+     */
+    record Text(int position, byte[] text) {
+
+        int chunks() {
+            return (text.length + CHUNK_BYTES - 1) / CHUNK_BYTES;
+        }
+    }
+
+    /** Returns the number of rows that hold a text of some length. */
+    static int chunks(byte[] text) {
+        return new Text(0, text).chunks();
+    }
+
+    /** Returns the partition of a job. */
+    static String partition(String jobId) {
+        int hash = Hashing.murmur3_32_fixed().hashString(jobId, StandardCharsets.UTF_8).asInt();
+        return String.format(Locale.ROOT, "b%02d", Math.floorMod(hash, PARTITIONS));
+    }
+
+    /** Returns the row in a table listing as a job, or empty if it cannot be read. */
+    static Optional<VersionedJob> decode(StoredRow row) {
+        return JobCodec.decode(row.key().key(), row.value())
+                .map(job -> new VersionedJob(job, row.version()));
+    }
+
+    /**
+     * Stores a new job with its submission unless a job of that id exists.
+     *
+     * <p>A submission that fits lies in rows that the transaction of the job writes, too; a larger
+     * one is an object that is stored before.
+     */
+    CompletableFuture<CommitResult> create(JobRecord job, byte[] submission) {
+        if (submission.length <= MAX_COMMIT_BYTES) {
+            return store.commit(
+                    transaction(job, 0)
+                            .writeAll(chunkRows(SUBMISSIONS, job.id(), job.id() + "/", submission))
+                            .build());
+        }
+        return store.putObject(objectName(job.id()), submission)
+                .handle((stored, failure) -> failure == null)
+                .thenCompose(
+                        stored ->
+                                stored
+                                        ? update(job, 0, List.of())
+                                        : CompletableFuture.completedFuture(
+                                                new CommitResult.NotDone("submission not stored")));
+    }
+
+    /** Returns the submission of a job, or empty if there is none. */
+    CompletableFuture<Optional<byte[]>> submission(String jobId) {
+        return store.rows(SUBMISSIONS, partition(jobId), jobId + "/", jobId + "0")
+                .thenCompose(
+                        page ->
+                                page.rows().isEmpty()
+                                        ? store.object(objectName(jobId))
+                                        : CompletableFuture.completedFuture(
+                                                Optional.of(joinChunks(page.rows()))));
+    }
+
+    private static byte[] joinChunks(List<StoredRow> rows) {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        rows.forEach(row -> bytes.writeBytes(row.value()));
+        return bytes.toByteArray();
+    }
+
+    private static RowTransaction.Builder transaction(JobRecord job, long version) {
+        String partition = partition(job.id());
+        RowKey key = new RowKey(JOBS, partition, job.id());
+        return RowTransaction.inPartition(partition)
+                .expect(key, version)
+                .write(key, JobCodec.encode(job));
+    }
+
+    private static List<RowTransaction.Write> chunkRows(
+            String table, String jobId, String prefix, byte[] bytes) {
+        List<RowTransaction.Write> rows = new ArrayList<>();
+        for (int from = 0; from < bytes.length; from += CHUNK_BYTES) {
+            int to = Math.min(bytes.length, from + CHUNK_BYTES);
+            String key = prefix + String.format(Locale.ROOT, "%03d", rows.size());
+            rows.add(
+                    new RowTransaction.Write(
+                            new RowKey(table, partition(jobId), key),
+                            Arrays.copyOfRange(bytes, from, to)));
+        }
+        return rows;
+    }
+
+    /**
+     * Replaces the row of a job if it still has a version, and writes texts with it.
+     *
+     * @param job the new content
+     * @param version the version that the row must have, 0 if it must not exist
+     * @param texts the texts of newly listed results
+     */
+    CompletableFuture<CommitResult> update(JobRecord job, long version, List<Text> texts) {
+        RowTransaction.Builder transaction = transaction(job, version);
+        for (Text text : texts) {
+            transaction.writeAll(
+                    chunkRows(TEXTS, job.id(), textPrefix(job.id(), text.position()), text.text()));
+        }
+        return store.commit(transaction.build());
+    }
+
+    /** Returns a job as it is now, or empty if it does not exist. */
+    CompletableFuture<Optional<VersionedJob>> read(String jobId) {
+        return store.rows(JOBS, partition(jobId), jobId, jobId + '\0')
+                .thenApply(page -> page.rows().stream().findFirst().map(JobStore::required));
+    }
+
+    private static VersionedJob required(StoredRow row) {
+        return decode(row)
+                .orElseThrow(
+                        () ->
+                                new StoreUnavailableException(
+                                        "unreadable row of job " + row.key().key()));
+    }
+
+    /** Returns results from a position on, at least one if there is one. */
+    CompletableFuture<List<JobCalls.Result>> results(JobRecord job, int after) {
+        int to = lastPosition(job, after);
+        if (after >= to) {
+            return CompletableFuture.completedFuture(List.of());
+        }
+        String from = textPrefix(job.id(), after);
+        return store.rows(TEXTS, partition(job.id()), from, textPrefix(job.id(), to))
+                .thenApply(page -> join(job, after, to, page.rows()));
+    }
+
+    /** Returns the end of the range of positions whose texts fit into one answer. */
+    private static int lastPosition(JobRecord job, int after) {
+        int bytes = 0;
+        int position = after;
+        while (position < job.listed().size()) {
+            bytes += job.listed().get(position).chunks() * CHUNK_BYTES;
+            if (position > after && bytes > MAX_READ_BYTES) {
+                break;
+            }
+            position++;
+        }
+        return position;
+    }
+
+    private static List<JobCalls.Result> join(
+            JobRecord job, int after, int to, List<StoredRow> rows) {
+        List<JobCalls.Result> results = new ArrayList<>();
+        int next = 0;
+        for (int position = after; position < to; position++) {
+            ListedItem item = job.listed().get(position);
+            ByteArrayOutputStream text = new ByteArrayOutputStream();
+            for (int chunk = 0; chunk < item.chunks(); chunk++) {
+                boolean present =
+                        next < rows.size()
+                                && rows.get(next).key().equals(textKey(job.id(), position, chunk));
+                if (!present) {
+                    // The page of the store ended here; the next read goes on.
+                    if (results.isEmpty()) {
+                        throw new StoreUnavailableException("text missing of job " + job.id());
+                    }
+                    return results;
+                }
+                text.writeBytes(rows.get(next++).value());
+            }
+            results.add(
+                    new JobCalls.Result(
+                            item.itemId(),
+                            item.completed(),
+                            text.toString(StandardCharsets.UTF_8)));
+        }
+        return results;
+    }
+
+    private static RowKey textKey(String jobId, int position, int chunk) {
+        String key = textPrefix(jobId, position) + String.format(Locale.ROOT, "%03d", chunk);
+        return new RowKey(TEXTS, partition(jobId), key);
+    }
+
+    private static String textPrefix(String jobId, int position) {
+        return jobId + String.format(Locale.ROOT, "/%04d/", position);
+    }
+
+    private static String objectName(String jobId) {
+        return "job-" + jobId;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissions.java
@@ -0,0 +1,279 @@
+package org.fuchsiaspindle.gateway.batch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.error.Executed;
+import org.fuchsiaspindle.core.error.FuchsiaspindleException;
+import org.fuchsiaspindle.core.error.ResultCode;
+import org.fuchsiaspindle.core.job.JobOwner;
+import org.fuchsiaspindle.core.job.JobRecord;
+import org.fuchsiaspindle.core.serving.Route;
+import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
+import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
+import org.fuchsiaspindle.gateway.watch.StoreHealth;
+import org.fuchsiaspindle.platform.ingress.ClientExchange;
+import org.fuchsiaspindle.platform.ingress.ClientRequest;
+import org.fuchsiaspindle.platform.ingress.Refusal;
+import org.fuchsiaspindle.platform.job.BatchItem;
+import org.fuchsiaspindle.platform.job.JobCalls;
+import org.fuchsiaspindle.platform.store.CommitResult;
+
+/**
+ * Accepts batch jobs: the submission and then the row of the job are in the store before the client
+ * is told so.
+ *
+ * <p>Confined to the event loop of the request path.
+ */
+public final class JobSubmissions {
+
+    private static final byte[] ACCEPTED = new byte[] {'{', '}'};
+    private static final int STATUS_ACCEPTED = 202;
+    private static final int STATUS_TOO_MANY = 429;
+    private static final int STATUS_BAD_REQUEST = 400;
+    private static final int STATUS_UNAVAILABLE = 503;
+
+    /** Deadline of a client that states none. */
+    private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(4);
+
+    /** Part of a client's deadline in which a job that is not stored is tried again. */
+    private static final double TRY_SHARE = 0.35;
+
+    /** Clients come back within a third of the time that they have left, no later. */
+    private static final int RETURN_PARTS = 3;
+
+    private static final Duration TRY_INTERVAL = Duration.ofMillis(150);
+    private static final Duration QUOTA_RETRY_AFTER = Duration.ofSeconds(1);
+
+    private final EventLoop loop;
+    private final JobStore store;
+    private final JobTable table;
+    private final JobRunner runner;
+    private final JobRelay relay;
+    private final JobOwner self;
+    private final StoreClock storeClock;
+    private final StoreHealth health;
+    private final Map<String, Accepting> accepting = new HashMap<>();
+
+    private JobSubmissions(Parts parts) {
+        this.loop = parts.loop();
+        this.store = parts.store();
+        this.table = parts.table();
+        this.runner = parts.runner();
+        this.relay = parts.relay();
+        this.self = parts.self();
+        this.storeClock = parts.storeClock();
+        this.health = parts.health();
+    }
+
+    /**
+     * What submissions work with.
+     *
+     * @param loop the event loop
+     * @param store the stored jobs
+     * @param table the known jobs
+     * @param runner runs accepted jobs
+     * @param relay passes calls on while the store is away
+     * @param self this process as an owner
+     * @param storeClock the clock by which jobs age
+     * @param health whether the store is reachable
+     */
+    public record Parts(
+            EventLoop loop,
+            JobStore store,
+            JobTable table,
+            JobRunner runner,
+            JobRelay relay,
+            JobOwner self,
+            StoreClock storeClock,
+            StoreHealth health) {}
+
+    /** Tokens of a job that is being accepted. */
+    private record Accepting(String route, long tokens) {}
+
+    /** Creates the acceptance of jobs. */
+    public static JobSubmissions create(Parts parts) {
+        return new JobSubmissions(checkNotNull(parts, "parts"));
+    }
+
+    /** Handles a submission on a route for batch jobs. */
+    public void handle(ClientExchange exchange, Route route) {
+        String id = exchange.request().id();
+        if (id.isEmpty()) {
+            exchange.refuse(Refusal.of(STATUS_BAD_REQUEST, ResultCode.MALFORMED_REQUEST));
+            return;
+        }
+        if (table.job(id).isPresent()) {
+            accepted(exchange, id, "known");
+            return;
+        }
+        ImmutableList<BatchItem> items;
+        try {
+            items = JobCalls.items(exchange.request().body());
+        } catch (FuchsiaspindleException failure) {
+            DecisionLog.batch(id, "-", "refused", failure.getMessage());
+            exchange.refuse(Refusal.of(STATUS_BAD_REQUEST, failure.code()));
+            return;
+        }
+        if (!health.isReachable() && !exchange.request().relayed()) {
+            handleUnstored(exchange, route, items);
+        } else {
+            submit(exchange, route, items);
+        }
+    }
+
+    /** Passes a job on, or tries again while its client can wait, since the store is away. */
+    private void handleUnstored(
+            ClientExchange exchange, Route route, ImmutableList<BatchItem> items) {
+        if (relay.canRelay(exchange)) {
+            relay.relay(exchange);
+            return;
+        }
+        ClientRequest request = exchange.request();
+        Duration deadline = request.deadline().orElse(DEFAULT_DEADLINE);
+        long elapsed = System.nanoTime() - request.arrivedNanos();
+        Duration left = deadline.minusNanos(elapsed);
+        if (exchange.isDone()) {
+            return;
+        }
+        if (elapsed > deadline.toNanos() * TRY_SHARE) {
+            refuse(
+                    exchange,
+                    request.id(),
+                    STATUS_UNAVAILABLE,
+                    ResultCode.TABLE_UNAVAILABLE,
+                    left.dividedBy(RETURN_PARTS));
+            return;
+        }
+        loop.schedule(
+                () -> {
+                    if (!exchange.isDone()) {
+                        submit(exchange, route, items);
+                    }
+                },
+                TRY_INTERVAL.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void submit(ClientExchange exchange, Route route, ImmutableList<BatchItem> items) {
+        String id = exchange.request().id();
+        long tokens = items.stream().mapToLong(BatchItem::tokens).sum();
+        if (exceedsLimit(route, tokens)) {
+            refuse(exchange, id, STATUS_TOO_MANY, ResultCode.JOB_LIMITED, QUOTA_RETRY_AFTER);
+            return;
+        }
+        create(exchange, route, items, tokens);
+    }
+
+    private boolean exceedsLimit(Route route, long tokens) {
+        long limit = route.batch().orElseThrow().maxWaitingTokens();
+        if (limit == 0) {
+            return false;
+        }
+        long sum = table.waitingTokens(route.name()) + tokens;
+        for (Accepting other : accepting.values()) {
+            sum += other.route().equals(route.name()) ? other.tokens() : 0;
+        }
+        return sum > limit;
+    }
+
+    private void create(
+            ClientExchange exchange, Route route, ImmutableList<BatchItem> items, long tokens) {
+        String id = exchange.request().id();
+        accepting.put(id, new Accepting(route.name(), tokens));
+        JobRecord job = newJob(exchange, route, items, tokens);
+        store.create(job, exchange.request().body())
+                .whenCompleteAsync(
+                        (result, failure) -> {
+                            accepting.remove(id);
+                            created(exchange, route, job, items, result);
+                        },
+                        loop);
+    }
+
+    private JobRecord newJob(
+            ClientExchange exchange, Route route, ImmutableList<BatchItem> items, long tokens) {
+        return new JobRecord(
+                exchange.request().id(),
+                route.name(),
+                exchange.request().host(),
+                exchange.request().path(),
+                self,
+                1,
+                items.size(),
+                tokens,
+                storeClock.nowMillis(),
+                false,
+                ImmutableList.of(),
+                ImmutableMap.of());
+    }
+
+    private void created(
+            ClientExchange exchange,
+            Route route,
+            JobRecord job,
+            ImmutableList<BatchItem> items,
+            CommitResult result) {
+        switch (result) {
+            case CommitResult.Committed done -> {
+                storeClock.answered(done.storeMillis());
+                VersionedJob created = new VersionedJob(job, done.version());
+                table.offer(created);
+                runner.adopt(created, items);
+                accepted(exchange, job.id(), "new items=" + items.size());
+            }
+            case CommitResult.Conflict conflict -> {
+                conflict.rows().stream()
+                        .findFirst()
+                        .flatMap(JobStore::decode)
+                        .ifPresent(table::offer);
+                accepted(exchange, job.id(), "known");
+            }
+            case CommitResult.NotDone notDone -> {
+                DecisionLog.batch(job.id(), "-", "not_stored", notDone.reason());
+                handleUnstored(exchange, route, items);
+            }
+            case CommitResult.Unknown unknown -> resolve(exchange, job, items, unknown.reason());
+            case null -> resolve(exchange, job, items, "no result");
+        }
+    }
+
+    /** Finds out by a read whether a job was created; if that fails, nothing is promised. */
+    private void resolve(
+            ClientExchange exchange, JobRecord job, ImmutableList<BatchItem> items, String reason) {
+        store.read(job.id())
+                .whenCompleteAsync(
+                        (found, failure) -> {
+                            if (failure == null && found.isPresent()) {
+                                table.offer(found.get());
+                                if (found.get().job().owner().equals(self)) {
+                                    runner.adopt(found.get(), items);
+                                }
+                                accepted(exchange, job.id(), "resolved");
+                            } else {
+                                DecisionLog.batch(job.id(), "-", "open", reason);
+                                exchange.refuse(
+                                        Refusal.mayHaveRun(ResultCode.WRITE_OUTCOME_UNKNOWN));
+                            }
+                        },
+                        loop);
+    }
+
+    private static void accepted(ClientExchange exchange, String id, String how) {
+        DecisionLog.batch(id, "-", "accepted", how);
+        exchange.json(STATUS_ACCEPTED, ACCEPTED);
+    }
+
+    private static void refuse(
+            ClientExchange exchange, String id, int status, ResultCode code, Duration comeBack) {
+        DecisionLog.batch(id, "-", "refused", code.name());
+        exchange.refuse(new Refusal(status, code, Executed.NO, Optional.of(comeBack)));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobTable.java
@@ -0,0 +1,110 @@
+package org.fuchsiaspindle.gateway.batch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
+import org.fuchsiaspindle.gateway.watch.StoreHealth;
+import org.fuchsiaspindle.gateway.watch.TableWatch;
+import org.fuchsiaspindle.platform.store.StoreClient;
+import org.fuchsiaspindle.platform.store.StoredRow;
+
+/**
+ * The rows of all jobs as this gateway knows them, a little behind the store.
+ *
+ * <p>Confined to the event loop of the request path; the rows are decoded on the store's loop.
+ */
+public final class JobTable {
+
+    private static final Duration WAIT = Duration.ofMillis(1000);
+
+    /** Bounds the calls while results of many jobs are listed. */
+    private static final Duration PAUSE = Duration.ofMillis(50);
+
+    private final EventLoop loop;
+    private final Map<String, VersionedJob> jobs = new HashMap<>();
+    private final List<Consumer<VersionedJob>> listeners = new ArrayList<>();
+
+    private JobTable(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    /** Creates an empty table. */
+    public static JobTable create(EventLoop loop) {
+        return new JobTable(checkNotNull(loop, "loop"));
+    }
+
+    /** Starts to follow the store. */
+    public void start(EventLoop storeLoop, StoreClient store, StoreHealth health) {
+        TableWatch.Plan plan = new TableWatch.Plan(JobStore.JOBS, true, WAIT, PAUSE);
+        TableWatch.start(
+                storeLoop,
+                store,
+                health,
+                plan,
+                new TableWatch.Listener() {
+                    @Override
+                    public void onContent(List<StoredRow> rows, long version) {
+                        offerLater(rows);
+                    }
+
+                    @Override
+                    public void onChanges(List<StoredRow> rows, long version) {
+                        offerLater(rows);
+                    }
+                });
+    }
+
+    /** Adds a listener that is called with each newer version of a job. */
+    public void addListener(Consumer<VersionedJob> listener) {
+        listeners.add(checkNotNull(listener, "listener"));
+    }
+
+    /** Returns the newest known version of a job. */
+    public Optional<VersionedJob> job(String id) {
+        return Optional.ofNullable(jobs.get(id));
+    }
+
+    /** Returns all known jobs. */
+    public Collection<VersionedJob> jobs() {
+        return jobs.values();
+    }
+
+    /** Returns the tokens of all items on a route that wait for their results. */
+    public long waitingTokens(String route) {
+        long sum = 0;
+        for (VersionedJob job : jobs.values()) {
+            if (job.job().isOpen() && job.job().route().equals(route)) {
+                sum += job.job().waitingTokens();
+            }
+        }
+        return sum;
+    }
+
+    /** Takes over a version of a job unless a newer one is known. */
+    public void offer(VersionedJob newer) {
+        VersionedJob known = jobs.get(newer.job().id());
+        if (known == null || newer.version() > known.version()) {
+            jobs.put(newer.job().id(), newer);
+            listeners.forEach(listener -> listener.accept(newer));
+        }
+    }
+
+    private void offerLater(List<StoredRow> rows) {
+        List<VersionedJob> decoded = new ArrayList<>();
+        for (StoredRow row : rows) {
+            if (!row.deleted()) {
+                JobStore.decode(row).ifPresent(decoded::add);
+            }
+        }
+        loop.execute(() -> decoded.forEach(this::offer));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/OwnedJob.java
@@ -0,0 +1,118 @@
+package org.fuchsiaspindle.gateway.batch;
+
+import com.google.common.collect.ImmutableList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.fuchsiaspindle.core.job.JobRecord;
+import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
+import org.fuchsiaspindle.platform.job.BatchItem;
+
+/** A job that this gateway runs, with the progress of its items; not thread-safe. */
+final class OwnedJob {
+
+    private VersionedJob stored;
+    private final ImmutableList<BatchItem> items;
+    private final List<ItemRun> runs = new ArrayList<>();
+    private final Map<Integer, Integer> failures = new HashMap<>();
+    private boolean committing;
+    private boolean failuresChanged;
+    private long retryAtNanos;
+
+    OwnedJob(VersionedJob stored, ImmutableList<BatchItem> items) {
+        this.stored = stored;
+        this.items = items;
+        failures.putAll(stored.job().failures());
+        Set<Integer> listed = stored.job().listedItems();
+        for (int item = 0; item < items.size(); item++) {
+            if (!listed.contains(item)) {
+                runs.add(new ItemRun(this, item, items.get(item)));
+            }
+        }
+    }
+
+    String id() {
+        return stored.job().id();
+    }
+
+    JobRecord job() {
+        return stored.job();
+    }
+
+    VersionedJob stored() {
+        return stored;
+    }
+
+    /** Takes over a newer row and drops what it already lists. */
+    void rebase(VersionedJob newer) {
+        stored = newer;
+        Set<Integer> listed = newer.job().listedItems();
+        for (ItemRun run : List.copyOf(runs)) {
+            if (listed.contains(run.index())) {
+                run.stop();
+                runs.remove(run);
+            }
+        }
+    }
+
+    /** Returns the items that have no result in the store. */
+    List<ItemRun> runs() {
+        return runs;
+    }
+
+    /** Returns how many items wait for a target. */
+    long pending() {
+        return runs.stream().filter(ItemRun::isPending).count();
+    }
+
+    List<ItemRun> finishedRuns() {
+        return runs.stream().filter(ItemRun::isFinished).toList();
+    }
+
+    int addFailure(int item) {
+        failuresChanged = true;
+        return failures.merge(item, 1, Integer::sum);
+    }
+
+    Map<Integer, Integer> failures() {
+        return failures;
+    }
+
+    boolean hasFailuresToStore() {
+        return failuresChanged;
+    }
+
+    void failuresTaken() {
+        failuresChanged = false;
+    }
+
+    long tokensWithout(Set<Integer> listed) {
+        long sum = 0;
+        for (int item = 0; item < items.size(); item++) {
+            sum += listed.contains(item) ? 0 : items.get(item).tokens();
+        }
+        return sum;
+    }
+
+    boolean isCommitting() {
+        return committing;
+    }
+
+    void setCommitting(boolean newCommitting) {
+        committing = newCommitting;
+    }
+
+    long retryAtNanos() {
+        return retryAtNanos;
+    }
+
+    void retryAt(long nanos) {
+        retryAtNanos = nanos;
+    }
+
+    void stopAll() {
+        runs.forEach(ItemRun::stop);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/StoreClock.java
@@ -0,0 +1,37 @@
+package org.fuchsiaspindle.gateway.batch;
+
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.time.Clock;
+
+/**
+ * Estimates the steady clock of the store between its answers.
+ *
+ * <p>All gateways measure the age of jobs by this clock, so differences of their wall clocks do not
+ * matter. Thread-safe.
+ */
+public final class StoreClock {
+
+    private final Clock clock;
+    private long storeMillis;
+    private long atNanos;
+
+    private StoreClock(Clock clock) {
+        this.clock = clock;
+    }
+
+    /** Creates a clock that stands at 0 until the store answers. */
+    public static StoreClock create(Clock clock) {
+        return new StoreClock(clock);
+    }
+
+    /** Notes the time in an answer of the store. */
+    public synchronized void answered(long newStoreMillis) {
+        storeMillis = newStoreMillis;
+        atNanos = clock.nanoTime();
+    }
+
+    /** Returns the estimated time of the store, in milliseconds. */
+    public synchronized long nowMillis() {
+        return storeMillis + TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - atNanos);
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
@@ -0,0 +1,380 @@
+package org.fuchsiaspindle.gateway.peer;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.protobuf.ByteString;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.InetSocketAddress;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.gateway.view.FleetView;
+import org.fuchsiaspindle.gateway.view.FleetViews;
+import org.fuchsiaspindle.gateway.watch.StoreHealth;
+import org.fuchsiaspindle.wire.peer.LoadUpdate;
+import org.fuchsiaspindle.wire.peer.PeerFrame;
+import org.fuchsiaspindle.wire.peer.PeerState;
+import org.fuchsiaspindle.wire.peer.ViewRequest;
+import org.fuchsiaspindle.wire.peer.ViewShare;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Connects a gateway with all others that it hears of.
+ *
+ * <p>Each gateway opens one connection to every other and sends on it; it receives on the
+ * connections of the others. Addresses spread with the heartbeats, so the few addresses of the
+ * settings suffice to find everyone. Confined to its event loop.
+ */
+public final class PeerMesh {
+
+    private static final Logger LOG = LoggerFactory.getLogger(PeerMesh.class);
+
+    private static final Duration HEARTBEAT = Duration.ofMillis(500);
+
+    /** A peer that is silent for longer counts as lost. */
+    private static final Duration SILENCE_LIMIT = Duration.ofMillis(1700);
+
+    /** An address that could not be reached for longer is forgotten. */
+    private static final Duration FORGET_AFTER = Duration.ofSeconds(30);
+
+    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
+    private static final Duration STORE_SILENCE = Duration.ofMillis(1500);
+
+    /** Receives what peers say of their load. */
+    public interface LoadListener {
+
+        /** Called when a peer reports the requests that it runs. */
+        void onLoad(String peerIp, LoadUpdate update);
+
+        /** Called when a peer is lost and its requests no longer count. */
+        void onPeerLost(String peerIp);
+    }
+
+    /**
+     * This gateway.
+     *
+     * @param node the name of its instance
+     * @param ip the address of its instance
+     * @param port the port on which gateways listen for each other
+     * @param incarnation identifies this life of the process
+     */
+    public record Self(String node, String ip, int port, String incarnation) {}
+
+    private final EventLoop loop;
+    private final Self self;
+    private final FleetViews views;
+    private final StoreHealth storeHealth;
+    private final LoadListener loadListener;
+    private final Map<String, Link> links = new HashMap<>();
+    private final Map<Channel, String> inboundIps = new HashMap<>();
+    private final Map<String, Inbound> inbound = new HashMap<>();
+    private boolean stopping;
+
+    private PeerMesh(
+            EventLoop loop,
+            Self self,
+            FleetViews views,
+            StoreHealth storeHealth,
+            LoadListener loadListener) {
+        this.loop = loop;
+        this.self = self;
+        this.views = views;
+        this.storeHealth = storeHealth;
+        this.loadListener = loadListener;
+    }
+
+    private record Inbound(PeerInfo info, long heardNanos) {}
+
+    /** The outgoing connection to one address. */
+    private static final class Link {
+        private final long createdNanos = System.nanoTime();
+        private Channel channel;
+        private boolean connecting;
+        private long connectedNanos;
+    }
+
+    /** Creates a mesh that does not listen yet. */
+    public static PeerMesh create(
+            EventLoop loop,
+            Self self,
+            FleetViews views,
+            StoreHealth storeHealth,
+            LoadListener loadListener) {
+        return new PeerMesh(
+                checkNotNull(loop, "loop"),
+                checkNotNull(self, "self"),
+                checkNotNull(views, "views"),
+                checkNotNull(storeHealth, "storeHealth"),
+                checkNotNull(loadListener, "loadListener"));
+    }
+
+    /** Listens, and connects to the given addresses and to all others it hears of. */
+    public void start(Collection<String> seedIps) {
+        ServerBootstrap bootstrap =
+                new ServerBootstrap()
+                        .group(loop)
+                        .channel(NioServerSocketChannel.class)
+                        .option(ChannelOption.SO_REUSEADDR, true)
+                        .childOption(ChannelOption.TCP_NODELAY, true)
+                        .childHandler(initializer());
+        bootstrap.bind(new InetSocketAddress(self.ip(), self.port())).syncUninterruptibly();
+        loop.execute(() -> learn(seedIps));
+        loop.scheduleAtFixedRate(
+                this::beat, HEARTBEAT.toMillis(), HEARTBEAT.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Adds addresses of gateways. */
+    public void learn(Collection<String> ips) {
+        for (String ip : ips) {
+            if (!ip.equals(self.ip()) && !links.containsKey(ip)) {
+                Link link = new Link();
+                links.put(ip, link);
+                connect(ip, link);
+            }
+        }
+    }
+
+    /** Tells the peers that this process is about to stop. */
+    public void announceStop() {
+        stopping = true;
+        broadcast(stateFrame());
+    }
+
+    /** Sends the loads of this gateway to all peers. */
+    public void broadcast(PeerFrame frame) {
+        for (Link link : links.values()) {
+            if (link.channel != null) {
+                PeerChannels.send(link.channel, frame);
+            }
+        }
+    }
+
+    /** Returns the peers that were heard of lately. */
+    public List<PeerInfo> peers() {
+        return inbound.values().stream().map(Inbound::info).toList();
+    }
+
+    private ChannelInitializer<Channel> initializer() {
+        return new ChannelInitializer<>() {
+            @Override
+            protected void initChannel(Channel channel) {
+                PeerChannels.configure(channel, new FrameListener());
+            }
+        };
+    }
+
+    private void connect(String ip, Link link) {
+        link.connecting = true;
+        Bootstrap bootstrap =
+                new Bootstrap()
+                        .group(loop)
+                        .channel(NioSocketChannel.class)
+                        .option(ChannelOption.TCP_NODELAY, true)
+                        .option(
+                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                                (int) CONNECT_TIMEOUT.toMillis())
+                        .handler(initializer());
+        ChannelFuture connect = bootstrap.connect(new InetSocketAddress(ip, self.port()));
+        connect.addListener(
+                done -> {
+                    link.connecting = false;
+                    if (done.isSuccess()) {
+                        link.channel = connect.channel();
+                        link.connectedNanos = System.nanoTime();
+                        PeerChannels.send(link.channel, stateFrame());
+                        connected.run();
+                    }
+                });
+    }
+
+    private Runnable connected = () -> {};
+
+    /** Sets what is called after a connection to a peer was opened. */
+    public void onConnected(Runnable listener) {
+        connected = checkNotNull(listener, "listener");
+    }
+
+    private void beat() {
+        long now = System.nanoTime();
+        dropSilentPeers(now);
+        PeerFrame frame = stateFrame();
+        for (Map.Entry<String, Link> entry : List.copyOf(links.entrySet())) {
+            Link link = entry.getValue();
+            boolean open = link.channel != null && link.channel.isActive();
+            if (open) {
+                PeerChannels.send(link.channel, frame);
+            } else if (!link.connecting) {
+                forgetOrConnect(entry.getKey(), link, now);
+            }
+        }
+        pullView();
+    }
+
+    private void forgetOrConnect(String ip, Link link, long now) {
+        long lastSeen = Math.max(link.createdNanos, link.connectedNanos);
+        if (!inbound.containsKey(ip) && now - lastSeen > FORGET_AFTER.toNanos()) {
+            links.remove(ip);
+        } else {
+            connect(ip, link);
+        }
+    }
+
+    private void dropSilentPeers(long now) {
+        for (Map.Entry<String, Inbound> entry : List.copyOf(inbound.entrySet())) {
+            if (now - entry.getValue().heardNanos() > SILENCE_LIMIT.toNanos()) {
+                lose(entry.getKey(), "silent");
+                Link link = links.get(entry.getKey());
+                if (link != null && link.channel != null) {
+                    // A connection that went silent may never report its end.
+                    link.channel.close();
+                }
+            }
+        }
+    }
+
+    private void lose(String ip, String reason) {
+        if (inbound.remove(ip) != null) {
+            LOG.info("peer: lost ip={} reason={}", ip, reason);
+            loadListener.onPeerLost(ip);
+        }
+    }
+
+    private PeerFrame stateFrame() {
+        FleetView view = views.view();
+        Set<String> known = new HashSet<>(inbound.keySet());
+        links.forEach(
+                (ip, link) -> {
+                    if (link.channel != null && link.channel.isActive()) {
+                        known.add(ip);
+                    }
+                });
+        PeerState.Builder state =
+                PeerState.newBuilder()
+                        .setNode(self.node())
+                        .setIp(self.ip())
+                        .setIncarnation(self.incarnation())
+                        .setConfigVersion(view.configVersion())
+                        .setDirectoryVersion(view.directory().version())
+                        .setStoreReachable(storeHealth.isReachable())
+                        .setStopping(stopping);
+        known.stream().sorted().forEach(state::addKnownIps);
+        return PeerFrame.newBuilder().setState(state).build();
+    }
+
+    /** Asks a peer for a newer configuration, or for targets while the store is silent here. */
+    private void pullView() {
+        FleetView view = views.view();
+        boolean cutOff = storeHealth.sinceLastAnswer().compareTo(STORE_SILENCE) > 0;
+        for (Inbound peer : inbound.values()) {
+            boolean newerConfig = peer.info().configVersion() > view.configVersion();
+            boolean newerTargets =
+                    cutOff && peer.info().directoryVersion() > view.directory().version();
+            Link link = links.get(peer.info().ip());
+            if ((newerConfig || newerTargets) && link != null && link.channel != null) {
+                ViewRequest request =
+                        ViewRequest.newBuilder()
+                                .setConfigVersion(view.configVersion())
+                                .setDirectoryVersion(
+                                        newerTargets ? view.directory().version() : Long.MAX_VALUE)
+                                .build();
+                PeerChannels.send(
+                        link.channel, PeerFrame.newBuilder().setViewRequest(request).build());
+                return;
+            }
+        }
+    }
+
+    private void heard(Channel channel, PeerState state) {
+        String ip = state.getIp();
+        inboundIps.put(channel, ip);
+        PeerInfo info =
+                new PeerInfo(
+                        ip,
+                        state.getIncarnation(),
+                        state.getConfigVersion(),
+                        state.getDirectoryVersion(),
+                        state.getStoreReachable(),
+                        state.getStopping());
+        Inbound before = inbound.put(ip, new Inbound(info, System.nanoTime()));
+        boolean restarted =
+                before != null && !before.info().incarnation().equals(info.incarnation());
+        if (before == null || restarted) {
+            LOG.info("peer: heard ip={} incarnation={}", ip, info.incarnation());
+        }
+        if (restarted) {
+            loadListener.onPeerLost(ip);
+        }
+        List<String> ips = new ArrayList<>(state.getKnownIpsList());
+        ips.add(ip);
+        learn(ips);
+    }
+
+    private void answer(Channel channel, ViewRequest request) {
+        FleetView view = views.view();
+        ViewShare.Builder share =
+                ViewShare.newBuilder().setDirectoryVersion(view.directory().version());
+        if (view.configVersion() > request.getConfigVersion()) {
+            share.setConfigDocument(ByteString.copyFrom(view.configDocument()));
+        }
+        if (view.directory().version() > request.getDirectoryVersion()) {
+            view.directory()
+                    .targets()
+                    .values()
+                    .forEach(target -> share.addRegistrations(Registrations.encode(target)));
+        }
+        PeerChannels.send(channel, PeerFrame.newBuilder().setView(share).build());
+    }
+
+    private void take(ViewShare share) {
+        if (!share.getConfigDocument().isEmpty()) {
+            views.offerConfig(share.getConfigDocument().toByteArray(), "peer");
+        }
+        if (share.getRegistrationsCount() > 0) {
+            views.offerDirectory(
+                    Registrations.decode(
+                            share.getDirectoryVersion(), share.getRegistrationsList()));
+        }
+    }
+
+    private final class FrameListener implements PeerChannels.Listener {
+
+        @Override
+        public void onFrame(Channel channel, PeerFrame frame) {
+            switch (frame.getBodyCase()) {
+                case STATE -> heard(channel, frame.getState());
+                case LOAD -> {
+                    String ip = inboundIps.get(channel);
+                    if (ip != null) {
+                        loadListener.onLoad(ip, frame.getLoad());
+                    }
+                }
+                case VIEW_REQUEST -> answer(channel, frame.getViewRequest());
+                case VIEW -> take(frame.getView());
+                default -> LOG.warn("peer: message of an unknown type ignored");
+            }
+        }
+
+        @Override
+        public void onClosed(Channel channel) {
+            String ip = inboundIps.remove(channel);
+            if (ip != null && !inboundIps.containsValue(ip)) {
+                lose(ip, "closed");
+            }
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/package-info.java
@@ -0,0 +1,2 @@
+/** The connections between gateways, over which they share loads and what they know. */
+package org.fuchsiaspindle.gateway.peer;
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetHealth.java
@@ -0,0 +1,74 @@
+package org.fuchsiaspindle.gateway.target;
+
+import java.time.Duration;
+
+/**
+ * Decides from the outcomes of calls whether a target gets new ones.
+ *
+ * <p>A target that refuses connections is left out for a time that doubles with each failure. A
+ * target that is silent although calls run there is left out until it sends something, and is tried
+ * again with one call from time to time. Not thread-safe; times are monotonic nanoseconds.
+ */
+final class TargetHealth {
+
+    /** A target with running calls that sends nothing for longer counts as silent. */
+    static final Duration SILENCE = Duration.ofMillis(700);
+
+    private static final Duration FIRST_EJECTION = Duration.ofMillis(250);
+    private static final Duration MAX_EJECTION = Duration.ofSeconds(4);
+
+    /** How long a target that refused a request as full gets no further one. */
+    private static final Duration FULL_TIME = Duration.ofMillis(60);
+
+    /** Time between two trial calls to a silent target. */
+    private static final Duration TRIAL_INTERVAL = Duration.ofMillis(1500);
+
+    private Duration ejection = FIRST_EJECTION;
+    private long blockedUntilNanos;
+    private boolean blocked;
+    private boolean silent;
+    private long lastTrialNanos;
+
+    boolean admits(long now) {
+        if (blocked && now - blockedUntilNanos < 0) {
+            return false;
+        }
+        return !silent || now - lastTrialNanos > TRIAL_INTERVAL.toNanos();
+    }
+
+    boolean isSilent() {
+        return silent;
+    }
+
+    void callStarted(long now) {
+        lastTrialNanos = now;
+    }
+
+    void heard() {
+        silent = false;
+        ejection = FIRST_EJECTION;
+        blocked = false;
+    }
+
+    void connectFailed(long now) {
+        blocked = true;
+        blockedUntilNanos = now + ejection.toNanos();
+        Duration doubled = ejection.multipliedBy(2);
+        ejection = doubled.compareTo(MAX_EJECTION) < 0 ? doubled : MAX_EJECTION;
+    }
+
+    void refusedAsFull(long now) {
+        blocked = true;
+        blockedUntilNanos = now + FULL_TIME.toNanos();
+    }
+
+    /** Notes that calls wait and nothing was heard; returns whether the target became silent. */
+    boolean checkSilence(long now, long quietSinceNanos) {
+        if (!silent && now - quietSinceNanos > SILENCE.toNanos()) {
+            silent = true;
+            lastTrialNanos = now;
+            return true;
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
@@ -0,0 +1,67 @@
+package org.fuchsiaspindle.gateway.telemetry;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import org.fuchsiaspindle.core.error.ResultCode;
+
+/** Counters and histograms of a gateway; thread-safe. */
+public final class GatewayMetrics {
+
+    private static final double NANOS_PER_SECOND = 1e9;
+
+    private final PrometheusRegistry registry = new PrometheusRegistry();
+    private final Histogram latency =
+            Histogram.builder()
+                    .name("fuchsiaspindle_request_seconds")
+                    .help("Time from the head of a request to the end of its answer.")
+                    .labelNames("route")
+                    .classicOnly()
+                    .classicUpperBounds(0.05, 0.1, 0.2, 0.3, 0.5, 1, 2, 5)
+                    .register(registry);
+    private final Counter refusals =
+            Counter.builder()
+                    .name("fuchsiaspindle_refusals_total")
+                    .help("Requests that were refused before they ran.")
+                    .labelNames("code")
+                    .register(registry);
+    private final Counter items =
+            Counter.builder()
+                    .name("fuchsiaspindle_batch_items_total")
+                    .help("Batch items by what became of them.")
+                    .labelNames("outcome")
+                    .register(registry);
+
+    /** Creates metrics with a registry of their own. */
+    public GatewayMetrics() {}
+
+    /** Counts an answered request with the time that it took. */
+    public void served(String route, long nanos) {
+        latency.labelValues(route).observe(nanos / NANOS_PER_SECOND);
+    }
+
+    /** Counts a refused request. */
+    public void refused(ResultCode code) {
+        refusals.labelValues(code.name()).inc();
+    }
+
+    /** Counts a batch item. */
+    public void item(String outcome) {
+        items.labelValues(outcome).inc();
+    }
+
+    /** Returns all metrics in Prometheus' text format. */
+    public byte[] text() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        try {
+            PrometheusTextFormatWriter.create().write(out, registry.scrape());
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        return out.toByteArray();
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/package-info.java
@@ -0,0 +1,2 @@
+/** Logs and metrics of a gateway. */
+package org.fuchsiaspindle.gateway.telemetry;
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/view/FleetViews.java
@@ -0,0 +1,98 @@
+package org.fuchsiaspindle.gateway.view;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import org.fuchsiaspindle.core.error.FuchsiaspindleException;
+import org.fuchsiaspindle.core.serving.ServingConfig;
+import org.fuchsiaspindle.platform.discovery.ConfigDecoder;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Holds the present view and replaces it, never by an older configuration.
+ *
+ * <p>Thread-safe: readers take the view from an atomic reference, writers replace it as a whole.
+ */
+public final class FleetViews {
+
+    private static final Logger LOG = LoggerFactory.getLogger(FleetViews.class);
+
+    private final AtomicReference<FleetView> view = new AtomicReference<>(FleetView.INITIAL);
+    private final List<Consumer<FleetView>> listeners = new CopyOnWriteArrayList<>();
+
+    /** Creates a holder with the initial view. */
+    public FleetViews() {}
+
+    /** Returns the present view, never null. */
+    public FleetView view() {
+        return view.get();
+    }
+
+    /** Adds a listener that is called with each new view, on the thread that published it. */
+    public void addListener(Consumer<FleetView> listener) {
+        listeners.add(checkNotNull(listener, "listener"));
+    }
+
+    /**
+     * Publishes a configuration unless a newer or the same one is in force.
+     *
+     * <p>A document that cannot be read is logged and ignored.
+     *
+     * @param document the operator's document
+     * @param source where it came from, for the log
+     */
+    public void offerConfig(byte[] document, String source) {
+        Optional<ServingConfig> decoded = decode(document, source);
+        if (decoded.isEmpty()) {
+            return;
+        }
+        ServingConfig config = decoded.get();
+        FleetView before =
+                view.getAndUpdate(
+                        old ->
+                                config.version() > old.configVersion()
+                                        ? new FleetView(decoded, document, old.directory())
+                                        : old);
+        if (config.version() > before.configVersion()) {
+            LOG.info(
+                    "config: in force version={} previous={} source={}",
+                    config.version(),
+                    before.configVersion(),
+                    source);
+            publish();
+        }
+    }
+
+    /** Publishes the known targets unless a newer directory is known. */
+    public void offerDirectory(TargetDirectory directory) {
+        FleetView before =
+                view.getAndUpdate(
+                        old ->
+                                directory.version() > old.directory().version()
+                                        ? new FleetView(
+                                                old.config(), old.configDocument(), directory)
+                                        : old);
+        if (directory.version() > before.directory().version()) {
+            publish();
+        }
+    }
+
+    private static Optional<ServingConfig> decode(byte[] document, String source) {
+        try {
+            return Optional.of(ConfigDecoder.decode(document));
+        } catch (FuchsiaspindleException failure) {
+            LOG.error("config: ignored source={} reason={}", source, failure.getMessage());
+            return Optional.empty();
+        }
+    }
+
+    private void publish() {
+        FleetView now = view.get();
+        listeners.forEach(listener -> listener.accept(now));
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/view/TargetDirectory.java
@@ -0,0 +1,55 @@
+package org.fuchsiaspindle.gateway.view;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fuchsiaspindle.core.serving.TargetInstance;
+
+/** The registered targets as of one version of the store; immutable and thread-safe. */
+public final class TargetDirectory {
+
+    /** The directory of a process that knows nothing yet. */
+    public static final TargetDirectory EMPTY = new TargetDirectory(0, Map.of());
+
+    private final long version;
+    private final Map<String, TargetInstance> targets;
+
+    private TargetDirectory(long version, Map<String, TargetInstance> targets) {
+        this.version = version;
+        this.targets = targets;
+    }
+
+    /** Returns a directory of targets as of a version of the store. */
+    public static TargetDirectory of(long version, Map<String, TargetInstance> targets) {
+        return new TargetDirectory(version, Map.copyOf(targets));
+    }
+
+    /** Returns the version of the store as of which the targets are known. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns all targets by their identifiers. */
+    public Map<String, TargetInstance> targets() {
+        return targets;
+    }
+
+    /** Returns a target, or empty if it is not registered. */
+    public Optional<TargetInstance> target(String id) {
+        return Optional.ofNullable(targets.get(id));
+    }
+
+    /** Returns the targets by service, without those that leave. */
+    public Map<String, List<TargetInstance>> openByService() {
+        Map<String, List<TargetInstance>> byService = new HashMap<>();
+        for (TargetInstance target : targets.values()) {
+            if (!target.leaving()) {
+                byService
+                        .computeIfAbsent(target.service(), name -> new java.util.ArrayList<>())
+                        .add(target);
+            }
+        }
+        return byService;
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TargetWatch.java
@@ -0,0 +1,143 @@
+package org.fuchsiaspindle.gateway.watch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.gateway.view.FleetViews;
+import org.fuchsiaspindle.gateway.view.TargetDirectory;
+import org.fuchsiaspindle.platform.discovery.TargetDecoder;
+import org.fuchsiaspindle.platform.store.StoreClient;
+import org.fuchsiaspindle.platform.store.StoredRow;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Follows the registrations of targets in the store.
+ *
+ * <p>Registrations lapse while the store is away and are renewed within about two seconds of its
+ * return. A registration that goes missing around an outage is therefore kept for that long; one
+ * that goes missing at another time is dropped at once. Confined to its event loop.
+ */
+public final class TargetWatch implements TableWatch.Listener {
+
+    private static final Logger LOG = LoggerFactory.getLogger(TargetWatch.class);
+
+    private static final Duration WAIT = Duration.ofMillis(1000);
+
+    /** Heartbeats of targets end each wait early; the pause bounds the number of calls. */
+    private static final Duration PAUSE = Duration.ofMillis(300);
+
+    /** How long after the store's return a lapsed registration may take to come back. */
+    private static final Duration RENEWAL_TIME = Duration.ofMillis(2200);
+
+    private final EventLoop loop;
+    private final StoreHealth health;
+    private final FleetViews views;
+    private final Map<String, TargetInstance> targets = new HashMap<>();
+    private final Set<String> missing = new HashSet<>();
+    private long version;
+
+    private TargetWatch(EventLoop loop, StoreHealth health, FleetViews views) {
+        this.loop = loop;
+        this.health = health;
+        this.views = views;
+    }
+
+    /** Starts to follow the registrations. */
+    public static TableWatch start(
+            EventLoop loop, StoreClient store, StoreHealth health, FleetViews views) {
+        TableWatch.Plan plan = new TableWatch.Plan(TargetDecoder.TABLE, false, WAIT, PAUSE);
+        TargetWatch watch =
+                new TargetWatch(
+                        checkNotNull(loop, "loop"),
+                        checkNotNull(health, "health"),
+                        checkNotNull(views, "views"));
+        return TableWatch.start(loop, store, health, plan, watch);
+    }
+
+    @Override
+    public void onContent(List<StoredRow> rows, long newVersion) {
+        Set<String> gone = new HashSet<>(targets.keySet());
+        for (StoredRow row : rows) {
+            gone.remove(row.key().key());
+            register(row);
+        }
+        gone.forEach(this::unregister);
+        publish(newVersion);
+    }
+
+    @Override
+    public void onChanges(List<StoredRow> rows, long newVersion) {
+        for (StoredRow row : rows) {
+            if (row.deleted()) {
+                unregister(row.key().key());
+            } else {
+                register(row);
+            }
+        }
+        publish(newVersion);
+    }
+
+    private void register(StoredRow row) {
+        String id = row.key().key();
+        missing.remove(id);
+        TargetInstance before = targets.get(id);
+        TargetDecoder.decode(id, row.value())
+                .ifPresentOrElse(
+                        target -> {
+                            targets.put(id, target);
+                            logChange(before, target);
+                        },
+                        () -> targets.remove(id));
+    }
+
+    private static void logChange(TargetInstance before, TargetInstance target) {
+        if (before == null || before.leaving() != target.leaving()) {
+            LOG.info(
+                    "discovery: target={} service={} address={} zone={} leaving={}",
+                    target.id(),
+                    target.service(),
+                    target.address(),
+                    target.dataCentre(),
+                    target.leaving());
+        }
+    }
+
+    private void unregister(String id) {
+        if (!targets.containsKey(id) || missing.contains(id)) {
+            return;
+        }
+        if (health.isAwayOrBackFor(RENEWAL_TIME)) {
+            missing.add(id);
+            LOG.info("discovery: registration missing after an outage target={}", id);
+            loop.schedule(() -> dropIfMissing(id), RENEWAL_TIME.toMillis(), TimeUnit.MILLISECONDS);
+        } else {
+            drop(id);
+        }
+    }
+
+    private void dropIfMissing(String id) {
+        if (missing.remove(id)) {
+            drop(id);
+            publish(version + 1);
+        }
+    }
+
+    private void drop(String id) {
+        targets.remove(id);
+        LOG.info("discovery: target gone target={}", id);
+    }
+
+    private void publish(long newVersion) {
+        version = Math.max(version, newVersion);
+        views.offerDirectory(TargetDirectory.of(version, targets));
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/BlockingHttpServer.java
@@ -0,0 +1,261 @@
+package org.fuchsiaspindle.testbed.emulator;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+
+/**
+ * An HTTP/1.1 server with a thread for each connection, whose handlers write raw bytes.
+ *
+ * <p>Handlers decide over each byte, so that they can break the protocol in the ways that targets
+ * and the store do. Thread-safe.
+ */
+final class BlockingHttpServer implements AutoCloseable {
+
+    private static final int MAX_LINE_BYTES = 64 * 1024;
+
+    private final ServerSocket listener;
+    private final Handler handler;
+    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private volatile boolean paused;
+
+    /** Handles the requests of one connection, one after the other. */
+    @FunctionalInterface
+    interface Handler {
+
+        /** Answers a request; returns whether the connection stays open. */
+        boolean handle(Request request, Connection connection) throws IOException;
+    }
+
+    /** A request with its whole body. */
+    record Request(String method, String uri, Map<String, String> headers, byte[] body) {
+
+        String header(String name) {
+            return headers.getOrDefault(name, "");
+        }
+
+        String path() {
+            int query = uri.indexOf('?');
+            return query < 0 ? uri : uri.substring(0, query);
+        }
+
+        /** Returns a parameter of the query, empty if it is missing. */
+        String parameter(String name) {
+            int query = uri.indexOf('?');
+            if (query < 0) {
+                return "";
+            }
+            for (String pair : uri.substring(query + 1).split("&")) {
+                if (pair.startsWith(name + "=")) {
+                    return java.net.URLDecoder.decode(
+                            pair.substring(name.length() + 1), StandardCharsets.UTF_8);
+                }
+            }
+            return "";
+        }
+    }
+
+    /** The side of a connection on which answers are written. */
+    static final class Connection {
+
+        private final Socket socket;
+        private final OutputStream out;
+
+        Connection(Socket socket) throws IOException {
+            this.socket = socket;
+            this.out = socket.getOutputStream();
+        }
+
+        void write(String text) throws IOException {
+            out.write(text.getBytes(StandardCharsets.UTF_8));
+            out.flush();
+        }
+
+        void answer(int status, String headers, byte[] body) throws IOException {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            String head =
+                    "HTTP/1.1 "
+                            + status
+                            + " X\r\n"
+                            + headers
+                            + "Content-Length: "
+                            + body.length
+                            + "\r\n\r\n";
+            bytes.writeBytes(head.getBytes(StandardCharsets.UTF_8));
+            bytes.writeBytes(body);
+            out.write(bytes.toByteArray());
+            out.flush();
+        }
+
+        /** Writes one chunk of a chunked body. */
+        void chunk(String text) throws IOException {
+            int length = text.getBytes(StandardCharsets.UTF_8).length;
+            write(Integer.toHexString(length) + "\r\n" + text + "\r\n");
+        }
+
+        /** Makes the close of the connection a reset. */
+        void resetOnClose() throws IOException {
+            socket.setSoLinger(true, 0);
+        }
+
+        /** Returns whether the peer has closed the connection, without blocking for long. */
+        boolean isClosedByPeer() {
+            try {
+                socket.setSoTimeout(1);
+                return socket.getInputStream().read() < 0;
+            } catch (java.net.SocketTimeoutException stillOpen) {
+                return false;
+            } catch (IOException closed) {
+                return true;
+            } finally {
+                try {
+                    socket.setSoTimeout(0);
+                } catch (IOException closed) {
+                    connectionEnded();
+                }
+            }
+        }
+
+        private void connectionEnded() {
+            // The next read or write reports the end of the connection.
+        }
+    }
+
+    private BlockingHttpServer(ServerSocket listener, Handler handler) {
+        this.listener = listener;
+        this.handler = handler;
+    }
+
+    /** Starts a server on an address; port 0 chooses a free one. */
+    static BlockingHttpServer start(String ip, int port, Handler handler) {
+        try {
+            ServerSocket listener = new ServerSocket();
+            listener.setReuseAddress(true);
+            listener.bind(new InetSocketAddress(InetAddress.getByName(ip), port));
+            BlockingHttpServer server = new BlockingHttpServer(listener, handler);
+            Thread.startVirtualThread(server::accept);
+            return server;
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
+    int port() {
+        return listener.getLocalPort();
+    }
+
+    /** While paused, requests are read by nobody and nothing is answered. */
+    void setPaused(boolean newPaused) {
+        paused = newPaused;
+    }
+
+    boolean isPaused() {
+        return paused;
+    }
+
+    /** Resets all open connections. */
+    void resetConnections() {
+        for (Socket socket : connections) {
+            try {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            } catch (IOException alreadyClosed) {
+                // Its own thread closed it in the meantime.
+                continue;
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            listener.close();
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        resetConnections();
+    }
+
+    private void accept() {
+        while (!listener.isClosed()) {
+            try {
+                Socket socket = listener.accept();
+                socket.setTcpNoDelay(true);
+                connections.add(socket);
+                Thread.startVirtualThread(() -> serve(socket));
+            } catch (IOException closed) {
+                return;
+            }
+        }
+    }
+
+    private void serve(Socket socket) {
+        try (socket) {
+            InputStream in = new BufferedInputStream(socket.getInputStream());
+            Connection connection = new Connection(socket);
+            Request request;
+            while ((request = read(in)) != null) {
+                waitWhilePaused(socket);
+                if (!handler.handle(request, connection)) {
+                    return;
+                }
+            }
+        } catch (IOException closedByPeer) {
+            // A peer may close its connection at any time; that is no fault of the emulator.
+            return;
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        } finally {
+            connections.remove(socket);
+        }
+    }
+
+    private void waitWhilePaused(Socket socket) throws InterruptedException {
+        while (paused && !socket.isClosed()) {
+            Thread.sleep(5);
+        }
+    }
+
+    private static Request read(InputStream in) throws IOException {
+        String first = line(in);
+        if (first == null) {
+            return null;
+        }
+        String[] parts = first.split(" ");
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        String line;
+        while ((line = line(in)) != null && !line.isEmpty()) {
+            int colon = line.indexOf(':');
+            headers.put(line.substring(0, colon), line.substring(colon + 1).strip());
+        }
+        int length = Integer.parseInt(headers.getOrDefault("Content-Length", "0"));
+        return new Request(parts[0], parts[1], headers, in.readNBytes(length));
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        int next;
+        while ((next = in.read()) >= 0) {
+            if (next == '\n') {
+                return line.toString(StandardCharsets.UTF_8).stripTrailing();
+            }
+            line.write(next);
+            if (line.size() > MAX_LINE_BYTES) {
+                throw new IOException("line too long");
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EmulatorClient.java
@@ -0,0 +1,121 @@
+package org.fuchsiaspindle.testbed.emulator;
+
+import java.io.BufferedInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import java.util.TreeMap;
+
+/** A client of the gateways that sees every byte; one request a connection. Thread-safe. */
+public final class EmulatorClient {
+
+    private static final int TIMEOUT_MILLIS = 15_000;
+
+    private final String ip;
+    private final int port;
+    private final String host;
+
+    private EmulatorClient(String ip, int port, String host) {
+        this.ip = ip;
+        this.port = port;
+        this.host = host;
+    }
+
+    /** Returns a client of the gateway at an address, for the routes of a host. */
+    public static EmulatorClient of(String ip, int port, String host) {
+        return new EmulatorClient(ip, port, host);
+    }
+
+    /**
+     * An answer as the client saw it.
+     *
+     * @param status the status, 0 if the connection ended before an answer
+     * @param headers the headers, names in any case
+     * @param body the body without its framing
+     * @param complete whether the answer was complete by its framing
+     */
+    public record Answer(int status, Map<String, String> headers, String body, boolean complete) {}
+
+    /** Sends a request and reads the answer. */
+    public Answer call(String method, String path, Map<String, String> headers, String body)
+            throws IOException {
+        try (Socket socket = open(method, path, headers, body)) {
+            return read(new BufferedInputStream(socket.getInputStream()));
+        }
+    }
+
+    /** Sends a request and returns the connection, on which nothing was read. */
+    public Socket open(String method, String path, Map<String, String> headers, String body)
+            throws IOException {
+        Socket socket = new Socket(ip, port);
+        socket.setSoTimeout(TIMEOUT_MILLIS);
+        StringBuilder head =
+                new StringBuilder(method + " " + path + " HTTP/1.1\r\nHost: " + host + "\r\n");
+        headers.forEach((name, value) -> head.append(name + ": " + value + "\r\n"));
+        byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+        head.append("Content-Length: " + bytes.length + "\r\n\r\n");
+        ByteArrayOutputStream request = new ByteArrayOutputStream();
+        request.writeBytes(head.toString().getBytes(StandardCharsets.UTF_8));
+        request.writeBytes(bytes);
+        socket.getOutputStream().write(request.toByteArray());
+        socket.getOutputStream().flush();
+        return socket;
+    }
+
+    /** Reads one answer from a connection. */
+    public static Answer read(InputStream in) throws IOException {
+        String first = line(in);
+        if (first.isEmpty()) {
+            return new Answer(0, Map.of(), "", false);
+        }
+        int status = Integer.parseInt(first.split(" ")[1]);
+        Map<String, String> headers = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        String line;
+        while (!(line = line(in)).isEmpty()) {
+            int colon = line.indexOf(':');
+            headers.put(line.substring(0, colon), line.substring(colon + 1).strip());
+        }
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
+        boolean complete = readBody(in, headers, body);
+        return new Answer(status, headers, body.toString(StandardCharsets.UTF_8), complete);
+    }
+
+    private static boolean readBody(
+            InputStream in, Map<String, String> headers, ByteArrayOutputStream body)
+            throws IOException {
+        if (headers.containsKey("Content-Length")) {
+            int length = Integer.parseInt(headers.get("Content-Length"));
+            body.writeBytes(in.readNBytes(length));
+            return body.size() == length;
+        }
+        while (true) {
+            String size = line(in);
+            if (size.isEmpty()) {
+                return false;
+            }
+            int length = Integer.parseInt(size, 16);
+            byte[] chunk = in.readNBytes(length);
+            body.writeBytes(chunk);
+            line(in);
+            if (length == 0) {
+                return true;
+            }
+        }
+    }
+
+    private static String line(InputStream in) throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        try {
+            int next;
+            while ((next = in.read()) >= 0 && next != '\n') {
+                line.write(next);
+            }
+        } catch (java.net.SocketException reset) {
+            return "";
+        }
+        return line.toString(StandardCharsets.UTF_8).stripTrailing();
+    }
+}
--- /dev/null
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -0,0 +1,161 @@
+package org.fuchsiaspindle.testbed.emulator;
+
+import com.google.common.net.HostAndPort;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fuchsiaspindle.gateway.Gateway;
+import org.fuchsiaspindle.platform.settings.ProcessSettings;
+
+/**
+ * A whole installation in one JVM: a store, engines, and gateways on loopback addresses.
+ *
+ * <p>Not thread-safe.
+ */
+public final class PlatformEmulator implements AutoCloseable {
+
+    /** Host of all routes. */
+    public static final String HOST = "games.example";
+
+    /** Service of the model engines. */
+    public static final String MODEL = "model";
+
+    /** Service of the plain targets. */
+    public static final String PLAIN = "plain";
+
+    private static final String STORE_IP = "127.0.1.1";
+    private static final String ENGINE_IP = "127.0.2.1";
+    private static final Duration STOP_GRACE = Duration.ofSeconds(8);
+
+    private final StoreEmulator store = StoreEmulator.start(STORE_IP);
+    private final Map<String, EngineEmulator> engines = new HashMap<>();
+    private final Map<String, Gateway> gateways = new HashMap<>();
+    private final int clientPort = freePort();
+    private final int statusPort = freePort();
+    private final int peerPort = freePort();
+    private int incarnations;
+    private int configVersion;
+
+    private PlatformEmulator() {}
+
+    /** Starts an installation without engines and gateways. */
+    public static PlatformEmulator start() {
+        return new PlatformEmulator();
+    }
+
+    /** Returns the store. */
+    public StoreEmulator store() {
+        return store;
+    }
+
+    /** Starts and registers an engine. */
+    public EngineEmulator addEngine(String id, String service, int slots, Duration eventTime) {
+        EngineEmulator engine =
+                EngineEmulator.start(
+                        new EngineEmulator.Spec(id, service, "zone-a", slots, eventTime),
+                        ENGINE_IP);
+        engines.put(id, engine);
+        register(engine, false);
+        return engine;
+    }
+
+    /** Writes the registration of an engine. */
+    public void register(EngineEmulator engine, boolean draining) {
+        store.put("servers", engine.spec().id(), engine.registration(draining));
+    }
+
+    /** Removes the registration of an engine. */
+    public void unregister(EngineEmulator engine) {
+        store.remove("servers", engine.spec().id());
+    }
+
+    /** Starts a gateway on its own loopback address and returns that address. */
+    public String startGateway(int number) {
+        String ip = "127.0.0." + (10 + number);
+        incarnations++;
+        gateways.put(ip, Gateway.start(settings(ip), "incarnation-" + incarnations));
+        return ip;
+    }
+
+    /** Ends a gateway at once, as the loss of its instance does. */
+    public void killGateway(String ip) {
+        gateways.remove(ip).close();
+    }
+
+    /** Stops a gateway as planned and waits until it has ended. */
+    public void stopGateway(String ip) {
+        Gateway gateway = gateways.remove(ip);
+        gateway.stop().join();
+        gateway.close();
+    }
+
+    /** Returns a gateway. */
+    public Gateway gateway(String ip) {
+        return gateways.get(ip);
+    }
+
+    /** Returns a client of a gateway. */
+    public EmulatorClient client(String ip) {
+        return EmulatorClient.of(ip, clientPort, HOST);
+    }
+
+    /** Puts a configuration in force with routes as JSON; returns its version. */
+    public int configure(String... routes) {
+        configVersion += 3;
+        String document =
+                "{\"version\":"
+                        + configVersion
+                        + ",\"routes\":["
+                        + String.join(",", routes)
+                        + "],\"services\":[{\"name\":\"model\",\"maxConns\":150,\"engine\":{}},"
+                        + "{\"name\":\"plain\",\"maxConns\":100}],\"limits\":{}}";
+        store.put("op", "config", document.getBytes(StandardCharsets.UTF_8));
+        return configVersion;
+    }
+
+    /** Returns a route as JSON. */
+    public static String route(
+            String name, String prefix, String kind, String service, int attempts, String more) {
+        return ("{\"name\":\"%s\",\"host\":\"%s\",\"pathPrefix\":\"%s\",\"kind\":\"%s\","
+                        + "\"service\":\"%s\",\"attempts\":%d,\"timeoutMs\":5000,\"goalMs\":300%s}")
+                .formatted(name, HOST, prefix, kind, service, attempts, more);
+    }
+
+    @Override
+    public void close() {
+        List.copyOf(gateways.values()).forEach(Gateway::close);
+        engines.values().forEach(EngineEmulator::close);
+        store.close();
+    }
+
+    private ProcessSettings settings(String ip) {
+        List<String> seeds = new ArrayList<>(gateways.keySet());
+        return new ProcessSettings(
+                "node-" + ip,
+                ip,
+                "zone-a",
+                Optional.of(HostAndPort.fromParts(ip, clientPort)),
+                Optional.of(HostAndPort.fromParts(ip, statusPort)),
+                peerPort,
+                peerPort,
+                seeds,
+                new ProcessSettings.StoreSettings(
+                        HostAndPort.fromParts(STORE_IP, store.port()), 65_536, 8 << 20),
+                Duration.ofMillis(1200),
+                new ProcessSettings.Timings(STOP_GRACE, Duration.ofSeconds(2)));
+    }
+
+    private static int freePort() {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        } catch (IOException failure) {
+            throw new java.io.UncheckedIOException(failure);
+        }
+    }
+}
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/LayeringTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/LayeringTest.java
@@ -1,16 +1,37 @@
 package org.fuchsiaspindle.testbed;
 
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.assertj.core.api.Assertions.assertThat;
 
 import com.tngtech.archunit.core.domain.JavaClasses;
 import com.tngtech.archunit.core.importer.ClassFileImporter;
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.library.dependencies.SlicesRuleDefinition;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 
 /** Guards against dependencies that break the layers of the design. */
 final class LayeringTest {
 
+    private static final String[] PLATFORM_NAMES = {
+        "\"Attempt-Id\"",
+        "\"Deadline-Ms\"",
+        "\"Expect-Instance\"",
+        "\"Not-Run\"",
+        "\"Server-Stamp\"",
+        "\"Last-Event-Id\"",
+        "\"Wait-Ms\"",
+        "\"expectRev\"",
+        "\"pathPrefix\"",
+        "\"dead_letter\"",
+        "\"/lots/\"",
+        "\"/rows-tx\""
+    };
+
     private static final String ROOT = "org.fuchsiaspindle.";
     private static final JavaClasses CLASSES =
             new ClassFileImporter()
@@ -28,6 +49,7 @@
                         ROOT + "wire..",
                         ROOT + "platform..",
                         ROOT + "daemon..",
+                        ROOT + "gateway..",
                         ROOT + "cli..",
                         "java.net.http..",
                         "java.nio.channels..",
@@ -60,7 +82,7 @@
                 .resideInAnyPackage(ROOT + "wire..", ROOT + "platform..")
                 .should()
                 .dependOnClassesThat()
-                .resideInAnyPackage(ROOT + "daemon..", ROOT + "cli..")
+                .resideInAnyPackage(ROOT + "daemon..", ROOT + "gateway..", ROOT + "cli..")
                 .check(CLASSES);
     }
 
@@ -83,4 +105,18 @@
                 .beFreeOfCycles()
                 .check(CLASSES);
     }
+
+    /** Guards against decisions that depend on how the platform spells its messages. */
+    @Test
+    void namesOfThePlatform_standInTheAdapterOnly() throws IOException {
+        for (String module : List.of("core", "wire", "daemon", "gateway", "cli")) {
+            try (Stream<Path> files = Files.walk(Path.of("..", module, "src", "main", "java"))) {
+                for (Path file : files.filter(Files::isRegularFile).toList()) {
+                    assertThat(Files.readString(file))
+                            .as(file.toString())
+                            .doesNotContain(PLATFORM_NAMES);
+                }
+            }
+        }
+    }
 }
--- /dev/null
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
@@ -0,0 +1,271 @@
+package org.fuchsiaspindle.testbed.emulator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.BATCH;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.await;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitReady;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.headers;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.item;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.streamHeaders;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.submission;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import org.fuchsiaspindle.testbed.emulator.EmulatorClient.Answer;
+import org.fuchsiaspindle.testbed.emulator.EngineEmulator.Run;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards batch jobs over several gateways against lost processes and a store that fails. */
+final class GatewayBatchTest {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private final PlatformEmulator platform = PlatformEmulator.start();
+    private EngineEmulator engine;
+    private EngineEmulator plain;
+    private String first;
+    private String second;
+
+    @BeforeEach
+    void startPlatform() throws Exception {
+        configureAll(platform);
+        engine = platform.addEngine("engine-1", "model", 4, Duration.ofMillis(8));
+        plain = platform.addEngine("plain-1", "plain", 4, Duration.ofMillis(5));
+        first = platform.startGateway(1);
+        second = platform.startGateway(2);
+        awaitReady(platform, first, second);
+    }
+
+    @AfterEach
+    void stopPlatform() {
+        platform.close();
+    }
+
+    /** Guards against results that differ between gateways or miss an item. */
+    @Test
+    void job_isReadTheSameAtEveryGateway() throws Exception {
+        submit(first, "job-a", submission("job-a", 6, 10));
+        awaitResults(second, "job-a", 6);
+        String one = read(first, "job-a", 0).body();
+        assertThat(read(second, "job-a", 0).body()).isEqualTo(one);
+        assertThat(texts(one)).containsAll(expected("job-a", 6, 10));
+        assertThat(JSON.readTree(read(second, "job-a", 4).body()).path("results")).hasSize(2);
+    }
+
+    /** Guards against a job that is accepted twice and runs twice. */
+    @Test
+    void repeatedSubmission_isAcceptedAndRunsOnce() throws Exception {
+        String body = submission("job-b", 3, 5);
+        submit(first, "job-b", body);
+        submit(second, "job-b", body);
+        awaitResults(first, "job-b", 3);
+        assertThat(engine.ledger().stream().map(Run::requestId).distinct()).hasSize(3);
+        assertThat(engine.ledger()).hasSize(3);
+    }
+
+    /** Guards against an accepted job that is lost with the process that accepted it. */
+    @Test
+    void jobOfALostGateway_isTakenOver() throws Exception {
+        submit(first, "job-c", submission("job-c", 6, 60));
+        await("items run", () -> engine.active() > 0);
+        platform.killGateway(first);
+        awaitResults(second, "job-c", 6);
+        assertThat(texts(read(second, "job-c", 0).body())).containsAll(expected("job-c", 6, 60));
+    }
+
+    /** Guards against an accepted job that is lost when every process is lost at once. */
+    @Test
+    void jobAcceptedJustBeforeAllGatewaysAreLost_completes() throws Exception {
+        submit(first, "job-d", submission("job-d", 4, 10));
+        platform.killGateway(first);
+        platform.killGateway(second);
+        String third = platform.startGateway(3);
+        awaitResults(third, "job-d", 4);
+    }
+
+    /** Guards against planned stops that delay a job until its owner counts as lost. */
+    @Test
+    void jobOfAStoppingGateway_isHandedOverAtOnce() throws Exception {
+        submit(first, "job-e", submission("job-e", 4, 100));
+        await("items run", () -> engine.active() > 0);
+        long begun = System.nanoTime();
+        Thread stop = Thread.startVirtualThread(() -> platform.stopGateway(first));
+        awaitResults(second, "job-e", 4);
+        assertThat(Duration.ofNanos(System.nanoTime() - begun)).isLessThan(Duration.ofSeconds(3));
+        stop.join();
+    }
+
+    /** Guards against items that run after the end of their job was acknowledged. */
+    @Test
+    void endedJob_startsNothingMore() throws Exception {
+        submit(first, "job-f", submission("job-f", 30, 50));
+        await("items run", () -> engine.active() > 0);
+        assertThat(call(second, "DELETE", "/lots/job-f").status()).isEqualTo(200);
+        assertThat(call(first, "DELETE", "/lots/job-f").status()).isEqualTo(200);
+        await("items stopped", Duration.ofSeconds(3), () -> engine.active() == 0);
+        int runs = engine.ledger().size();
+        Thread.sleep(700);
+        assertThat(engine.ledger()).hasSize(runs);
+    }
+
+    /** Guards against items that can never be done and run for ever or delay others. */
+    @Test
+    void impossibleItems_areGivenUpWithinTheirAttempts() throws Exception {
+        String body =
+                "{\"items\":["
+                        + item("bad-1", "\"X-Fail\":\"422")
+                        + ","
+                        + item("bad-2", "\"X-Fail\":\"500")
+                        + ","
+                        + item("good", "\"X-Events\":\"3")
+                        + "]}";
+        submit(first, "job-g", body);
+        awaitResults(first, "job-g", 3);
+        JsonNode results = JSON.readTree(read(first, "job-g", 0).body()).path("results");
+        for (JsonNode result : results) {
+            boolean good = result.path("id").asText().equals("good");
+            assertThat(result.path("state").asText()).isEqualTo(good ? "completed" : "dead_letter");
+        }
+        assertThat(runs("bad-1")).isEqualTo(1);
+        assertThat(runs("bad-2")).isEqualTo(3);
+    }
+
+    /** Guards against a job that is lost or doubled because the answer to a write was lost. */
+    @Test
+    void lostAnswersOfTheStore_loseNoResult() throws Exception {
+        submit(first, "job-h", submission("job-h", 6, 30));
+        platform.store().setMood(StoreEmulator.Mood.LOSING_ANSWERS);
+        Thread.sleep(1500);
+        platform.store().setMood(StoreEmulator.Mood.SERVING);
+        awaitResults(second, "job-h", 6);
+        assertThat(texts(read(second, "job-h", 0).body())).containsAll(expected("job-h", 6, 30));
+    }
+
+    /** Guards against a promise that no item runs while the write may still take effect. */
+    @Test
+    void submissionWithAnOpenOutcome_isNotRefusedAsNotRun() throws Exception {
+        platform.store().setMood(StoreEmulator.Mood.LOSING_ANSWERS);
+        int status = post(first, "job-i", submission("job-i", 1, 2)).status();
+        assertThat(status).isNotIn(408, 421, 429, 503);
+        platform.store().setMood(StoreEmulator.Mood.SERVING);
+        submit(second, "job-i", submission("job-i", 1, 2));
+        awaitResults(second, "job-i", 1);
+    }
+
+    /** Guards against a job that is called missing while the store cannot be asked. */
+    @Test
+    void outageOfTheStore_answersUnavailableAndLosesNothing() throws Exception {
+        submit(first, "job-j", submission("job-j", 4, 60));
+        platform.store().setMood(StoreEmulator.Mood.BUSY);
+        assertThat(read(second, "job-j", 0).status()).isEqualTo(503);
+        assertThat(post(second, "job-k", submission("job-k", 1, 1)).status()).isEqualTo(503);
+        Thread.sleep(1000);
+        platform.store().setMood(StoreEmulator.Mood.SERVING);
+        awaitResults(second, "job-j", 4);
+    }
+
+    /** Guards against more waiting tokens than the route allows. */
+    @Test
+    void jobOverTheLimitOfTheRoute_isRefused() throws Exception {
+        StringBuilder items = new StringBuilder();
+        for (int i = 0; i < 200; i++) {
+            items.append(i == 0 ? "" : ",")
+                    .append(item("big-" + i, "\"X-Events\":\"200").replace("100}", "600}"));
+        }
+        String body = "{\"items\":[" + items + "]}";
+        assertThat(post(first, "job-l", body).status()).isEqualTo(429);
+    }
+
+    /** Guards against online requests that wait behind batch items. */
+    @Test
+    void onlineRequests_makeBatchItemsGiveWayAndResume() throws Exception {
+        submit(first, "job-m", submission("job-m", 4, 300));
+        await(
+                "batch fills the engine and makes events",
+                () ->
+                        engine.ledger().size() == 4
+                                && engine.ledger().stream().allMatch(run -> run.events() > 2));
+        long begun = System.nanoTime();
+        Answer answer =
+                platform.client(second)
+                        .call("POST", GatewayFixture.STREAM + "h", streamHeaders("online", 2), "");
+        Duration took = Duration.ofNanos(System.nanoTime() - begun);
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(took).isLessThan(Duration.ofMillis(300));
+        awaitResults(first, "job-m", 4);
+        assertThat(texts(read(first, "job-m", 0).body())).containsAll(expected("job-m", 4, 300));
+        assertThat(engine.ledger().stream().filter(run -> !run.lastEventId().isEmpty()))
+                .isNotEmpty();
+    }
+
+    /** Guards against a body that comes back changed, or for a job that does not exist. */
+    @Test
+    void bodiesOfItems_areReadAtEveryGateway() throws Exception {
+        submit(first, "job-n", submission("job-n", 2, 100));
+        Answer body = call(second, "GET", "/items/job-n?id=job-n-1");
+        assertThat(body.status()).isEqualTo(200);
+        assertThat(body.body()).isEqualTo("hallo");
+        assertThat(call(second, "GET", "/items/nothing?id=x").status()).isEqualTo(404);
+        assertThat(call(second, "GET", "/lots/nothing").status()).isEqualTo(404);
+    }
+
+    private void submit(String ip, String job, String body) throws Exception {
+        assertThat(post(ip, job, body).status()).isEqualTo(202);
+    }
+
+    private Answer post(String ip, String job, String body) throws Exception {
+        return platform.client(ip).call("POST", BATCH + job, headers(job), body);
+    }
+
+    private Answer call(String ip, String method, String path) throws Exception {
+        return platform.client(ip).call(method, path, headers("call"), "");
+    }
+
+    private Answer read(String ip, String job, int after) throws Exception {
+        return call(ip, "GET", "/lots/" + job + "?after=" + after);
+    }
+
+    private void awaitResults(String ip, String job, int count) throws Exception {
+        await(
+                count + " results of " + job,
+                () -> {
+                    Answer answer = read(ip, job, 0);
+                    return answer.status() == 200
+                            && JSON.readTree(answer.body()).path("results").size() == count;
+                });
+    }
+
+    private long runs(String id) {
+        return engine.ledger().stream().filter(run -> run.requestId().equals(id)).count();
+    }
+
+    private static Set<String> texts(String body) throws Exception {
+        Set<String> texts = new HashSet<>();
+        JSON.readTree(body)
+                .path("results")
+                .forEach(result -> texts.add(result.path("text").asText()));
+        return texts;
+    }
+
+    private static List<String> expected(String job, int items, int events) {
+        return IntStream.range(0, items)
+                .mapToObj(
+                        item ->
+                                IntStream.rangeClosed(1, events)
+                                        .mapToObj(
+                                                event ->
+                                                        EngineEmulator.text(
+                                                                job + "-" + item, event))
+                                        .collect(Collectors.joining("\n")))
+                .toList();
+    }
+}
--- /dev/null
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayFixture.java
@@ -0,0 +1,91 @@
+package org.fuchsiaspindle.testbed.emulator;
+
+import java.time.Duration;
+import java.util.Map;
+import java.util.concurrent.Callable;
+
+/** Routes, requests and waits that the tests of the gateway share. */
+final class GatewayFixture {
+
+    static final String SAFE = "/check/";
+    static final String UNSAFE = "/order/";
+    static final String STREAM = "/hint/";
+    static final String RESUMABLE = "/resume/";
+    static final String BATCH = "/batch/";
+
+    private GatewayFixture() {}
+
+    static void configureAll(PlatformEmulator platform) {
+        platform.configure(allRoutes());
+    }
+
+    static String[] allRoutes() {
+        return new String[] {
+            PlatformEmulator.route("safe", SAFE, "safe", "plain", 3, ""),
+            PlatformEmulator.route("unsafe", UNSAFE, "unsafe", "plain", 1, ""),
+            PlatformEmulator.route("stream", STREAM, "streaming", "model", 1, ""),
+            PlatformEmulator.route(
+                    "resumable", RESUMABLE, "streaming", "model", 3, ",\"resumable\":true"),
+            PlatformEmulator.route(
+                    "batch",
+                    BATCH,
+                    "batch",
+                    "model",
+                    3,
+                    ",\"deadlineMs\":18000,\"retentionS\":60,\"maxQueued\":100000")
+        };
+    }
+
+    static Map<String, String> headers(String id) {
+        return Map.of("Attempt-Id", id, "Deadline-Ms", "4000");
+    }
+
+    static Map<String, String> streamHeaders(String id, int events) {
+        return Map.of("Attempt-Id", id, "Deadline-Ms", "4000", "X-Events", String.valueOf(events));
+    }
+
+    /** Returns a submission of items that make streams of some events each. */
+    static String submission(String job, int items, int events) {
+        StringBuilder body = new StringBuilder("{\"items\":[");
+        for (int i = 0; i < items; i++) {
+            body.append(i == 0 ? "" : ",").append(item(job + "-" + i, "\"X-Events\":\"" + events));
+        }
+        return body.append("]}").toString();
+    }
+
+    static String item(String id, String header) {
+        return "{\"id\":\""
+                + id
+                + "\",\"path\":\"/batch/x\",\"headers\":{"
+                + header
+                + "\"},\"body\":\"aGFsbG8=\",\"tokens\":100}";
+    }
+
+    /** Waits until a condition holds; the failure names what was awaited. */
+    static void await(String what, Callable<Boolean> condition) throws Exception {
+        await(what, Duration.ofSeconds(15), condition);
+    }
+
+    static void await(String what, Duration limit, Callable<Boolean> condition) throws Exception {
+        long end = System.nanoTime() + limit.toNanos();
+        while (!condition.call()) {
+            if (System.nanoTime() - end > 0) {
+                throw new AssertionError("not within " + limit + ": " + what);
+            }
+            Thread.sleep(10);
+        }
+    }
+
+    static void awaitReady(PlatformEmulator platform, String... ips) throws Exception {
+        for (String ip : ips) {
+            await(ip + " ready", () -> platform.gateway(ip).isReady());
+            await(
+                    ip + " serves",
+                    () ->
+                            platform.client(ip)
+                                            .call("GET", SAFE + "ready", headers("probe"), "")
+                                            .status()
+                                    == 200);
+        }
+    }
+}
--- /dev/null
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayOnlineTest.java
@@ -0,0 +1,225 @@
+package org.fuchsiaspindle.testbed.emulator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.await;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitReady;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.headers;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.streamHeaders;
+
+import java.net.Socket;
+import java.time.Duration;
+import java.util.List;
+import java.util.stream.IntStream;
+import org.fuchsiaspindle.testbed.emulator.EmulatorClient.Answer;
+import org.fuchsiaspindle.testbed.emulator.EngineEmulator.Run;
+import org.fuchsiaspindle.testbed.emulator.EngineEmulator.Spoil;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+/** Guards the online path of one gateway against targets that fail in each of their ways. */
+final class GatewayOnlineTest {
+
+    private final PlatformEmulator platform = PlatformEmulator.start();
+    private EngineEmulator first;
+    private EngineEmulator second;
+    private EngineEmulator plainFirst;
+    private EngineEmulator plainSecond;
+    private EmulatorClient client;
+    private String ip;
+
+    @BeforeEach
+    void startPlatform() throws Exception {
+        configureAll(platform);
+        first = platform.addEngine("engine-1", "model", 4, Duration.ofMillis(10));
+        second = platform.addEngine("engine-2", "model", 4, Duration.ofMillis(10));
+        plainFirst = platform.addEngine("plain-1", "plain", 4, Duration.ofMillis(5));
+        plainSecond = platform.addEngine("plain-2", "plain", 4, Duration.ofMillis(5));
+        ip = platform.startGateway(1);
+        client = platform.client(ip);
+        awaitReady(platform, ip);
+    }
+
+    @AfterEach
+    void stopPlatform() {
+        platform.close();
+    }
+
+    /** Guards against answers that lose the stamp, the status or the body of the target. */
+    @Test
+    void plainRequest_answeredUnchanged() throws Exception {
+        Answer answer = client.call("POST", GatewayFixture.SAFE + "w?x=1", headers("a1"), "body");
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.headers()).containsEntry("Server-Stamp", "stamp");
+        assertThat(answer.headers()).containsEntry("Attempt-Id", "a1");
+        assertThat(answer.body()).isEqualTo("done /check/w?x=1");
+        assertThat(answer.complete()).isTrue();
+    }
+
+    /** Guards against a lost answer that is reported although the request may run again. */
+    @Test
+    void safeRequest_whoseAnswerIsLost_runsElsewhere() throws Exception {
+        plainFirst.spoilNext(Spoil.LOSE_ANSWER);
+        plainSecond.spoilNext(Spoil.LOSE_ANSWER);
+        Answer answer = client.call("POST", GatewayFixture.SAFE + "w", headers("a2"), "");
+        assertThat(answer.status()).isIn(200, 502);
+        Answer again = client.call("POST", GatewayFixture.SAFE + "w", headers("a3"), "");
+        assertThat(again.status()).isEqualTo(200);
+    }
+
+    /** Guards against a second run, and against a promise that the request did not run. */
+    @Test
+    void unsafeRequest_whoseAnswerIsLost_runsOnceAndIsNotPromised() throws Exception {
+        plainFirst.spoilNext(Spoil.LOSE_ANSWER);
+        plainSecond.spoilNext(Spoil.LOSE_ANSWER);
+        Answer answer = client.call("POST", GatewayFixture.UNSAFE + "w", headers("a4"), "");
+        assertThat(answer.status()).isEqualTo(502);
+        assertThat(runs("a4")).hasSize(1);
+    }
+
+    /** Guards against half an answer that looks complete. */
+    @Test
+    void unsafeRequest_whoseAnswerIsTruncated_isNotASuccess() throws Exception {
+        plainFirst.spoilNext(Spoil.TRUNCATE);
+        plainSecond.spoilNext(Spoil.TRUNCATE);
+        Answer answer = client.call("POST", GatewayFixture.UNSAFE + "w", headers("a5"), "");
+        assertThat(answer.status()).isEqualTo(502);
+        assertThat(runs("a5")).hasSize(1);
+    }
+
+    /** Guards against a second answer on a kept connection that reaches the next client. */
+    @Test
+    void extraAnswer_neverReachesAnotherRequest() throws Exception {
+        for (int i = 0; i < 20; i++) {
+            plainFirst.spoilNext(Spoil.EXTRA_ANSWER);
+            plainSecond.spoilNext(Spoil.EXTRA_ANSWER);
+            String path = GatewayFixture.SAFE + i;
+            Answer answer = client.call("POST", path, headers("b" + i), "");
+            assertThat(answer.status()).isEqualTo(200);
+            assertThat(answer.body()).isEqualTo("done " + path);
+            assertThat(answer.headers()).containsEntry("Attempt-Id", "b" + i);
+        }
+    }
+
+    /** Guards against a target that is refused by its address and counted as run. */
+    @Test
+    void addressOfAnotherTarget_isTriedElsewhere() throws Exception {
+        platform.store().put("servers", "plain-0", plainFirst.registration(false));
+        Thread.sleep(500);
+        for (int i = 0; i < 12; i++) {
+            Answer answer = client.call("POST", GatewayFixture.UNSAFE + i, headers("c" + i), "");
+            assertThat(answer.status()).isEqualTo(200);
+        }
+    }
+
+    /** Guards against events that are lost, doubled or joined from two runs. */
+    @Test
+    void resumableStream_thatBreaks_goesOnElsewhereWithoutAGap() throws Exception {
+        first.spoilNext(Spoil.TRUNCATE);
+        second.spoilNext(Spoil.TRUNCATE);
+        Answer answer =
+                client.call("POST", GatewayFixture.RESUMABLE + "h", streamHeaders("d1", 12), "");
+        assertThat(answer.status()).isEqualTo(200);
+        assertThat(answer.complete()).isTrue();
+        assertThat(answer.body()).isEqualTo(events("d1", 12));
+        assertThat(runs("d1")).hasSizeGreaterThan(1);
+        assertThat(runs("d1").getLast().lastEventId()).isNotEmpty();
+    }
+
+    /** Guards against a broken stream that looks complete, or that runs again. */
+    @Test
+    void otherStream_thatBreaks_isCutAndRunsOnce() throws Exception {
+        first.spoilNext(Spoil.TRUNCATE);
+        second.spoilNext(Spoil.TRUNCATE);
+        Answer answer =
+                client.call("POST", GatewayFixture.STREAM + "h", streamHeaders("d2", 12), "");
+        assertThat(answer.complete()).isFalse();
+        assertThat(events("d2", 12)).startsWith(answer.body());
+        assertThat(runs("d2")).hasSize(1);
+    }
+
+    /** Guards against work at a target for a client that has left. */
+    @Test
+    void clientThatLeaves_stopsTheTarget() throws Exception {
+        try (Socket socket =
+                client.open("POST", GatewayFixture.STREAM + "h", streamHeaders("e1", 400), "")) {
+            await("run begins", () -> runs("e1").size() == 1);
+            assertThat(socket.isConnected()).isTrue();
+        }
+        await("run dropped", Duration.ofMillis(500), () -> runs("e1").getFirst().isDropped());
+    }
+
+    /** Guards against an unknown path that is held or reported as unavailable. */
+    @Test
+    void unknownPath_isNotFound() throws Exception {
+        assertThat(client.call("GET", "/nothing/x", headers("f1"), "").status()).isEqualTo(404);
+    }
+
+    /** Guards against work at a target after the store has accepted that it leaves. */
+    @Test
+    void leavingTarget_getsNoNewWork() throws Exception {
+        platform.register(plainFirst, true);
+        Thread.sleep(1000);
+        int before = plainFirst.ledger().size();
+        for (int i = 0; i < 10; i++) {
+            client.call("POST", GatewayFixture.SAFE + i, headers("g" + i), "");
+        }
+        assertThat(plainFirst.ledger()).hasSize(before);
+    }
+
+    /** Guards against a lapsed registration that counts as gone right after an outage. */
+    @Test
+    void registrationMissingAfterAnOutage_isKeptForTwoSeconds() throws Exception {
+        platform.store().setMood(StoreEmulator.Mood.BUSY);
+        Thread.sleep(1500);
+        platform.unregister(plainFirst);
+        platform.unregister(plainSecond);
+        platform.store().setMood(StoreEmulator.Mood.SERVING);
+        Thread.sleep(1200);
+        assertThat(client.call("GET", GatewayFixture.SAFE + "x", headers("h1"), "").status())
+                .isEqualTo(200);
+        await(
+                "targets dropped",
+                Duration.ofSeconds(5),
+                () ->
+                        client.call("GET", GatewayFixture.SAFE + "x", headers("h2"), "").status()
+                                == 503);
+    }
+
+    /** Guards against a body over the limit that is forwarded, or that hangs the connection. */
+    @Test
+    void largeBody_isRefused() throws Exception {
+        String body = "x".repeat(5 << 20);
+        assertThat(client.call("POST", GatewayFixture.SAFE + "w", headers("i1"), body).status())
+                .isEqualTo(413);
+    }
+
+    /** Guards against requests that are smuggled or cut by bytes that are no HTTP. */
+    @Test
+    void malformedRequest_isRefusedAndTheConnectionCloses() throws Exception {
+        try (Socket socket =
+                client.open("BAD REQUEST", "/x y z", headers("j1"), "GET / HTTP/1.1\r\n\r\n")) {
+            assertThat(EmulatorClient.read(socket.getInputStream()).status()).isEqualTo(400);
+        }
+    }
+
+    private List<Run> runs(String id) {
+        return List.of(first, second, plainFirst, plainSecond).stream()
+                .flatMap(engine -> engine.ledger().stream())
+                .filter(run -> run.requestId().equals(id))
+                .sorted(java.util.Comparator.comparingLong(Run::startNanos))
+                .toList();
+    }
+
+    private static String events(String id, int count) {
+        StringBuilder all = new StringBuilder();
+        IntStream.rangeClosed(1, count)
+                .forEach(
+                        event ->
+                                all.append("id: " + event + "\ndata: ")
+                                        .append(EngineEmulator.text(id, event))
+                                        .append("\n\n"));
+        return all.toString();
+    }
+}
