Store the progress of batch items and hand it over

Change: the text of unfinished items is stored every 1.5 s, under the condition that the row of the job is unchanged, and when a job is handed back; the next owner resumes behind it. Ruled out: storing each event (a write per event), keeping progress at a peer (lost with both). Before: GatewayBatchTest.jobOfALostGateway_goesOnBehindItsStoredProgress has no row to wait for; after: all runs after the loss resume.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -1,6 +1,7 @@
 package org.fuchsiaspindle.gateway.batch;
 
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 import java.util.OptionalLong;
 import org.fuchsiaspindle.gateway.target.TargetCall;
 import org.fuchsiaspindle.platform.job.BatchItem;
@@ -29,7 +30,7 @@
     private TargetCall call;
     private boolean completed;
     private long notBeforeNanos = System.nanoTime();
-    private int interruptions;
+    private OptionalLong storedEvent = OptionalLong.empty();
     private String targetId = "-";
 
     ItemRun(OwnedJob job, int index, BatchItem item) {
@@ -108,24 +109,29 @@
         event.bytes().release();
     }
 
+    /** Goes on behind what another gateway has stored. */
+    void restore(ItemProgress progress) {
+        text.setLength(0);
+        text.append(progress.text());
+        lastEvent = OptionalLong.of(progress.lastEvent());
+    }
+
+    /** Returns the progress since the last call, empty if there is none. */
+    Optional<ItemProgress> takeProgress() {
+        if (state == State.FINISHED || lastEvent.isEmpty() || lastEvent.equals(storedEvent)) {
+            return Optional.empty();
+        }
+        storedEvent = lastEvent;
+        return Optional.of(new ItemProgress(lastEvent.getAsLong(), text.toString()));
+    }
+
     /** Puts the item back to wait, not to be started before a monotonic time. */
     void interrupted(long newNotBeforeNanos) {
         state = State.PENDING;
         call = null;
-        interruptions++;
         notBeforeNanos = newNotBeforeNanos;
     }
 
-    int interruptions() {
-        return interruptions;
-    }
-
-    /** Drops the text, so that the next run begins from the start. */
-    void restart() {
-        text.setLength(0);
-        lastEvent = OptionalLong.empty();
-    }
-
     void finish(boolean newCompleted) {
         state = State.FINISHED;
         completed = newCompleted;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCommitter.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCommitter.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +30,7 @@
 final class JobCommitter {
 
     private static final Logger LOG = LoggerFactory.getLogger(JobCommitter.class);
+    private static final Duration RELEASE_DELAY = Duration.ofMillis(10);
     private static final Duration RETRY_DELAY = Duration.ofMillis(250);
 
     private final EventLoop loop;
@@ -89,11 +91,38 @@
         send(owned, updated, texts);
     }
 
-    /** Hands a job back, so that another gateway runs what is left of it. */
+    /** Stores the progress of unfinished items, so that a lost gateway costs little work. */
+    void checkpoint(OwnedJob owned) {
+        Map<Integer, ItemProgress> progress = owned.takeProgress();
+        if (owned.isCommitting() || progress.isEmpty()) {
+            return;
+        }
+        owned.setCommitting(true);
+        store.checkpoint(owned.job(), owned.stored().version(), false, progress)
+                .whenCompleteAsync(
+                        (result, failure) -> {
+                            if (result instanceof CommitResult.Conflict conflict) {
+                                settle(owned, present(conflict.rows()));
+                            } else {
+                                owned.setCommitting(false);
+                                commit(owned);
+                            }
+                        },
+                        loop);
+    }
+
+    /** Hands a job back with its progress, so that another gateway goes on with it. */
     void release(OwnedJob owned) {
-        if (!owned.isCommitting()) {
-            send(owned, owned.job().ownedBy(JobOwner.NONE), List.of());
+        if (owned.isCommitting()) {
+            loop.schedule(
+                    () -> release(owned), RELEASE_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+            return;
         }
+        JobRecord released = owned.job().ownedBy(JobOwner.NONE);
+        owned.setCommitting(true);
+        store.checkpoint(released, owned.stored().version(), true, owned.takeProgress())
+                .whenCompleteAsync(
+                        (result, failure) -> committed(owned, released, result, failure), loop);
     }
 
     private void send(OwnedJob owned, JobRecord updated, List<JobStore.Text> texts) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableList;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
@@ -55,6 +56,9 @@
      */
     private static final Duration YIELD_PAUSE = Duration.ofMillis(40);
 
+    /** Bounds the work that the loss of a gateway costs, at one write a job each time. */
+    private static final Duration CHECKPOINT_INTERVAL = Duration.ofMillis(1500);
+
     private static final Duration FAILURE_PAUSE = Duration.ofMillis(100);
 
     /** How long a route may be missing from the configuration before its items are given up. */
@@ -77,6 +81,7 @@
     private final Set<String> loading = new HashSet<>();
     private final Map<String, Long> routeMissingSince = new HashMap<>();
     private boolean yieldScheduled;
+    private long lastCheckpointNanos = System.nanoTime();
     private boolean stopping;
 
     private JobRunner(Parts parts) {
@@ -140,14 +145,15 @@
     }
 
     /** Runs a job that this gateway owns as of a version of its row. */
-    void adopt(VersionedJob job, List<BatchItem> items) {
+    void adopt(
+            VersionedJob job, List<BatchItem> items, Map<Integer, ItemProgress> progress) {
         loading.remove(job.job().id());
         if (stopping || !job.job().isOpen() || owned.containsKey(job.job().id())) {
             return;
         }
         owned.put(
                 job.job().id(),
-                new OwnedJob(job, com.google.common.collect.ImmutableList.copyOf(items)));
+                new OwnedJob(job, ImmutableList.copyOf(items), progress));
         onCapacity();
     }
 
@@ -161,19 +167,23 @@
 
     private void readSubmission(String jobId) {
         store.submission(jobId)
-                .whenCompleteAsync((found, failure) -> loaded(jobId, found, failure), loop);
+                .thenCombine(store.progress(jobId), Loaded::new)
+                .whenCompleteAsync((loaded, failure) -> loaded(jobId, loaded, failure), loop);
     }
 
-    private void loaded(String jobId, Optional<byte[]> found, Throwable failure) {
+    /** What was read of a job that was taken over. */
+    private record Loaded(Optional<byte[]> submission, Map<Integer, ItemProgress> progress) {}
+
+    private void loaded(String jobId, Loaded loaded, Throwable failure) {
         Optional<VersionedJob> now = table.job(jobId).filter(job -> isOwn(job.job()));
         if (now.isEmpty() || !now.get().job().isOpen()) {
             loading.remove(jobId);
-        } else if (failure != null || found.isEmpty()) {
-            LOG.warn("batch: submission not read job={}", jobId, failure);
+        } else if (failure != null || loaded.submission().isEmpty()) {
+            LOG.warn("batch: submission not read job={} reason={}", jobId, String.valueOf(failure));
             loop.schedule(
                     () -> readSubmission(jobId), FAILURE_PAUSE.toMillis(), TimeUnit.MILLISECONDS);
         } else {
-            adopt(now.get(), JobCalls.items(found.get()));
+            adopt(now.get(), JobCalls.items(loaded.submission().get()), loaded.progress());
         }
     }
 
@@ -182,6 +192,7 @@
         stopping = true;
         for (OwnedJob job : List.copyOf(owned.values())) {
             job.runs().stream().filter(ItemRun::isRunning).forEach(ItemRun::stop);
+            committer.commit(job);
             committer.release(job);
         }
     }
@@ -226,6 +237,12 @@
             }
             giveUpIfDue(job, now);
             committer.commit(job);
+            if (now - lastCheckpointNanos > CHECKPOINT_INTERVAL.toNanos()) {
+                committer.checkpoint(job);
+            }
+        }
+        if (now - lastCheckpointNanos > CHECKPOINT_INTERVAL.toNanos()) {
+            lastCheckpointNanos = now;
         }
         onCapacity();
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
@@ -9,6 +9,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import org.fuchsiaspindle.core.job.JobRecord;
@@ -34,6 +35,7 @@
     public static final String JOBS = "job";
 
     private static final String TEXTS = "result";
+    private static final String PROGRESS = "progress";
     private static final String SUBMISSIONS = "submission";
 
     /** Partitions over which the jobs are spread, since one takes a bounded number of writes. */
@@ -148,6 +150,46 @@
                 .write(key, JobCodec.encode(job));
     }
 
+    /**
+     * Stores what the unfinished items of a job have made, if the row of the job still has a
+     * version.
+     *
+     * @param job the job, written too if it differs from the row
+     * @param version the version that the row must have
+     * @param writeJob whether the job is written
+     * @param progress the progress by item
+     */
+    CompletableFuture<CommitResult> checkpoint(
+            JobRecord job, long version, boolean writeJob, Map<Integer, ItemProgress> progress) {
+        String partition = partition(job.id());
+        RowKey key = new RowKey(JOBS, partition, job.id());
+        RowTransaction.Builder transaction =
+                RowTransaction.inPartition(partition).expect(key, version);
+        if (writeJob) {
+            transaction.write(key, JobCodec.encode(job));
+        }
+        int bytes = 0;
+        int rows = 0;
+        for (Map.Entry<Integer, ItemProgress> item : progress.entrySet()) {
+            byte[] value = item.getValue().encode();
+            List<RowTransaction.Write> writes =
+                    chunkRows(PROGRESS, job.id(), textPrefix(job.id(), item.getKey()), value);
+            bytes += value.length;
+            rows += writes.size();
+            // Progress that does not fit is made again; nothing depends on it.
+            if (bytes <= MAX_COMMIT_BYTES && rows <= MAX_COMMIT_ROWS) {
+                transaction.writeAll(writes);
+            }
+        }
+        return store.commit(transaction.build());
+    }
+
+    /** Returns the stored progress of a job by item. */
+    CompletableFuture<Map<Integer, ItemProgress>> progress(String jobId) {
+        return store.rows(PROGRESS, partition(jobId), jobId + "/", jobId + "0")
+                .thenApply(page -> ItemProgress.decode(jobId, page.rows()));
+    }
+
     private static List<RowTransaction.Write> chunkRows(
             String table, String jobId, String prefix, byte[] bytes) {
         List<RowTransaction.Write> rows = new ArrayList<>();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissions.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissions.java
@@ -226,7 +226,7 @@
                 storeClock.answered(done.storeMillis());
                 VersionedJob created = new VersionedJob(job, done.version());
                 table.offer(created);
-                runner.adopt(created, items);
+                runner.adopt(created, items, Map.of());
                 accepted(exchange, job.id(), "new items=" + items.size());
             }
             case CommitResult.Conflict conflict -> {
@@ -254,7 +254,7 @@
                             if (failure == null && found.isPresent()) {
                                 table.offer(found.get());
                                 if (found.get().job().owner().equals(self)) {
-                                    runner.adopt(found.get(), items);
+                                    runner.adopt(found.get(), items, Map.of());
                                 }
                                 accepted(exchange, job.id(), "resolved");
                             } else {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/OwnedJob.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/OwnedJob.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
@@ -21,14 +22,19 @@
     private boolean failuresChanged;
     private long retryAtNanos;
 
-    OwnedJob(VersionedJob stored, ImmutableList<BatchItem> items) {
+    OwnedJob(
+            VersionedJob stored,
+            ImmutableList<BatchItem> items,
+            Map<Integer, ItemProgress> progress) {
         this.stored = stored;
         this.items = items;
         failures.putAll(stored.job().failures());
         Set<Integer> listed = stored.job().listedItems();
         for (int item = 0; item < items.size(); item++) {
             if (!listed.contains(item)) {
-                runs.add(new ItemRun(this, item, items.get(item)));
+                ItemRun run = new ItemRun(this, item, items.get(item));
+                Optional.ofNullable(progress.get(item)).ifPresent(run::restore);
+                runs.add(run);
             }
         }
     }
@@ -71,6 +77,15 @@
         return runs.stream().filter(ItemRun::isFinished).toList();
     }
 
+    /** Returns the progress of unfinished items since the last call. */
+    Map<Integer, ItemProgress> takeProgress() {
+        Map<Integer, ItemProgress> progress = new HashMap<>();
+        for (ItemRun run : runs) {
+            run.takeProgress().ifPresent(made -> progress.put(run.index(), made));
+        }
+        return progress;
+    }
+
     int addFailure(int item) {
         failuresChanged = true;
         return failures.merge(item, 1, Integer::sum);
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
@@ -82,6 +82,20 @@
         assertThat(texts(read(second, "job-c", 0).body())).containsAll(expected("job-c", 6, 60));
     }
 
+    /** Guards against work that is done again although it was stored before the loss. */
+    @Test
+    void jobOfALostGateway_goesOnBehindItsStoredProgress() throws Exception {
+        submit(first, "job-o", submission("job-o", 4, 400));
+        await("progress stored", () -> platform.store().count("progress") >= 4);
+        platform.killGateway(first);
+        int before = engine.ledger().size();
+        awaitResults(second, "job-o", 4);
+        assertThat(texts(read(second, "job-o", 0).body()))
+                .containsAll(expected("job-o", 4, 400));
+        assertThat(engine.ledger().subList(before, engine.ledger().size()))
+                .allSatisfy(run -> assertThat(run.lastEventId()).isNotEmpty());
+    }
+
     /** Guards against an accepted job that is lost when every process is lost at once. */
     @Test
     void jobAcceptedJustBeforeAllGatewaysAreLost_completes() throws Exception {
