Order batch items by due time over all gateways

A plain target was taken for silent after 700 ms although it answers nothing before it is done; where scale-in had left one, requests were refused for 1.5 s.

Change: gateways tell each other the earliest due time of their waiting and the latest of their running items; slots are filled and given back in that order. Items that cannot be on time any more, by an estimate of the time left, come last. Silence is judged at 2.5 s where no events are expected, and a silent target still takes calls if no other does.

--- a/core/src/main/java/org/fuchsiaspindle/core/serving/BatchYield.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/BatchYield.java
@@ -18,8 +18,7 @@
      * @param slots the slots of the target, positive
      * @param load its load over all processes
      * @param ownBatch the batch items that this process runs there, not negative
-     * @param batchOfEarlierPeers the batch items there of processes whose identifier sorts before
-     *     this one; they leave first
+     * @param batchOfEarlierPeers the batch items there of gateways that give way before this one
      */
     public static int itemsToStop(
             int slots, TargetLoad load, int ownBatch, int batchOfEarlierPeers) {
--- a/core/src/test/java/org/fuchsiaspindle/core/job/JobDecisionsTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/job/JobDecisionsTest.java
@@ -76,6 +76,19 @@
                 .isEqualTo(ItemOutcome.GIVE_UP);
     }
 
+    /** Guards against a schedule that takes a started item for a whole one. */
+    @Test
+    void timeLeft_shrinksWithTheEventsMade() {
+        ItemTimes times = new ItemTimes();
+        for (int i = 0; i < 100; i++) {
+            times.completed(200);
+            times.ran(100, Duration.ofSeconds(2));
+        }
+        assertThat(times.left(0)).isBetween(Duration.ofMillis(3900), Duration.ofMillis(4200));
+        assertThat(times.left(150)).isBetween(Duration.ofMillis(900), Duration.ofMillis(1200));
+        assertThat(times.left(500)).isPositive();
+    }
+
     private static Map<String, OwnerLiveness.Renewal> rows(String incarnation, long version) {
         return Map.of("10.0.0.1", new OwnerLiveness.Renewal(incarnation, version));
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -1,6 +1,7 @@
 package org.fuchsiaspindle.gateway.batch;
 
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.fuchsiaspindle.gateway.target.TargetCall;
@@ -29,6 +30,8 @@
     private OptionalLong lastEvent = OptionalLong.empty();
     private TargetCall call;
     private boolean completed;
+    private long startedNanos;
+    private long eventsAtStart;
     private long notBeforeNanos = System.nanoTime();
     private OptionalLong storedEvent = OptionalLong.empty();
     private String targetId = "-";
@@ -92,6 +95,23 @@
         state = State.RUNNING;
         call = newCall;
         targetId = newCall.instance().id();
+        startedNanos = System.nanoTime();
+        eventsAtStart = events();
+    }
+
+    /** Returns the number of the last whole event. */
+    long events() {
+        return lastEvent.orElse(0);
+    }
+
+    /** Returns the events that the present run has made. */
+    long eventsOfThisRun() {
+        return events() - eventsAtStart;
+    }
+
+    /** Returns how long the present run has taken. */
+    Duration timeOfThisRun(long now) {
+        return Duration.ofNanos(now - startedNanos);
     }
 
     void add(EventSplitter.Event event) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCommitter.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCommitter.java
@@ -114,8 +114,7 @@
     /** Hands a job back with its progress, so that another gateway goes on with it. */
     void release(OwnedJob owned) {
         if (owned.isCommitting()) {
-            loop.schedule(
-                    () -> release(owned), RELEASE_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+            loop.schedule(() -> release(owned), RELEASE_DELAY.toMillis(), TimeUnit.MILLISECONDS);
             return;
         }
         JobRecord released = owned.job().ownedBy(JobOwner.NONE);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -17,8 +17,10 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.job.ItemOutcome;
+import org.fuchsiaspindle.core.job.ItemTimes;
 import org.fuchsiaspindle.core.job.JobOwner;
 import org.fuchsiaspindle.core.job.JobRecord;
+import org.fuchsiaspindle.core.serving.BatchUrgency;
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.RouteKind;
 import org.fuchsiaspindle.core.serving.TargetInstance;
@@ -78,6 +80,7 @@
     private final GatewayMetrics metrics;
     private final JobCommitter committer;
     private final Map<String, OwnedJob> owned = new HashMap<>();
+    private final ItemTimes times = new ItemTimes();
     private final Set<String> loading = new HashSet<>();
     private final Map<String, Long> routeMissingSince = new HashMap<>();
     private boolean yieldScheduled;
@@ -128,6 +131,7 @@
         parts.table().addListener(runner::jobChanged);
         parts.fleet().addCapacityListener(runner);
         parts.fleet().onExcess(runner::yieldLater);
+        parts.fleet().batchUrgency(runner::urgency);
         parts.loop()
                 .scheduleAtFixedRate(
                         runner::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
@@ -145,15 +149,12 @@
     }
 
     /** Runs a job that this gateway owns as of a version of its row. */
-    void adopt(
-            VersionedJob job, List<BatchItem> items, Map<Integer, ItemProgress> progress) {
+    void adopt(VersionedJob job, List<BatchItem> items, Map<Integer, ItemProgress> progress) {
         loading.remove(job.job().id());
         if (stopping || !job.job().isOpen() || owned.containsKey(job.job().id())) {
             return;
         }
-        owned.put(
-                job.job().id(),
-                new OwnedJob(job, ImmutableList.copyOf(items), progress));
+        owned.put(job.job().id(), new OwnedJob(job, ImmutableList.copyOf(items), progress));
         onCapacity();
     }
 
@@ -244,6 +245,7 @@
         if (now - lastCheckpointNanos > CHECKPOINT_INTERVAL.toNanos()) {
             lastCheckpointNanos = now;
         }
+        fleet.shareUrgency();
         onCapacity();
     }
 
@@ -286,38 +288,66 @@
             return;
         }
         long now = System.nanoTime();
+        List<ItemRun> waiting = new ArrayList<>();
+        for (OwnedJob job : owned.values()) {
+            job.runs().stream().filter(run -> run.mayStart(now)).forEach(waiting::add);
+        }
         Set<String> full = new HashSet<>();
-        for (OwnedJob job : byUrgency()) {
-            Optional<Route> route = route(job.job());
-            if (route.isPresent() && job.pending() > 0) {
-                startItems(job, route.get(), full, now);
-            }
+        for (ItemRun run : byUrgency(waiting)) {
+            route(run.job().job()).ifPresent(route -> startIfPossible(run, route, full));
         }
     }
 
-    /** Returns the jobs in the order of their due times. */
-    private List<OwnedJob> byUrgency() {
-        List<OwnedJob> jobs = new ArrayList<>(owned.values());
-        jobs.sort(Comparator.comparingLong(job -> job.job().acceptedAtMillis()));
-        return jobs;
+    private void startIfPossible(ItemRun run, Route route, Set<String> full) {
+        String service = route.chooseService(ThreadLocalRandom.current().nextDouble());
+        if (full.contains(service) || online.hasWaiting(service)) {
+            return;
+        }
+        Optional<TargetInstance> target = fleet.choose(service, CallSort.BATCH, List.of());
+        if (target.isEmpty()) {
+            full.add(service);
+        } else {
+            startItem(run, target.get(), route);
+        }
     }
 
-    private void startItems(OwnedJob job, Route route, Set<String> full, long now) {
-        for (ItemRun run : job.runs()) {
-            if (!run.mayStart(now)) {
-                continue;
-            }
-            String service = route.chooseService(ThreadLocalRandom.current().nextDouble());
-            if (full.contains(service) || online.hasWaiting(service)) {
-                continue;
-            }
-            Optional<TargetInstance> target = fleet.choose(service, CallSort.BATCH, List.of());
-            if (target.isEmpty()) {
-                full.add(service);
-            } else {
-                startItem(run, target.get(), route);
+    /** Returns items in the order in which they run: by due time, then what is nearly done. */
+    private List<ItemRun> byUrgency(List<ItemRun> runs) {
+        Map<ItemRun, Long> dues = new HashMap<>();
+        runs.forEach(run -> dues.put(run, orderedDue(run)));
+        List<ItemRun> sorted = new ArrayList<>(runs);
+        sorted.sort(
+                Comparator.comparingLong((ItemRun run) -> dues.get(run))
+                        .thenComparingLong(run -> -run.events()));
+        return sorted;
+    }
+
+    private long orderedDue(ItemRun run) {
+        JobRecord job = run.job().job();
+        Duration completion =
+                route(job)
+                        .flatMap(Route::batch)
+                        .map(Route.BatchLimits::completionTarget)
+                        .orElse(Duration.ZERO);
+        long due = job.acceptedAtMillis() + completion.toMillis();
+        long done = storeClock.nowMillis() + times.left(run.events()).toMillis();
+        return BatchUrgency.orderedDue(due, done);
+    }
+
+    private BatchUrgency urgency() {
+        long waiting = BatchUrgency.NONE;
+        long running = BatchUrgency.NONE;
+        for (OwnedJob job : owned.values()) {
+            for (ItemRun run : job.runs()) {
+                long due = orderedDue(run);
+                if (run.isPending() && (waiting == BatchUrgency.NONE || due < waiting)) {
+                    waiting = due;
+                } else if (run.isRunning()) {
+                    running = Math.max(running, due);
+                }
             }
         }
+        return new BatchUrgency(waiting, running);
     }
 
     private void startItem(ItemRun run, TargetInstance target, Route route) {
@@ -326,6 +356,7 @@
                 fleet.call(
                         target,
                         CallSort.BATCH,
+                        true,
                         item.id(),
                         () ->
                                 TargetProtocol.item(
@@ -368,20 +399,17 @@
             return;
         }
         long now = System.nanoTime();
-        List<OwnedJob> jobs = byUrgency().reversed();
-        for (OwnedJob job : jobs) {
-            for (ItemRun run : job.runs()) {
-                if (!run.isRunning()) {
-                    continue;
-                }
-                String target = run.call().instance().id();
-                int left = excess.getOrDefault(target, 0);
-                if (left > 0) {
-                    excess.put(target, left - 1);
-                    run.call().cancel();
-                    run.interrupted(now + YIELD_PAUSE.toNanos());
-                    metrics.item("gave_way");
-                }
+        List<ItemRun> running = new ArrayList<>();
+        for (OwnedJob job : owned.values()) {
+            job.runs().stream().filter(ItemRun::isRunning).forEach(running::add);
+        }
+        for (ItemRun run : byUrgency(running).reversed()) {
+            int left = excess.getOrDefault(run.targetId(), 0);
+            if (left > 0) {
+                excess.put(run.targetId(), left - 1);
+                run.call().cancel();
+                run.interrupted(now + YIELD_PAUSE.toNanos());
+                metrics.item("gave_way");
             }
         }
     }
@@ -439,6 +467,8 @@
             if (events.hasRest() || !answer.events()) {
                 again(run, now, "incomplete stream");
             } else {
+                times.completed(run.events());
+                times.ran(run.eventsOfThisRun(), run.timeOfThisRun(now));
                 finish(run, true, "");
             }
         }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/OwnedJob.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/OwnedJob.java
@@ -68,11 +68,6 @@
         return runs;
     }
 
-    /** Returns how many items wait for a target. */
-    long pending() {
-        return runs.stream().filter(ItemRun::isPending).count();
-    }
-
     List<ItemRun> finishedRuns() {
         return runs.stream().filter(ItemRun::isFinished).toList();
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -148,6 +148,7 @@
                         .call(
                                 target,
                                 CallSort.ONLINE,
+                                route.kind() == RouteKind.STREAM,
                                 exchange.request().id(),
                                 () ->
                                         TargetProtocol.forward(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -19,6 +19,7 @@
     private final TargetFleet fleet;
     private final TargetState target;
     private final CallSort sort;
+    private final boolean expectsEvents;
     private final String requestId;
     private final CallListener listener;
     private final long createdNanos = System.nanoTime();
@@ -32,12 +33,14 @@
             TargetFleet fleet,
             TargetState target,
             CallSort sort,
+            boolean expectsEvents,
             String requestId,
             Supplier<FullHttpRequest> request,
             CallListener listener) {
         this.fleet = fleet;
         this.target = target;
         this.sort = sort;
+        this.expectsEvents = expectsEvents;
         this.requestId = requestId;
         this.request = checkNotNull(request, "request");
         this.listener = checkNotNull(listener, "listener");
@@ -72,6 +75,10 @@
         }
     }
 
+    boolean expectsEvents() {
+        return expectsEvents;
+    }
+
     CallSort sort() {
         return sort;
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -16,12 +16,12 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
+import org.fuchsiaspindle.core.serving.BatchUrgency;
 import org.fuchsiaspindle.core.serving.BatchYield;
 import org.fuchsiaspindle.core.serving.SlotTurn;
 import org.fuchsiaspindle.core.serving.TargetChoice;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.serving.TargetLoad;
-import org.fuchsiaspindle.gateway.peer.PeerInfo;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
 import org.fuchsiaspindle.gateway.view.TargetDirectory;
 import org.fuchsiaspindle.platform.channel.HttpConnection;
@@ -63,6 +63,9 @@
     private final Map<String, Map<String, TargetLoad>> loadsOfUnknown = new HashMap<>();
     private final Set<TargetState> changed = new HashSet<>();
     private final List<CapacityListener> capacityListeners = new ArrayList<>();
+    private final Map<String, BatchUrgency> peerUrgencies = new HashMap<>();
+    private Supplier<BatchUrgency> urgency = () -> BatchUrgency.IDLE;
+    private BatchUrgency sharedUrgency = BatchUrgency.IDLE;
     private Runnable excessListener = () -> {};
     private PeerMesh mesh;
     private boolean loadScheduled;
@@ -99,6 +102,18 @@
         capacityListeners.add(checkNotNull(listener, "listener"));
     }
 
+    /** Sets what tells how urgent the own batch items are. */
+    public void batchUrgency(Supplier<BatchUrgency> newUrgency) {
+        urgency = checkNotNull(newUrgency, "newUrgency");
+    }
+
+    /** Tells the peers how urgent the own batch items are, if that changed. */
+    public void shareUrgency() {
+        if (!urgency.get().equals(sharedUrgency)) {
+            scheduleLoad();
+        }
+    }
+
     /** Sets what is called when a target may have more work than slots. */
     public void onExcess(Runnable listener) {
         excessListener = checkNotNull(listener, "listener");
@@ -139,12 +154,7 @@
 
     /** Returns the total slots of the targets of a service that accept work. */
     public int openSlots(String service) {
-        long now = System.nanoTime();
-        return targets.values().stream()
-                .filter(state -> state.instance().service().equals(service))
-                .filter(state -> state.acceptsWork(now))
-                .mapToInt(state -> state.instance().slots())
-                .sum();
+        return openTargets(service).stream().mapToInt(state -> state.instance().slots()).sum();
     }
 
     /** Returns the online calls to a service, of this gateway and of all. */
@@ -185,44 +195,68 @@
     }
 
     private boolean acceptsWorkWithout(String service, Collection<String> avoided) {
-        long now = System.nanoTime();
-        return targets.values().stream()
-                .filter(state -> state.instance().service().equals(service))
-                .filter(state -> !avoided.contains(state.instance().id()))
-                .anyMatch(state -> state.acceptsWork(now));
+        return openTargets(service).stream()
+                .anyMatch(state -> !avoided.contains(state.instance().id()));
     }
 
     private Optional<TargetInstance> chooseWithout(
             String service, CallSort sort, Collection<String> excluded) {
-        long now = System.nanoTime();
         List<TargetChoice.Candidate> candidates = new ArrayList<>();
-        boolean turnAhead = false;
-        for (TargetState state : targets.values()) {
-            if (state.instance().service().equals(service)
-                    && state.acceptsWork(now)
-                    && !excluded.contains(state.instance().id())) {
-                if (sort == CallSort.BATCH && !state.hasBatchTurn(now)) {
-                    turnAhead = true;
-                } else {
-                    candidates.add(new TargetChoice.Candidate(state.instance(), state.load()));
-                }
+        for (TargetState state : openTargets(service)) {
+            if (!excluded.contains(state.instance().id())) {
+                candidates.add(new TargetChoice.Candidate(state.instance(), state.load()));
             }
         }
-        if (turnAhead) {
-            signalCapacityLater();
-        }
         ThreadLocalRandom random = ThreadLocalRandom.current();
         return switch (sort) {
             case ONLINE -> TargetChoice.forOnline(candidates, dataCentre, random);
-            case BATCH -> TargetChoice.forBatch(candidates, dataCentre, random);
+            case BATCH -> TargetChoice.forBatch(onTurn(candidates), dataCentre, random);
         };
     }
 
+    /** Returns the targets that accept work; if none does, those that are merely silent. */
+    private List<TargetState> openTargets(String service) {
+        long now = System.nanoTime();
+        List<TargetState> ofService =
+                targets.values().stream()
+                        .filter(state -> state.instance().service().equals(service))
+                        .toList();
+        List<TargetState> accepting =
+                ofService.stream().filter(state -> state.acceptsWork(now)).toList();
+        return accepting.isEmpty()
+                ? ofService.stream().filter(state -> state.isLastResort(now)).toList()
+                : accepting;
+    }
+
+    /** Returns the targets whose free slots it is this gateway's turn to fill. */
+    private List<TargetChoice.Candidate> onTurn(List<TargetChoice.Candidate> candidates) {
+        BatchUrgency own = urgency.get();
+        int ahead = 0;
+        for (Map.Entry<String, BatchUrgency> peer : peerUrgencies.entrySet()) {
+            boolean firstIfEqual = peer.getKey().compareTo(ip) < 0;
+            ahead += own.waitsBehind(peer.getValue(), firstIfEqual) ? 1 : 0;
+        }
+        long now = System.nanoTime();
+        Duration delay = SlotTurn.delay(ahead);
+        List<TargetChoice.Candidate> onTurn =
+                candidates.stream()
+                        .filter(
+                                candidate ->
+                                        targets.get(candidate.instance().id())
+                                                .isFreeFor(delay, now))
+                        .toList();
+        if (onTurn.size() < candidates.size()) {
+            signalCapacityLater();
+        }
+        return onTurn;
+    }
+
     /**
      * Sends a request to a target.
      *
      * @param instance a target that was chosen just before
      * @param sort whether a client waits for it
+     * @param expectsEvents whether the answer is a stream of events
      * @param requestId the identifier that the answer carries
      * @param request makes the request at the moment it is sent
      * @param listener receives the answer
@@ -230,11 +264,13 @@
     public TargetCall call(
             TargetInstance instance,
             CallSort sort,
+            boolean expectsEvents,
             String requestId,
             Supplier<FullHttpRequest> request,
             CallListener listener) {
         TargetState state = targets.get(instance.id());
-        TargetCall call = new TargetCall(this, state, sort, requestId, request, listener);
+        TargetCall call =
+                new TargetCall(this, state, sort, expectsEvents, requestId, request, listener);
         long now = System.nanoTime();
         state.add(call);
         state.health().callStarted(now);
@@ -263,6 +299,7 @@
     /** Returns how many own batch items have to leave each target. */
     public Map<String, Integer> batchExcess() {
         Map<String, Integer> excess = new HashMap<>();
+        List<String> yieldingBefore = peersYieldingBefore();
         for (TargetState state : targets.values()) {
             int own = state.ownLoad().batch();
             if (own > 0) {
@@ -271,7 +308,7 @@
                                 state.instance().slots(),
                                 state.load(),
                                 own,
-                                state.batchOfPeersBefore(ip));
+                                state.batchOf(yieldingBefore));
                 if (stop > 0) {
                     excess.put(state.instance().id(), stop);
                 }
@@ -280,6 +317,18 @@
         return excess;
     }
 
+    private List<String> peersYieldingBefore() {
+        BatchUrgency own = urgency.get();
+        List<String> before = new ArrayList<>();
+        peerUrgencies.forEach(
+                (peerIp, peer) -> {
+                    if (own.staysBefore(peer, peerIp.compareTo(ip) < 0)) {
+                        before.add(peerIp);
+                    }
+                });
+        return before;
+    }
+
     void ended(TargetCall call) {
         TargetState state = call.target();
         if (state.remove(call)) {
@@ -307,23 +356,27 @@
     private void loadChanged(TargetState state) {
         state.updateFree(System.nanoTime());
         changed.add(state);
+        scheduleLoad();
+        excessListener.run();
+    }
+
+    private void scheduleLoad() {
         if (!loadScheduled) {
             loadScheduled = true;
             loop.schedule(this::sendLoad, LOAD_DELAY.toMillis(), TimeUnit.MILLISECONDS);
         }
-        excessListener.run();
     }
 
     private void sendLoad() {
         loadScheduled = false;
-        LoadUpdate.Builder update = LoadUpdate.newBuilder();
+        LoadUpdate.Builder update = newUpdate();
         changed.forEach(state -> update.addCounts(count(state)));
         changed.clear();
         mesh.broadcast(PeerFrame.newBuilder().setLoad(update).build());
     }
 
     private void sendCompleteLoad() {
-        LoadUpdate.Builder update = LoadUpdate.newBuilder().setComplete(true);
+        LoadUpdate.Builder update = newUpdate().setComplete(true);
         for (TargetState state : targets.values()) {
             if (state.ownLoad().total() > 0) {
                 update.addCounts(count(state));
@@ -332,6 +385,13 @@
         mesh.broadcast(PeerFrame.newBuilder().setLoad(update).build());
     }
 
+    private LoadUpdate.Builder newUpdate() {
+        sharedUrgency = urgency.get();
+        return LoadUpdate.newBuilder()
+                .setWaitingDueMillis(sharedUrgency.waitingDue())
+                .setRunningDueMillis(sharedUrgency.runningDue());
+    }
+
     private static TargetCount count(TargetState state) {
         return TargetCount.newBuilder()
                 .setTarget(state.instance().id())
@@ -345,6 +405,9 @@
         if (update.getComplete()) {
             forgetPeer(peerIp);
         }
+        peerUrgencies.put(
+                peerIp,
+                new BatchUrgency(update.getWaitingDueMillis(), update.getRunningDueMillis()));
         for (TargetCount count : update.getCountsList()) {
             TargetLoad load = new TargetLoad(count.getOnline(), count.getBatch());
             TargetState state = targets.get(count.getTarget());
@@ -368,6 +431,7 @@
     }
 
     private void forgetPeer(String peerIp) {
+        peerUrgencies.remove(peerIp);
         targets.values().forEach(state -> state.peerLoad(peerIp, TargetLoad.NONE));
         loadsOfUnknown.values().forEach(loads -> loads.remove(peerIp));
         loadsOfUnknown.values().removeIf(Map::isEmpty);
@@ -375,13 +439,12 @@
 
     private void check() {
         long now = System.nanoTime();
-        List<String> peerIps = mesh.peers().stream().map(PeerInfo::ip).toList();
         for (TargetState state : targets.values()) {
-            state.rank(SlotTurn.rank(state.instance().id(), ip, peerIps));
             state.updateFree(now);
             state.closeStale(now);
             if (!state.calls().isEmpty()
-                    && state.health().checkSilence(now, state.quietSinceNanos(now))) {
+                    && state.health()
+                            .checkSilence(now, state.quietSinceNanos(now), state.silenceLimit())) {
                 LOG.info(
                         "target: silent target={} calls={}",
                         state.instance().id(),
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetHealth.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetHealth.java
@@ -11,8 +11,11 @@
  */
 final class TargetHealth {
 
-    /** A target with running calls that sends nothing for longer counts as silent. */
-    static final Duration SILENCE = Duration.ofMillis(700);
+    /** A target that makes events and sends nothing for longer counts as silent. */
+    static final Duration EVENT_SILENCE = Duration.ofMillis(700);
+
+    /** A target that sends nothing before an answer is complete may be quiet for as long. */
+    static final Duration PLAIN_SILENCE = Duration.ofMillis(2500);
 
     private static final Duration FIRST_EJECTION = Duration.ofMillis(250);
     private static final Duration MAX_EJECTION = Duration.ofSeconds(4);
@@ -30,12 +33,16 @@
     private long lastTrialNanos;
 
     boolean admits(long now) {
-        if (blocked && now - blockedUntilNanos < 0) {
+        if (isBlocked(now)) {
             return false;
         }
         return !silent || now - lastTrialNanos > TRIAL_INTERVAL.toNanos();
     }
 
+    boolean isBlocked(long now) {
+        return blocked && now - blockedUntilNanos < 0;
+    }
+
     boolean isSilent() {
         return silent;
     }
@@ -63,8 +70,8 @@
     }
 
     /** Notes that calls wait and nothing was heard; returns whether the target became silent. */
-    boolean checkSilence(long now, long quietSinceNanos) {
-        if (!silent && now - quietSinceNanos > SILENCE.toNanos()) {
+    boolean checkSilence(long now, long quietSinceNanos, Duration limit) {
+        if (!silent && now - quietSinceNanos > limit.toNanos()) {
             silent = true;
             lastTrialNanos = now;
             return true;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
@@ -2,12 +2,12 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.Collection;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.Map;
 import java.util.Set;
-import org.fuchsiaspindle.core.serving.SlotTurn;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.serving.TargetLoad;
 import org.fuchsiaspindle.platform.channel.HttpConnection;
@@ -32,7 +32,6 @@
     private long lastHeardNanos;
     private boolean free = true;
     private long freeSinceNanos = System.nanoTime();
-    private int rank;
 
     TargetState(TargetInstance instance) {
         this.instance = instance;
@@ -65,12 +64,23 @@
     }
 
     boolean acceptsWork(long now) {
-        return registered && !instance.leaving() && health.admits(now);
+        return isOpen() && health.admits(now);
     }
 
-    /** Sets the rank of this gateway among those that fill free slots of the target. */
-    void rank(int newRank) {
-        rank = newRank;
+    /** Returns whether the target takes calls if no other does, although it is silent. */
+    boolean isLastResort(long now) {
+        return isOpen() && !health.isBlocked(now);
+    }
+
+    private boolean isOpen() {
+        return registered && !instance.leaving();
+    }
+
+    /** Returns how long the target may be silent while its present calls run. */
+    Duration silenceLimit() {
+        return calls.stream().anyMatch(TargetCall::expectsEvents)
+                ? TargetHealth.EVENT_SILENCE
+                : TargetHealth.PLAIN_SILENCE;
     }
 
     /** Notes since when a slot has been free, after the load changed. */
@@ -82,9 +92,9 @@
         free = nowFree;
     }
 
-    /** Returns whether it is this gateway's turn to fill a free slot with a batch item. */
-    boolean hasBatchTurn(long now) {
-        return free && now - freeSinceNanos >= SlotTurn.delay(rank).toNanos();
+    /** Returns whether a slot has been free for some time. */
+    boolean isFreeFor(Duration time, long now) {
+        return free && now - freeSinceNanos >= time.toNanos();
     }
 
     TargetLoad ownLoad() {
@@ -99,11 +109,11 @@
         return sum;
     }
 
-    /** Returns the batch items of the peers whose address sorts before the given one. */
-    int batchOfPeersBefore(String ip) {
+    /** Returns the batch items of some peers. */
+    int batchOf(Collection<String> peerIps) {
         int sum = 0;
-        for (Map.Entry<String, TargetLoad> peer : peerLoads.entrySet()) {
-            sum += peer.getKey().compareTo(ip) < 0 ? peer.getValue().batch() : 0;
+        for (String ip : peerIps) {
+            sum += peerLoads.getOrDefault(ip, TargetLoad.NONE).batch();
         }
         return sum;
     }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/LoadUpdate.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/LoadUpdate.java
@@ -153,6 +153,73 @@
     counts_.remove(index);
   }
 
+  public static final int WAITING_DUE_MILLIS_FIELD_NUMBER = 3;
+  private long waitingDueMillis_;
+  /**
+   * <pre>
+   * Due times by which the sender's batch items are ordered, on the store's clock in milliseconds;
+   * 0 if it has none.
+   * </pre>
+   *
+   * <code>int64 waiting_due_millis = 3;</code>
+   * @return The waitingDueMillis.
+   */
+  @java.lang.Override
+  public long getWaitingDueMillis() {
+    return waitingDueMillis_;
+  }
+  /**
+   * <pre>
+   * Due times by which the sender's batch items are ordered, on the store's clock in milliseconds;
+   * 0 if it has none.
+   * </pre>
+   *
+   * <code>int64 waiting_due_millis = 3;</code>
+   * @param value The waitingDueMillis to set.
+   */
+  private void setWaitingDueMillis(long value) {
+    
+    waitingDueMillis_ = value;
+  }
+  /**
+   * <pre>
+   * Due times by which the sender's batch items are ordered, on the store's clock in milliseconds;
+   * 0 if it has none.
+   * </pre>
+   *
+   * <code>int64 waiting_due_millis = 3;</code>
+   */
+  private void clearWaitingDueMillis() {
+
+    waitingDueMillis_ = 0L;
+  }
+
+  public static final int RUNNING_DUE_MILLIS_FIELD_NUMBER = 4;
+  private long runningDueMillis_;
+  /**
+   * <code>int64 running_due_millis = 4;</code>
+   * @return The runningDueMillis.
+   */
+  @java.lang.Override
+  public long getRunningDueMillis() {
+    return runningDueMillis_;
+  }
+  /**
+   * <code>int64 running_due_millis = 4;</code>
+   * @param value The runningDueMillis to set.
+   */
+  private void setRunningDueMillis(long value) {
+    
+    runningDueMillis_ = value;
+  }
+  /**
+   * <code>int64 running_due_millis = 4;</code>
+   */
+  private void clearRunningDueMillis() {
+
+    runningDueMillis_ = 0L;
+  }
+
   public static org.fuchsiaspindle.wire.peer.LoadUpdate parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -396,6 +463,77 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Due times by which the sender's batch items are ordered, on the store's clock in milliseconds;
+     * 0 if it has none.
+     * </pre>
+     *
+     * <code>int64 waiting_due_millis = 3;</code>
+     * @return The waitingDueMillis.
+     */
+    @java.lang.Override
+    public long getWaitingDueMillis() {
+      return instance.getWaitingDueMillis();
+    }
+    /**
+     * <pre>
+     * Due times by which the sender's batch items are ordered, on the store's clock in milliseconds;
+     * 0 if it has none.
+     * </pre>
+     *
+     * <code>int64 waiting_due_millis = 3;</code>
+     * @param value The waitingDueMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWaitingDueMillis(long value) {
+      copyOnWrite();
+      instance.setWaitingDueMillis(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Due times by which the sender's batch items are ordered, on the store's clock in milliseconds;
+     * 0 if it has none.
+     * </pre>
+     *
+     * <code>int64 waiting_due_millis = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWaitingDueMillis() {
+      copyOnWrite();
+      instance.clearWaitingDueMillis();
+      return this;
+    }
+
+    /**
+     * <code>int64 running_due_millis = 4;</code>
+     * @return The runningDueMillis.
+     */
+    @java.lang.Override
+    public long getRunningDueMillis() {
+      return instance.getRunningDueMillis();
+    }
+    /**
+     * <code>int64 running_due_millis = 4;</code>
+     * @param value The runningDueMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRunningDueMillis(long value) {
+      copyOnWrite();
+      instance.setRunningDueMillis(value);
+      return this;
+    }
+    /**
+     * <code>int64 running_due_millis = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRunningDueMillis() {
+      copyOnWrite();
+      instance.clearRunningDueMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.LoadUpdate)
   }
   @java.lang.Override
@@ -415,10 +553,12 @@
             "complete_",
             "counts_",
             org.fuchsiaspindle.wire.peer.TargetCount.class,
+            "waitingDueMillis_",
+            "runningDueMillis_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0000\u0001\u0002\u0002\u0000\u0001\u0000\u0001\u0007\u0002\u001b" +
-              "";
+              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0001\u0000\u0001\u0007\u0002\u001b" +
+              "\u0003\u0002\u0004\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/LoadUpdateOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/LoadUpdateOrBuilder.java
@@ -33,4 +33,21 @@
    * <code>repeated .org.fuchsiaspindle.wire.peer.TargetCount counts = 2;</code>
    */
   int getCountsCount();
+
+  /**
+   * <pre>
+   * Due times by which the sender's batch items are ordered, on the store's clock in milliseconds;
+   * 0 if it has none.
+   * </pre>
+   *
+   * <code>int64 waiting_due_millis = 3;</code>
+   * @return The waitingDueMillis.
+   */
+  long getWaitingDueMillis();
+
+  /**
+   * <code>int64 running_due_millis = 4;</code>
+   * @return The runningDueMillis.
+   */
+  long getRunningDueMillis();
 }
