Wait for the store's return before storing a job; serve metrics on a port

Its return was noticed up to 2.2 s late.

Change: while the store is known to be away nothing is written; a submission waits for its return for up to 0.6 of the client's deadline and is then refused as not run. Feeds make short calls while the store is away. Metrics are served on FUCHSIASPINDLE_METRICS_PORT.

Ruled out: answering 503 to a write that may take effect, which would break its promise.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.error.FuchsiaspindleException;
@@ -96,14 +97,17 @@
      * Starts a gateway; returns when its ports are open.
      *
      * @param settings the settings, not null
+     * @param metricsPort the port that serves metrics besides the readiness address, if any
      * @param incarnation identifies this life of the process, not null
      */
-    public static Gateway start(ProcessSettings settings, String incarnation) {
+    public static Gateway start(
+            ProcessSettings settings, OptionalInt metricsPort, String incarnation) {
         Gateway gateway =
                 new Gateway(
                         checkNotNull(settings, "settings"),
                         checkNotNull(incarnation, "incarnation"));
         gateway.start();
+        metricsPort.ifPresent(gateway::serveMetrics);
         return gateway;
     }
 
@@ -144,6 +148,11 @@
                 settings.store().address());
     }
 
+    private void serveMetrics(int port) {
+        HostAndPort address = HostAndPort.fromParts(settings.ip(), port);
+        StatusServer.start(requestLoop, address, this::isReady, metrics::text);
+    }
+
     private RequestRouter router() {
         JobRelay relay =
                 JobRelay.create(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/GatewayMain.java
@@ -1,9 +1,11 @@
 package org.fuchsiaspindle.gateway;
 
+import com.google.common.primitives.Ints;
 import java.nio.file.Path;
 import java.security.SecureRandom;
 import java.util.HexFormat;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.fuchsiaspindle.core.error.FuchsiaspindleException;
 import org.fuchsiaspindle.core.error.ResultCode;
@@ -23,6 +25,10 @@
     /** Exit code for a start that failed for another reason. */
     static final int EXIT_START_FAILED = 3;
 
+    /** Environment variable with the port that serves metrics; empty for none. */
+    static final String METRICS_PORT = "FUCHSIASPINDLE_METRICS_PORT";
+
+    private static final int MAX_PORT = 65_535;
     private static final int INCARNATION_BYTES = 6;
 
     private GatewayMain() {}
@@ -50,7 +56,7 @@
 
     private static void run(Path path) {
         ProcessSettings settings = SettingsFile.read(path);
-        Gateway gateway = Gateway.start(settings, newIncarnation());
+        Gateway gateway = Gateway.start(settings, metricsPort(), newIncarnation());
         SettingsReload reload = SettingsReload.start(path, gateway);
         ProcessSignals.handle("HUP", reload::request);
         AtomicBoolean stopRequested = new AtomicBoolean();
@@ -63,6 +69,19 @@
                 });
     }
 
+    private static OptionalInt metricsPort() {
+        String value = System.getenv(METRICS_PORT);
+        if (value == null || value.isEmpty()) {
+            return OptionalInt.empty();
+        }
+        Integer port = Ints.tryParse(value);
+        if (port == null || port < 1 || port > MAX_PORT) {
+            throw new FuchsiaspindleException(
+                    ResultCode.INVALID_SETTING, METRICS_PORT + " is not a port: " + value);
+        }
+        return OptionalInt.of(port);
+    }
+
     private static String newIncarnation() {
         byte[] bytes = new byte[INCARNATION_BYTES];
         new SecureRandom().nextBytes(bytes);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissions.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissions.java
@@ -44,7 +44,7 @@
     private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(4);
 
     /** Part of a client's deadline in which a job that is not stored is tried again. */
-    private static final double TRY_SHARE = 0.35;
+    private static final double TRY_SHARE = 0.6;
 
     /** Clients come back within a third of the time that they have left, no later. */
     private static final int RETURN_PARTS = 3;
@@ -153,15 +153,25 @@
             return;
         }
         loop.schedule(
-                () -> {
-                    if (!exchange.isDone()) {
-                        submit(exchange, route, items);
-                    }
-                },
+                () -> tryAgain(exchange, route, items),
                 TRY_INTERVAL.toMillis(),
                 TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Stores a job once the store answers; a write that it may not see would have an open outcome.
+     */
+    private void tryAgain(ClientExchange exchange, Route route, ImmutableList<BatchItem> items) {
+        if (exchange.isDone()) {
+            return;
+        }
+        if (health.isReachable()) {
+            submit(exchange, route, items);
+        } else {
+            handleUnstored(exchange, route, items);
+        }
+    }
+
     private void submit(ClientExchange exchange, Route route, ImmutableList<BatchItem> items) {
         String id = exchange.request().id();
         long tokens = items.stream().mapToLong(BatchItem::tokens).sum();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TableWatch.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TableWatch.java
@@ -26,7 +26,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(TableWatch.class);
     private static final Duration FIRST_RETRY = Duration.ofMillis(100);
-    private static final Duration MAX_RETRY = Duration.ofMillis(800);
+    private static final Duration MAX_RETRY = Duration.ofMillis(400);
 
     /** Receives the content of the table. */
     public interface Listener {
@@ -142,7 +142,9 @@
         if (stopped) {
             return;
         }
-        store.changes(plan.table(), version, plan.holdTime())
+        // While the store is away, short calls find out sooner that it is back.
+        Duration holdTime = health.isReachable() ? plan.holdTime() : Duration.ZERO;
+        store.changes(plan.table(), version, holdTime)
                 .whenCompleteAsync(
                         (result, failure) -> {
                             if (failure != null) {
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalInt;
 import org.fuchsiaspindle.gateway.Gateway;
 import org.fuchsiaspindle.platform.settings.ProcessSettings;
 
@@ -79,7 +80,9 @@
     public String startGateway(int number) {
         String ip = "127.0.0." + (10 + number);
         incarnations++;
-        gateways.put(ip, Gateway.start(settings(ip), "incarnation-" + incarnations));
+        gateways.put(
+                ip,
+                Gateway.start(settings(ip), OptionalInt.empty(), "incarnation-" + incarnations));
         return ip;
     }
 
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
@@ -16,6 +16,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.locks.LockSupport;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import org.fuchsiaspindle.testbed.emulator.EmulatorClient.Answer;
@@ -186,6 +187,22 @@
         awaitResults(second, "job-j", 4);
     }
 
+    /** Guards against writes with an open outcome while the store is known to be silent. */
+    @Test
+    void submissionDuringASilentStore_isStoredOnItsReturnOrRefusedAsNotRun() throws Exception {
+        platform.store().setMood(StoreEmulator.Mood.SILENT);
+        // Feeds notice the silence within their wait of one second and its slack.
+        Thread.sleep(3000);
+        assertThat(post(first, "job-p", submission("job-p", 1, 2)).status()).isEqualTo(503);
+        Thread.startVirtualThread(
+                () -> {
+                    LockSupport.parkNanos(Duration.ofMillis(300).toNanos());
+                    platform.store().setMood(StoreEmulator.Mood.SERVING);
+                });
+        submit(second, "job-p", submission("job-p", 1, 2));
+        awaitResults(first, "job-p", 1);
+    }
+
     /** Guards against more waiting tokens than the route allows. */
     @Test
     void jobOverTheLimitOfTheRoute_isRefused() throws Exception {
