--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -228,7 +228,7 @@
         Duration elapsed = Duration.ofNanos(System.nanoTime() - begun);
         Duration limit = settings.timings().stopGrace().minus(GRACE_MARGIN);
         clients.closeIdle();
-        if (clients.busyConnections() == 0 || elapsed.compareTo(limit) > 0) {
+        if (clients.openConnections() == 0 || elapsed.compareTo(limit) > 0) {
             LOG.info("gateway: stopped after={}ms", elapsed.toMillis());
             stopped.complete(null);
         } else {
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemSchedule.java
@@ -0,0 +1,85 @@
+package org.fuchsiaspindle.gateway.batch;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.fuchsiaspindle.core.job.ItemTimes;
+import org.fuchsiaspindle.core.job.JobRecord;
+import org.fuchsiaspindle.core.serving.BatchUrgency;
+import org.fuchsiaspindle.core.serving.Route;
+import org.fuchsiaspindle.core.serving.RouteKind;
+import org.fuchsiaspindle.gateway.view.FleetViews;
+
+/** The order in which items run, by the due times of their jobs; not thread-safe. */
+final class ItemSchedule {
+
+    private final FleetViews views;
+    private final StoreClock storeClock;
+    private final ItemTimes times = new ItemTimes();
+
+    ItemSchedule(FleetViews views, StoreClock storeClock) {
+        this.views = checkNotNull(views, "views");
+        this.storeClock = checkNotNull(storeClock, "storeClock");
+    }
+
+    /** Learns from a completed item how long items run. */
+    void completed(ItemRun run, long now) {
+        times.completed(run.events());
+        times.ran(run.eventsOfThisRun(), run.timeOfThisRun(now));
+    }
+
+    /** Returns the route of a job in the present configuration, empty if it was removed. */
+    Optional<Route> route(JobRecord job) {
+        return views.view()
+                .config()
+                .flatMap(config -> config.match(job.host(), job.path()))
+                .filter(route -> route.kind() == RouteKind.BATCH);
+    }
+
+    /** Returns items in the order in which they run: by due time, then what is nearly done. */
+    List<ItemRun> byUrgency(List<ItemRun> runs) {
+        Map<ItemRun, Long> dues = new HashMap<>();
+        runs.forEach(run -> dues.put(run, orderedDue(run)));
+        List<ItemRun> sorted = new ArrayList<>(runs);
+        sorted.sort(
+                Comparator.comparingLong((ItemRun run) -> dues.get(run))
+                        .thenComparingLong(run -> -run.events()));
+        return sorted;
+    }
+
+    private long orderedDue(ItemRun run) {
+        JobRecord job = run.job().job();
+        Duration completion =
+                route(job)
+                        .flatMap(Route::batch)
+                        .map(Route.BatchLimits::completionTarget)
+                        .orElse(Duration.ZERO);
+        long due = job.acceptedAtMillis() + completion.toMillis();
+        long done = storeClock.nowMillis() + times.left(run.events()).toMillis();
+        return BatchUrgency.orderedDue(due, done);
+    }
+
+    /** Returns how urgent the items of some jobs are, as other gateways need to know. */
+    BatchUrgency urgency(Collection<OwnedJob> jobs) {
+        long waiting = BatchUrgency.NONE;
+        long running = BatchUrgency.NONE;
+        for (OwnedJob job : jobs) {
+            for (ItemRun run : job.runs()) {
+                long due = orderedDue(run);
+                if (run.isPending() && (waiting == BatchUrgency.NONE || due < waiting)) {
+                    waiting = due;
+                } else if (run.isRunning()) {
+                    running = Math.max(running, due);
+                }
+            }
+        }
+        return new BatchUrgency(waiting, running);
+    }
+}
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -17,12 +16,9 @@
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.job.ItemOutcome;
-import org.fuchsiaspindle.core.job.ItemTimes;
 import org.fuchsiaspindle.core.job.JobOwner;
 import org.fuchsiaspindle.core.job.JobRecord;
-import org.fuchsiaspindle.core.serving.BatchUrgency;
 import org.fuchsiaspindle.core.serving.Route;
-import org.fuchsiaspindle.core.serving.RouteKind;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
 import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
@@ -80,7 +76,7 @@
     private final GatewayMetrics metrics;
     private final JobCommitter committer;
     private final Map<String, OwnedJob> owned = new HashMap<>();
-    private final ItemTimes times = new ItemTimes();
+    private final ItemSchedule schedule;
     private final Set<String> loading = new HashSet<>();
     private final Map<String, Long> routeMissingSince = new HashMap<>();
     private boolean yieldScheduled;
@@ -97,6 +93,7 @@
         this.storeClock = parts.storeClock();
         this.self = parts.self();
         this.metrics = parts.metrics();
+        this.schedule = new ItemSchedule(parts.views(), parts.storeClock());
         this.committer =
                 new JobCommitter(loop, store, table, storeClock, self, this::ownershipLost);
     }
@@ -131,7 +128,7 @@
         parts.table().addListener(runner::jobChanged);
         parts.fleet().addCapacityListener(runner);
         parts.fleet().onExcess(runner::yieldLater);
-        parts.fleet().batchUrgency(runner::urgency);
+        parts.fleet().batchUrgency(() -> runner.schedule.urgency(runner.owned.values()));
         parts.loop()
                 .scheduleAtFixedRate(
                         runner::tick, TICK.toMillis(), TICK.toMillis(), TimeUnit.MILLISECONDS);
@@ -250,7 +247,7 @@
     }
 
     private void giveUpIfDue(OwnedJob job, long now) {
-        Optional<Route> route = route(job.job());
+        Optional<Route> route = schedule.route(job.job());
         if (route.isEmpty()) {
             long since = routeMissingSince.computeIfAbsent(job.id(), id -> now);
             if (views.view().config().isPresent() && now - since > ROUTE_GONE.toNanos()) {
@@ -275,13 +272,6 @@
         }
     }
 
-    private Optional<Route> route(JobRecord job) {
-        return views.view()
-                .config()
-                .flatMap(config -> config.match(job.host(), job.path()))
-                .filter(route -> route.kind() == RouteKind.BATCH);
-    }
-
     @Override
     public void onCapacity() {
         if (stopping) {
@@ -293,8 +283,8 @@
             job.runs().stream().filter(run -> run.mayStart(now)).forEach(waiting::add);
         }
         Set<String> full = new HashSet<>();
-        for (ItemRun run : byUrgency(waiting)) {
-            route(run.job().job()).ifPresent(route -> startIfPossible(run, route, full));
+        for (ItemRun run : schedule.byUrgency(waiting)) {
+            schedule.route(run.job().job()).ifPresent(route -> startIfPossible(run, route, full));
         }
     }
 
@@ -311,45 +301,6 @@
         }
     }
 
-    /** Returns items in the order in which they run: by due time, then what is nearly done. */
-    private List<ItemRun> byUrgency(List<ItemRun> runs) {
-        Map<ItemRun, Long> dues = new HashMap<>();
-        runs.forEach(run -> dues.put(run, orderedDue(run)));
-        List<ItemRun> sorted = new ArrayList<>(runs);
-        sorted.sort(
-                Comparator.comparingLong((ItemRun run) -> dues.get(run))
-                        .thenComparingLong(run -> -run.events()));
-        return sorted;
-    }
-
-    private long orderedDue(ItemRun run) {
-        JobRecord job = run.job().job();
-        Duration completion =
-                route(job)
-                        .flatMap(Route::batch)
-                        .map(Route.BatchLimits::completionTarget)
-                        .orElse(Duration.ZERO);
-        long due = job.acceptedAtMillis() + completion.toMillis();
-        long done = storeClock.nowMillis() + times.left(run.events()).toMillis();
-        return BatchUrgency.orderedDue(due, done);
-    }
-
-    private BatchUrgency urgency() {
-        long waiting = BatchUrgency.NONE;
-        long running = BatchUrgency.NONE;
-        for (OwnedJob job : owned.values()) {
-            for (ItemRun run : job.runs()) {
-                long due = orderedDue(run);
-                if (run.isPending() && (waiting == BatchUrgency.NONE || due < waiting)) {
-                    waiting = due;
-                } else if (run.isRunning()) {
-                    running = Math.max(running, due);
-                }
-            }
-        }
-        return new BatchUrgency(waiting, running);
-    }
-
     private void startItem(ItemRun run, TargetInstance target, Route route) {
         BatchItem item = run.item();
         run.started(
@@ -403,7 +354,7 @@
         for (OwnedJob job : owned.values()) {
             job.runs().stream().filter(ItemRun::isRunning).forEach(running::add);
         }
-        for (ItemRun run : byUrgency(running).reversed()) {
+        for (ItemRun run : schedule.byUrgency(running).reversed()) {
             int left = excess.getOrDefault(run.targetId(), 0);
             if (left > 0) {
                 excess.put(run.targetId(), left - 1);
@@ -467,8 +418,7 @@
             if (events.hasRest() || !answer.events()) {
                 again(run, now, "incomplete stream");
             } else {
-                times.completed(run.events());
-                times.ran(run.eventsOfThisRun(), run.timeOfThisRun(now));
+                schedule.completed(run, now);
                 finish(run, true, "");
             }
         }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -1,7 +1,6 @@
 package org.fuchsiaspindle.gateway.online;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.HashSet;
@@ -21,7 +20,6 @@
 import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
 import org.fuchsiaspindle.platform.ingress.ClientExchange;
 import org.fuchsiaspindle.platform.ingress.Refusal;
-import org.fuchsiaspindle.platform.target.EventSplitter;
 import org.fuchsiaspindle.platform.target.TargetAnswer;
 import org.fuchsiaspindle.platform.target.TargetProtocol;
 
@@ -38,12 +36,6 @@
     /** Refusals by targets after which the client is told to come back. */
     private static final int MAX_REFUSALS = 6;
 
-    /**
-     * Answers up to this size are held until they are complete, so that a broken one can be
-     * replaced.
-     */
-    private static final int MAX_HELD_BYTES = 256 * 1024;
-
     /** Time between two looks at a call whose target may have fallen silent. */
     private static final Duration SILENCE_CHECK = Duration.ofMillis(150);
 
@@ -315,24 +307,12 @@
     private final class Run implements CallListener {
 
         private TargetAnswer answer;
-        private ByteBuf held;
-        private EventSplitter events;
-        private boolean forwarding;
+        private AnswerForwarder forwarder;
 
         @Override
         public void onAnswer(TargetAnswer newAnswer) {
             answer = newAnswer;
-            if (answer.meaning() != TargetAnswer.Meaning.SUCCESS) {
-                held = Unpooled.buffer();
-                return;
-            }
-            if (answer.events()) {
-                events = EventSplitter.to(this::forwardEvent);
-            } else if (answer.bodyLength() > MAX_HELD_BYTES) {
-                forwardHead();
-            } else {
-                held = Unpooled.buffer();
-            }
+            forwarder = new AnswerForwarder(exchange, newAnswer, lastEvent);
         }
 
         @Override
@@ -340,52 +320,12 @@
             if (finished) {
                 return;
             }
-            if (events != null) {
-                if (!events.add(data)) {
-                    call.cancel();
-                    lost("oversized event");
-                }
-            } else if (forwarding) {
-                exchange.data(data.retain());
-                applyBackpressure();
-            } else {
-                held.writeBytes(data);
-                if (held.readableBytes() > MAX_HELD_BYTES
-                        && answer.meaning() == TargetAnswer.Meaning.SUCCESS) {
-                    forwardHead();
-                    exchange.data(held);
-                }
-            }
-        }
-
-        private void forwardHead() {
-            forwarding = true;
-            if (!exchange.isBegun()) {
-                exchange.begin(answer);
-            }
-        }
-
-        private void forwardEvent(EventSplitter.Event event) {
-            if (isRepeated(event.id())) {
-                event.bytes().release();
-                return;
-            }
-            forwardHead();
-            if (event.id().isPresent()) {
-                lastEvent = event.id();
-            }
-            exchange.data(event.bytes());
-            applyBackpressure();
-        }
-
-        private boolean isRepeated(OptionalLong id) {
-            return id.isPresent()
-                    && lastEvent.isPresent()
-                    && id.getAsLong() <= lastEvent.getAsLong();
-        }
-
-        private void applyBackpressure() {
-            if (!exchange.isWritable() && call != null) {
+            boolean wellFormed = forwarder.add(data);
+            lastEvent = forwarder.lastEvent();
+            if (!wellFormed) {
+                call.cancel();
+                lost("oversized event");
+            } else if (!exchange.isWritable() && call != null) {
                 TargetCall slowed = call;
                 slowed.setReading(false);
                 exchange.onWritable(() -> slowed.setReading(true));
@@ -408,17 +348,13 @@
         }
 
         private void completeSuccess() {
-            if (events != null && events.hasRest()) {
+            if (forwarder.endsWithinEvent()) {
                 lost("stream ended within an event");
                 return;
             }
             call = null;
             completed(answer);
-            if (forwarding || exchange.isBegun()) {
-                exchange.end();
-            } else {
-                exchange.answer(answer, held == null ? Unpooled.EMPTY_BUFFER : held);
-            }
+            forwarder.end();
         }
 
         private void completeFailure() {
@@ -434,7 +370,7 @@
             }
             call = null;
             completed(answer);
-            exchange.answer(answer, held);
+            forwarder.end();
         }
 
         @Override
