--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/Bench.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/Bench.java
@@ -16,7 +16,8 @@
             OverheadBench.class,
             FootprintBench.class,
             SlopesBench.class,
-            DecisionBench.class
+            DecisionBench.class,
+            PlatformBench.class
         })
 public final class Bench {
 
--- /dev/null
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/PlatformBench.java
@@ -0,0 +1,167 @@
+package org.fuchsiaspindle.testbed.bench;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.stream.IntStream;
+import org.fuchsiaspindle.testbed.emulator.EmulatorClient;
+import org.fuchsiaspindle.testbed.emulator.EmulatorLoad;
+import org.fuchsiaspindle.testbed.emulator.EngineEmulator;
+import org.fuchsiaspindle.testbed.emulator.PlatformEmulator;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Mixin;
+
+/** Plays a calm time and a burst on the emulator of the platform, with batch jobs in the gaps. */
+@Command(
+        name = "platform",
+        mixinStandardHelpOptions = true,
+        description = "Gateways on the emulated platform: a calm time, a burst, and batch jobs.")
+final class PlatformBench implements Callable<Integer> {
+
+    private static final ObjectMapper JSON = new ObjectMapper();
+
+    private static final int GATEWAYS = 3;
+    private static final int ENGINES = 4;
+    private static final int SLOTS = 8;
+    private static final Duration EVENT_TIME = Duration.ofMillis(10);
+    private static final int ONLINE_EVENTS = 24;
+    private static final int JOBS = 8;
+    private static final int ITEMS = 10;
+    private static final int ITEM_EVENTS = 120;
+    private static final double CALM_PER_SECOND = 40;
+    private static final double BURST_PER_SECOND = 110;
+
+    /** Time within which results of a job are due on the platform. */
+    private static final Duration JOB_DUE = Duration.ofSeconds(18);
+
+    /** Latency target of a stream's first event; the work of the stream comes on top of it. */
+    private static final double TARGET_MILLIS = 300 + ONLINE_EVENTS * EVENT_TIME.toMillis();
+
+    @Mixin private BenchOptions options = new BenchOptions();
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        Figures figures = Figures.of("platform");
+        figures.row("phase", "served", "failed", "p50 ms", "p99 ms");
+        try (PlatformEmulator platform = PlatformEmulator.start()) {
+            List<EmulatorClient> clients = startFleet(platform);
+            Duration time = Duration.ofSeconds(options.quick() ? 3 : 10);
+            EmulatorLoad load = EmulatorLoad.of(clients, "/hint/x", ONLINE_EVENTS, options.seed());
+            long submitted = System.nanoTime();
+            submit(clients);
+            report(figures, "calm", load.run(CALM_PER_SECOND, time));
+            report(figures, "burst", load.run(BURST_PER_SECOND, time.dividedBy(3)));
+            reportBatch(figures, clients.getFirst(), submitted);
+        }
+        return options.report(figures);
+    }
+
+    private static List<EmulatorClient> startFleet(PlatformEmulator platform)
+            throws InterruptedException, IOException {
+        platform.configure(
+                PlatformEmulator.route(
+                        "hint", "/hint/", "streaming", PlatformEmulator.MODEL, 1, ""),
+                PlatformEmulator.route(
+                        "batch",
+                        "/batch/",
+                        "batch",
+                        PlatformEmulator.MODEL,
+                        3,
+                        ",\"priority\":2,\"deadlineMs\":18000,\"retentionS\":60"));
+        IntStream.range(0, ENGINES)
+                .forEach(
+                        i ->
+                                platform.addEngine(
+                                        "engine-" + i, PlatformEmulator.MODEL, SLOTS, EVENT_TIME));
+        List<EmulatorClient> clients = new ArrayList<>();
+        for (int i = 1; i <= GATEWAYS; i++) {
+            clients.add(platform.client(platform.startGateway(i)));
+        }
+        for (EmulatorClient client : clients) {
+            while (call(client, "POST", "/hint/x", "probe", "").status() != 200) {
+                Thread.sleep(20);
+            }
+        }
+        return clients;
+    }
+
+    private static void submit(List<EmulatorClient> clients) throws IOException {
+        for (int job = 0; job < JOBS; job++) {
+            List<String> items = new ArrayList<>();
+            for (int item = 0; item < ITEMS; item++) {
+                items.add(
+                        "{\"id\":\"%s\",\"path\":\"/batch/x\",\"headers\":{\"X-Events\":\"%d\"},"
+                                        .formatted(itemId(job, item), ITEM_EVENTS)
+                                + "\"body\":\"\",\"tokens\":100}");
+            }
+            String body = "{\"items\":[" + String.join(",", items) + "]}";
+            EmulatorClient client = clients.get(job % clients.size());
+            call(client, "POST", "/batch/x", "job-" + job, body);
+        }
+    }
+
+    private static String itemId(int job, int item) {
+        return "item-" + job + "-" + item;
+    }
+
+    private static EmulatorClient.Answer call(
+            EmulatorClient client, String method, String path, String id, String body)
+            throws IOException {
+        Map<String, String> headers =
+                Map.of("Attempt-Id", id, "Deadline-Ms", "4000", "X-Events", "1");
+        return client.call(method, path, headers, body);
+    }
+
+    private static void report(Figures figures, String phase, EmulatorLoad.Seen seen) {
+        figures.row(
+                phase, seen.served(), seen.failed(), seen.totalMillis(50), seen.totalMillis(99));
+        figures.atMost(phase + "_failed", seen.failed(), 0);
+        figures.atMost(phase + "_p99_ms", seen.totalMillis(99), TARGET_MILLIS);
+    }
+
+    private static void reportBatch(Figures figures, EmulatorClient client, long submitted)
+            throws IOException, InterruptedException {
+        int right = 0;
+        for (int job = 0; job < JOBS; job++) {
+            right += rightResults(client, job);
+        }
+        Duration took = Duration.ofNanos(System.nanoTime() - submitted);
+        figures.atLeast("batch_items_right", right, JOBS * ITEMS);
+        figures.atMost("batch_seconds", took.toMillis() / 1000.0, JOB_DUE.toSeconds());
+    }
+
+    /** Waits for the results of a job and counts those that are complete and stand once. */
+    private static int rightResults(EmulatorClient client, int job)
+            throws IOException, InterruptedException {
+        JsonNode results = JSON.createArrayNode();
+        for (int tries = 0; tries < 200 && results.size() < ITEMS; tries++) {
+            String body = call(client, "GET", "/lots/job-" + job, "read", "").body();
+            results = JSON.readTree(body).path("results");
+            Thread.sleep(100);
+        }
+        int right = 0;
+        for (int item = 0; item < ITEMS; item++) {
+            String id = itemId(job, item);
+            long whole =
+                    results.valueStream()
+                            .filter(result -> result.path("id").asText().equals(id))
+                            .filter(result -> result.path("text").asText().equals(text(id)))
+                            .count();
+            right += whole == 1 ? 1 : 0;
+        }
+        return right;
+    }
+
+    private static String text(String itemId) {
+        return String.join(
+                "\n",
+                IntStream.rangeClosed(1, ITEM_EVENTS)
+                        .mapToObj(event -> EngineEmulator.text(itemId, event))
+                        .toList());
+    }
+}
