Take the age of a job only from a clock that the store has set

Change: StoreClock says that it knows no time; a job is then neither given up nor accepted. A takeover sets the clock, too. Before: StoreClockTest.unansweredStore_hasNoTime does not hold; after: it does.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemSchedule.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemSchedule.java
@@ -62,7 +62,8 @@
                         .map(Route.BatchLimits::completionTarget)
                         .orElse(Duration.ZERO);
         long due = job.acceptedAtMillis() + completion.toMillis();
-        long done = storeClock.nowMillis() + times.left(run.events()).toMillis();
+        long now = storeClock.nowMillis().orElse(job.acceptedAtMillis());
+        long done = now + times.left(run.events()).toMillis();
         return BatchUrgency.orderedDue(due, done);
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobOwnership.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobOwnership.java
@@ -207,6 +207,7 @@
     private void taken(VersionedJob before, JobRecord taken, CommitResult result) {
         switch (result) {
             case CommitResult.Committed done -> {
+                storeClock.answered(done.storeMillis());
                 LOG.info(
                         "batch: taken over job={} from={} epoch={}",
                         taken.id(),
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -256,7 +257,11 @@
             return;
         }
         routeMissingSince.remove(job.id());
-        Duration age = Duration.ofMillis(storeClock.nowMillis() - job.job().acceptedAtMillis());
+        OptionalLong storeNow = storeClock.nowMillis();
+        if (storeNow.isEmpty()) {
+            return;
+        }
+        Duration age = Duration.ofMillis(storeNow.getAsLong() - job.job().acceptedAtMillis());
         Duration retention = route.get().batch().orElseThrow().retention();
         if (ItemOutcome.byAge(age, retention) == ItemOutcome.GIVE_UP) {
             giveUpWaiting(job, "retention over");
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissions.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissions.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.error.Executed;
 import org.fuchsiaspindle.core.error.FuchsiaspindleException;
@@ -173,13 +174,19 @@
     }
 
     private void submit(ClientExchange exchange, Route route, ImmutableList<BatchItem> items) {
+        OptionalLong storeNow = storeClock.nowMillis();
+        if (storeNow.isEmpty()) {
+            // Without the store's time the job would count as far too old or too young.
+            handleUnstored(exchange, route, items);
+            return;
+        }
         String id = exchange.request().id();
         long tokens = items.stream().mapToLong(BatchItem::tokens).sum();
         if (exceedsLimit(route, tokens)) {
             refuse(exchange, id, STATUS_TOO_MANY, ResultCode.JOB_LIMITED, QUOTA_RETRY_AFTER);
             return;
         }
-        create(exchange, route, items, tokens);
+        create(exchange, route, items, tokens, storeNow.getAsLong());
     }
 
     private boolean exceedsLimit(Route route, long tokens) {
@@ -195,10 +202,14 @@
     }
 
     private void create(
-            ClientExchange exchange, Route route, ImmutableList<BatchItem> items, long tokens) {
+            ClientExchange exchange,
+            Route route,
+            ImmutableList<BatchItem> items,
+            long tokens,
+            long storeNow) {
         String id = exchange.request().id();
         accepting.put(id, new Accepting(route.name(), tokens));
-        JobRecord job = newJob(exchange, route, items, tokens);
+        JobRecord job = newJob(exchange, route, items, tokens, storeNow);
         store.create(job, exchange.request().body())
                 .whenCompleteAsync(
                         (result, failure) -> {
@@ -209,7 +220,11 @@
     }
 
     private JobRecord newJob(
-            ClientExchange exchange, Route route, ImmutableList<BatchItem> items, long tokens) {
+            ClientExchange exchange,
+            Route route,
+            ImmutableList<BatchItem> items,
+            long tokens,
+            long storeNow) {
         return new JobRecord(
                 exchange.request().id(),
                 route.name(),
@@ -219,7 +234,7 @@
                 1,
                 items.size(),
                 tokens,
-                storeClock.nowMillis(),
+                storeNow,
                 false,
                 ImmutableList.of(),
                 ImmutableMap.of());
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/StoreClock.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/StoreClock.java
@@ -1,5 +1,6 @@
 package org.fuchsiaspindle.gateway.batch;
 
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.time.Clock;
 
@@ -12,6 +13,7 @@
 public final class StoreClock {
 
     private final Clock clock;
+    private boolean known;
     private long storeMillis;
     private long atNanos;
 
@@ -19,19 +21,23 @@
         this.clock = clock;
     }
 
-    /** Creates a clock that stands at 0 until the store answers. */
+    /** Creates a clock that knows no time until the store answers. */
     public static StoreClock create(Clock clock) {
         return new StoreClock(clock);
     }
 
     /** Notes the time in an answer of the store. */
     public synchronized void answered(long newStoreMillis) {
+        known = true;
         storeMillis = newStoreMillis;
         atNanos = clock.nanoTime();
     }
 
-    /** Returns the estimated time of the store, in milliseconds. */
-    public synchronized long nowMillis() {
-        return storeMillis + TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - atNanos);
+    /** Returns the estimated time of the store, in milliseconds; empty before its first answer. */
+    public synchronized OptionalLong nowMillis() {
+        return known
+                ? OptionalLong.of(
+                        storeMillis + TimeUnit.NANOSECONDS.toMillis(clock.nanoTime() - atNanos))
+                : OptionalLong.empty();
     }
 }
