--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayConfigTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayConfigTest.java
@@ -12,7 +12,6 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards the way of a configuration to every gateway, and planned stops. */
@@ -105,9 +104,8 @@
                 () -> status(third, GatewayFixture.SAFE + "x") == 200);
     }
 
-    /** Guards against requests that are cut by a planned stop; listed in KNOWN-RED.txt. */
+    /** Guards against requests that are cut by a planned stop. */
     @Test
-    @Tag("known-red")
     void plannedStop_cutsNoRequest() throws Exception {
         AtomicInteger failed = new AtomicInteger();
         AtomicInteger served = new AtomicInteger();
