Explain a request, a job or an item from saved logs

Cause: on-call engineers have only logs and metrics afterwards; explain asked a running entry, which the gateways on the platform do not have. Ruled out: an explain endpoint of the gateways; it would be gone with the process that is to be explained.

--- a/cli/src/main/java/org/fuchsiaspindle/cli/AdminOptions.java
+++ b/cli/src/main/java/org/fuchsiaspindle/cli/AdminOptions.java
@@ -24,7 +24,6 @@
     @Option(
             names = "--operator-key",
             paramLabel = "KEY",
-            required = true,
             description = "Operator key; better given as FUCHSIASPINDLE_OPERATOR_KEY.")
     private String operatorKey;
 
@@ -41,6 +40,10 @@
 
     /** Runs an action with a client. */
     <T> T with(Function<AdminClient, T> action) {
+        if (operatorKey == null) {
+            throw new ParameterException(
+                    spec.commandLine(), "Missing required option: '--operator-key=KEY'");
+        }
         try (AdminClient client = new AdminClient(checkedUrl(), operatorKey)) {
             return action.apply(client);
         }
--- a/cli/src/main/java/org/fuchsiaspindle/cli/ExplainCommand.java
+++ b/cli/src/main/java/org/fuchsiaspindle/cli/ExplainCommand.java
@@ -1,27 +1,117 @@
 package org.fuchsiaspindle.cli;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.google.common.base.Ascii;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.nio.charset.MalformedInputException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.Callable;
+import java.util.stream.Stream;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Mixin;
+import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 
-/** Routing decisions of a request. */
+/** Decisions on a request, asked from an entry or found in the logs of gateways. */
 @Command(
         name = "explain",
-        description = "Shows the decisions that the entry took for a recent request.")
+        description =
+                "Shows the decisions that an entry took for a recent request, or with --log what"
+                        + " the logs of gateways say of a request, a job or an item.")
 final class ExplainCommand implements Callable<Integer> {
 
+    private static final ObjectMapper JSON = new ObjectMapper();
+
     @Mixin private AdminOptions admin = new AdminOptions();
 
-    @Parameters(paramLabel = "REQUEST", description = "Identifier of the request.")
-    private String request;
+    @Parameters(paramLabel = "ID", description = "Identifier of the request, job or item.")
+    private String id;
+
+    @Option(
+            names = "--log",
+            paramLabel = "FILE",
+            description =
+                    "Saved log of gateways to search instead of asking an entry; may be repeated.")
+    private List<Path> logs = List.of();
 
     @Override
     public Integer call() {
-        JsonNode answer =
-                admin.with(client -> client.get("/explain/" + Documents.segment(request)));
-        admin.output().write(answer, () -> Output.pretty(answer) + "\n");
+        if (logs.isEmpty()) {
+            JsonNode answer = admin.with(client -> client.get("/explain/" + Documents.segment(id)));
+            admin.output().write(answer, () -> Output.pretty(answer) + "\n");
+            return ExitCodes.OK;
+        }
+        LogExplanation explanation = LogExplanation.of(lines(), id);
+        if (explanation.steps().isEmpty()) {
+            throw new CliException(
+                    ExitCodes.REFUSED,
+                    "no line names " + id,
+                    List.of("lines of single requests are left out beyond 100 a second"),
+                    null);
+        }
+        admin.output().write(json(explanation), () -> text(explanation));
         return ExitCodes.OK;
     }
+
+    private List<LogLine> lines() {
+        List<LogLine> lines = new ArrayList<>();
+        for (Path log : logs) {
+            try (Stream<String> content = Files.lines(log)) {
+                content.forEach(line -> LogLine.parse(line).ifPresent(lines::add));
+            } catch (IOException e) {
+                throw unreadable(log, e);
+            } catch (UncheckedIOException e) {
+                throw unreadable(log, e.getCause());
+            }
+        }
+        return lines;
+    }
+
+    private static CliException unreadable(Path log, IOException cause) {
+        String reason =
+                cause instanceof MalformedInputException
+                        ? "it is not UTF-8 text"
+                        : cause.toString();
+        return new CliException(
+                ExitCodes.USAGE, "cannot read " + log + ": " + reason, List.of(), cause);
+    }
+
+    private static String text(LogExplanation explanation) {
+        TextTable table = new TextTable("TIME", "PROCESS", "WHY", "LINE");
+        for (LogExplanation.Step step : explanation.steps()) {
+            LogLine line = step.line();
+            table.add(
+                    line.time().toString(),
+                    line.process().isEmpty() ? "-" : line.process(),
+                    name(step.reason()),
+                    line.part() + ": " + line.message());
+        }
+        return table.render() + explanation.verdict().map(verdict -> verdict + "\n").orElse("");
+    }
+
+    private static JsonNode json(LogExplanation explanation) {
+        ObjectNode root = JSON.createObjectNode();
+        ArrayNode steps = root.putArray("steps");
+        for (LogExplanation.Step step : explanation.steps()) {
+            steps.addObject()
+                    .put("time", step.line().time().toString())
+                    .put("process", step.line().process())
+                    .put("why", name(step.reason()))
+                    .put("part", step.line().part())
+                    .put("message", step.line().message());
+        }
+        root.put("verdict", explanation.verdict().orElse(""));
+        return root;
+    }
+
+    private static String name(LogExplanation.Reason reason) {
+        return Ascii.toLowerCase(reason.name()).replace('_', ' ');
+    }
 }
--- /dev/null
+++ b/cli/src/test/java/org/fuchsiaspindle/cli/LogExplanationTest.java
@@ -0,0 +1,84 @@
+package org.fuchsiaspindle.cli;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Optional;
+import org.fuchsiaspindle.cli.LogExplanation.Reason;
+import org.junit.jupiter.api.Test;
+
+/** Guards against explanations that miss the cause, or name what has nothing to do with it. */
+final class LogExplanationTest {
+
+    private static final String LOG =
+            """
+            2026-04-20T10:58:20.000Z INFO  config: in force version=3 source=store routes=40
+            2026-04-20T10:58:41.100Z INFO  config: in force version=7 source=peer routes=41
+            2026-04-20T10:58:42.000Z WARN  store: lost reason=no answer in time
+            2026-04-20T10:58:42.900Z INFO  target: silent target=i-1 calls=3
+            2026-04-20T10:58:42.950Z INFO  target: silent target=i-9 calls=1
+            2026-04-20T10:58:43.000Z INFO  online: request=aa11 route=r-1 service=s target=i-1 outcome=resent reason=silent attempts=1 elapsed=800ms
+            2026-04-20T10:58:43.100Z INFO  online: request=aa112 route=r-1 service=s target=i-2 outcome=answered reason=200 attempts=0 elapsed=70ms
+            2026-04-20T10:58:43.500Z INFO  online: request=aa11 route=r-1 service=s target=i-2 outcome=refused reason=OVERLOADED attempts=1 elapsed=1300ms
+            2026-04-20T10:58:50.000Z INFO  store: regained after=8000ms
+            not a line of a gateway
+            """;
+
+    @Test
+    void cause_isFoundWithWhatTheProcessBelieved() {
+        LogExplanation found = explain(LOG, "aa11");
+        assertThat(found.steps())
+                .extracting(LogExplanation.Step::reason)
+                .containsExactly(
+                        Reason.CONFIGURATION,
+                        Reason.STORE,
+                        Reason.TARGET,
+                        Reason.DECISION,
+                        Reason.DECISION);
+        assertThat(found.steps().getFirst().line().field("version")).contains("7");
+        assertThat(found.steps().get(2).line().field("target")).contains("i-1");
+        assertThat(found.verdict().orElseThrow()).contains("did not run").contains("ahead of it");
+    }
+
+    /** An identifier that is the beginning of another one must not match it. */
+    @Test
+    void otherRequests_areLeftOut() {
+        assertThat(explain(LOG, "aa112").steps())
+                .filteredOn(step -> step.reason() == Reason.DECISION)
+                .hasSize(1);
+        assertThat(explain(LOG, "aa").steps()).isEmpty();
+    }
+
+    /** The state of one process says nothing about what another one decided. */
+    @Test
+    void processes_areKeptApart() {
+        String log =
+                """
+                 12.1000 front-a-1 2026-04-20T10:58:40.000Z INFO  config: in force version=3 source=store
+                 12.1500 front-b-1 2026-04-20T10:58:40.050Z INFO  config: in force version=4 source=store
+                 13.0000 front-a-1 2026-04-20T10:58:41.000Z INFO  batch: job=j1 item=- outcome=accepted reason=new items=3
+                 14.0000 front-b-1 2026-04-20T10:58:42.000Z WARN  store: lost reason=reset
+                """;
+        LogExplanation found = explain(log, "j1");
+        assertThat(found.steps())
+                .extracting(step -> step.line().process())
+                .containsOnly("front-a-1");
+        assertThat(found.steps()).hasSize(2);
+    }
+
+    @Test
+    void lineWithoutAProcess_isRead() {
+        Optional<LogLine> line =
+                LogLine.parse(
+                        "2026-04-20T10:58:41.100Z INFO  peer: lost ip=10.1.0.3 reason=silent");
+        assertThat(line).isPresent();
+        assertThat(line.get().process()).isEmpty();
+        assertThat(line.get().field("ip")).contains("10.1.0.3");
+        assertThat(line.get().field("p")).isEmpty();
+    }
+
+    private static LogExplanation explain(String log, String id) {
+        List<LogLine> lines = log.lines().map(LogLine::parse).flatMap(Optional::stream).toList();
+        return LogExplanation.of(lines, id);
+    }
+}
--- a/cli/src/test/java/org/fuchsiaspindle/cli/MainTest.java
+++ b/cli/src/test/java/org/fuchsiaspindle/cli/MainTest.java
@@ -249,6 +249,26 @@
         return Files.writeString(directory.resolve(name), content);
     }
 
+    /** Guards against an on-call engineer who needs a running entry to read a saved log. */
+    @Test
+    void explain_findsARequestInSavedLogsWithoutAnEntry() throws IOException {
+        Path log = directory.resolve("front.log");
+        Files.writeString(
+                log,
+                "2026-04-20T10:58:43.500Z INFO  online: request=aa11 route=r-1 service=s target=-"
+                        + " outcome=refused reason=OVERLOADED attempts=0 elapsed=2ms\n");
+        entry.close();
+        Run found = run("explain", "aa11", "--log", log.toString());
+        assertThat(found.exitCode()).isEqualTo(ExitCodes.OK);
+        assertThat(found.out()).contains("decision", "reason=OVERLOADED", "it did not run");
+        // An option before the identifier must not swallow it.
+        assertThat(run("explain", "--log", log.toString(), "aa11").out()).isEqualTo(found.out());
+        assertThat(run("explain", "bb22", "--log", log.toString()).exitCode())
+                .isEqualTo(ExitCodes.REFUSED);
+        assertThat(run("explain", "aa11", "--log", directory.resolve("none").toString()).exitCode())
+                .isEqualTo(ExitCodes.USAGE);
+    }
+
     private Run run(String... arguments) {
         StringWriter out = new StringWriter();
         StringWriter err = new StringWriter();
