Move the bookkeeping of held work out of AdmissionGate

HeldWork keeps identifiers, memory and runs; the gate decides. No behaviour changes; the tests of the agent (25) and of admission (27) pass as they are.

--- a/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/AdmissionGate.java
+++ b/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/AdmissionGate.java
@@ -8,11 +8,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import org.fuchsiaspindle.core.admission.AdmissionLoad;
 import org.fuchsiaspindle.core.admission.AdmissionPolicy;
 import org.fuchsiaspindle.core.admission.AdmissionScheduler;
@@ -45,9 +43,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(AdmissionGate.class);
 
-    /** Bounds the memory of waiting work, with the agent's heap of 96 MB in mind. */
-    private static final long MAX_HELD_BYTES = 24L * 1024 * 1024;
-
     /** Usual size of a token in English text, to estimate the length of a prompt. */
     private static final int BYTES_PER_TOKEN = 4;
 
@@ -69,13 +64,11 @@
     private final RunStarter starter;
     private final ReplySender replies;
     private final Map<FleetConnection, EntryPeer> peers = new LinkedHashMap<>();
-    private final Map<Long, Work> work = new HashMap<>();
+    private final HeldWork held = new HeldWork();
     private final AttemptLog attempts = new AttemptLog();
     private Runnable changeListener = () -> {};
     private Runnable lossListener = () -> {};
     private Runnable idleListener = () -> {};
-    private long nextId;
-    private long heldBytes;
     private long tickAt = Long.MAX_VALUE;
     private volatile boolean targetUp;
     private boolean leaving;
@@ -204,7 +197,7 @@
             return;
         }
         Execute execute = frame.getExecute();
-        OnlineWork call = new OnlineWork(++nextId, peer, frame.getStreamId(), execute);
+        OnlineWork call = new OnlineWork(held.nextId(), peer, frame.getStreamId(), execute);
         try {
             checkAcceptable(execute, call);
         } catch (FuchsiaspindleException e) {
@@ -212,7 +205,7 @@
             return;
         }
         attempts.record(execute.getRequestId(), execute.getAttempt());
-        add(call);
+        held.add(call);
         peer.streams().put(call.streamId(), call);
         long now = clock.nanoTime();
         scheduler.onlineArrived(
@@ -260,13 +253,13 @@
         }
         List<ReturnedItem> returned = new ArrayList<>();
         for (BatchItem item : items) {
-            BatchWork entry = new BatchWork(++nextId, peer, item);
+            BatchWork entry = new BatchWork(held.nextId(), peer, item);
             if (peer.knows(entry.key())) {
                 LOG.debug("admit: repeated item dropped key={}", entry.key());
-            } else if (!targetUp || leaving || heldBytes + entry.bytes() > MAX_HELD_BYTES) {
+            } else if (!targetUp || leaving || !held.hasRoomFor(entry)) {
                 returned.add(entry.returned(false));
             } else if (scheduler.batchArrived(request(entry), clock.nanoTime())) {
-                add(entry);
+                held.add(entry);
                 peer.items().put(entry.key(), entry);
                 // The scheduler may have decided to start it at once.
                 carryOut();
@@ -315,11 +308,11 @@
             return;
         }
         targetUp = false;
-        LOG.warn("admit: target down reason=\"{}\" running={}", reason, runs().size());
+        LOG.warn("admit: target down reason=\"{}\" running={}", reason, held.runs().size());
         updateOpen();
         client.closeIdle();
         peers.values().forEach(EntryPeer::planCacheReset);
-        for (Work entry : List.copyOf(work.values())) {
+        for (Work entry : held.all()) {
             if (entry.run() == null) {
                 lose(entry, false, reason);
             }
@@ -330,7 +323,7 @@
     /** Closes the gate and ends all running work, because the target no longer advances it. */
     void targetHung(String reason) {
         targetDown(reason);
-        for (TargetRun run : runs()) {
+        for (TargetRun run : held.runs()) {
             boolean sent = cancellation.cancel(run);
             run.work().setRun(null);
             lose(run.work(), sent, reason);
@@ -338,24 +331,9 @@
         changed();
     }
 
-    private List<TargetRun> runs() {
-        return work.values().stream().map(Work::run).filter(Objects::nonNull).toList();
-    }
-
     /** Returns true if streams run but none has shown a sign of life within the bound. */
     boolean isTargetHung() {
-        long bound = clock.nanoTime() - timing.hangBound().toNanos();
-        boolean streams = false;
-        for (Work entry : work.values()) {
-            TargetRun run = entry.run();
-            if (run != null && run.isEngine() && !run.isPaused()) {
-                streams = true;
-                if (run.lastEventNanos() - bound > 0) {
-                    return false;
-                }
-            }
-        }
-        return streams;
+        return held.areStreamsSilentSince(clock.nanoTime() - timing.hangBound().toNanos());
     }
 
     /** Takes no new work from now on, and returns batch work at once. */
@@ -365,7 +343,7 @@
         }
         leaving = true;
         for (long id : scheduler.waitingOnline()) {
-            OnlineWork call = (OnlineWork) work.get(id);
+            OnlineWork call = (OnlineWork) held.find(id).orElseThrow();
             end(call);
             replies.refuse(call, ResultCode.TARGET_LEAVING, Executed.NO, "the target is leaving");
         }
@@ -381,7 +359,7 @@
 
     /** Ends the streams that are still running when the grace period is over. */
     void cutOff() {
-        for (Work entry : List.copyOf(work.values())) {
+        for (Work entry : held.all()) {
             TargetRun run = entry.run();
             boolean sent = run != null && cancellation.cancel(run);
             entry.setRun(null);
@@ -508,9 +486,9 @@
             throw new FuchsiaspindleException(ResultCode.TARGET_LOST, "the target is down")
                     .withExecuted(Executed.NO);
         }
-        if (heldBytes + call.bytes() > MAX_HELD_BYTES) {
+        if (!held.hasRoomFor(call)) {
             throw new FuchsiaspindleException(
-                    ResultCode.OVERLOADED, "waiting requests hold " + heldBytes + " bytes");
+                    ResultCode.OVERLOADED, "waiting requests hold " + held.bytes() + " bytes");
         }
     }
 
@@ -534,17 +512,11 @@
                 item.getSuspect());
     }
 
-    private void add(Work entry) {
-        work.put(entry.id(), entry);
-        heldBytes += entry.bytes();
-    }
-
     /** Removes work from the scheduler and from its peer's items; streams may still hold chunks. */
     private void end(Work entry) {
-        if (work.remove(entry.id()) == null) {
+        if (!held.remove(entry)) {
             return;
         }
-        heldBytes -= entry.bytes();
         scheduler.ended(entry.id(), clock.nanoTime());
         if (entry instanceof BatchWork item) {
             item.peer().itemEnded(item.key());
@@ -576,7 +548,7 @@
     private void changed() {
         carryOut();
         changeListener.run();
-        if (leaving && work.isEmpty() && isDelivered()) {
+        if (leaving && held.isEmpty() && isDelivered()) {
             idleListener.run();
         }
     }
@@ -608,10 +580,10 @@
     }
 
     private void carryOut(Decision decision) {
-        Work entry = work.get(decision.id());
-        if (entry == null) {
-            return;
-        }
+        held.find(decision.id()).ifPresent(entry -> carryOut(decision, entry));
+    }
+
+    private void carryOut(Decision decision, Work entry) {
         metrics.decided(decision, entry);
         switch (decision) {
             case Decision.Start start -> start(entry);
