Name known addresses only in some heartbeats; read renewals and feeds less often

On paper 33 x 32 heartbeats each half second, 480 bytes each because they name all addresses, are nearly all of these bytes. Each gateway read the renewals 2.5 times a second as soon as any other gateway had a job.

Change: addresses go out when they changed and each 5 s, since a peer forgets an address that it cannot reach. Renewals are read each 1.2 s while every owner answers its peers and reaches the store, otherwise each 0.4 s as before. The feed of jobs pauses 200 instead of 50 ms, that of targets 450 instead of 300 ms. The load of a target is kept as a sum instead of being added up over all peers at each choice.

Ruled out: judging owners by the store's clock with reads only on suspicion; after an outage of the store every renewal would look old at once.

--- a/core/src/main/java/org/fuchsiaspindle/core/serving/TargetLoad.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/TargetLoad.java
@@ -27,4 +27,9 @@
     public TargetLoad plus(TargetLoad other) {
         return new TargetLoad(online + other.online, batch + other.batch);
     }
+
+    /** Returns what is left without a load that is a part of this one. */
+    public TargetLoad minus(TargetLoad part) {
+        return new TargetLoad(online - part.online, batch - part.batch);
+    }
 }
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaspindle/core/membership/AddressAnnouncementTest.java
@@ -0,0 +1,44 @@
+package org.fuchsiaspindle.core.membership;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+
+/** Guards against peers that miss an address, and against heartbeats that repeat all of them. */
+final class AddressAnnouncementTest {
+
+    private static final Set<String> TWO = Set.of("10.0.0.1", "10.0.0.2");
+    private static final Set<String> THREE = Set.of("10.0.0.1", "10.0.0.2", "10.0.0.3");
+
+    private final AddressAnnouncement announcement = new AddressAnnouncement();
+
+    @Test
+    void unchangedAddresses_areNotSentWithEveryHeartbeat() {
+        announcement.sent(TWO, 0);
+        assertThat(announcement.due(TWO, 1)).isEmpty();
+    }
+
+    @Test
+    void changedAddresses_areSentAtOnce() {
+        announcement.sent(TWO, 0);
+        assertThat(announcement.due(THREE, 1)).isEqualTo(THREE);
+        announcement.sent(THREE, 1);
+        assertThat(announcement.due(TWO, 2)).isEqualTo(TWO);
+    }
+
+    /** A heartbeat that could not be sent must not count as told. */
+    @Test
+    void addressesThatWereNotSent_stayDue() {
+        assertThat(announcement.due(TWO, 0)).isEqualTo(TWO);
+        assertThat(announcement.due(TWO, 1)).isEqualTo(TWO);
+    }
+
+    /** A peer that could not reach an address for long forgets it and has to hear of it again. */
+    @Test
+    void unchangedAddresses_areRepeatedAfterSomeTime() {
+        announcement.sent(TWO, 0);
+        announcement.sent(Set.of(), 7);
+        assertThat(announcement.due(TWO, AddressAnnouncement.REPEAT.toNanos())).isEqualTo(TWO);
+    }
+}
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -131,7 +131,15 @@
                                 storeClock,
                                 self,
                                 metrics));
-        ownership = JobOwnership.start(requestLoop, storeClient, jobStore, table, runner, self);
+        ownership =
+                JobOwnership.start(
+                        requestLoop,
+                        storeClient,
+                        jobStore,
+                        table,
+                        runner,
+                        self,
+                        owner -> mesh.isServing(owner.ip(), owner.incarnation()));
         table.start(storeLoop, storeClient, storeHealth);
         fleet.start(mesh);
         mesh.start(settings.peerIps());
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobOwnership.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobOwnership.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import org.fuchsiaspindle.core.job.JobOwner;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.job.OwnerLiveness;
@@ -40,15 +41,24 @@
     private static final Duration RENEWAL = Duration.ofMillis(1000);
     private static final Duration CHECK = Duration.ofMillis(400);
 
+    /**
+     * Time between two reads of the renewals while all owners answer their peers and reach the
+     * store. A lost owner that fell silent without closing its connections is found later by up to
+     * this time.
+     */
+    private static final Duration CALM_READ = Duration.ofMillis(1200);
+
     private final EventLoop loop;
     private final StoreClient rows;
     private final JobStore store;
     private final JobTable table;
     private final JobRunner runner;
     private final JobOwner self;
+    private final Predicate<JobOwner> connected;
     private final OwnerLiveness liveness = new OwnerLiveness();
     private final Map<String, Long> orphanSince = new HashMap<>();
     private final Set<String> taking = new HashSet<>();
+    private long lastReadNanos = System.nanoTime();
     private boolean reading;
     private boolean renewing;
     private boolean stopping;
@@ -59,23 +69,37 @@
             JobStore store,
             JobTable table,
             JobRunner runner,
-            JobOwner self) {
+            JobOwner self,
+            Predicate<JobOwner> connected) {
         this.loop = loop;
         this.rows = rows;
         this.store = store;
         this.table = table;
         this.runner = runner;
         this.self = self;
+        this.connected = connected;
     }
 
-    /** Starts to renew the own row and to look for jobs without a living owner. */
+    /**
+     * Starts to renew the own row and to look for jobs without a living owner.
+     *
+     * @param loop its event loop
+     * @param rows the store
+     * @param store the stored jobs
+     * @param table the known jobs
+     * @param runner runs the jobs that are taken over
+     * @param self this process as an owner
+     * @param connected whether an owner answers its peers and reaches the store; it saves reads and
+     *     decides nothing else
+     */
     public static JobOwnership start(
             EventLoop loop,
             StoreClient rows,
             JobStore store,
             JobTable table,
             JobRunner runner,
-            JobOwner self) {
+            JobOwner self,
+            Predicate<JobOwner> connected) {
         JobOwnership ownership =
                 new JobOwnership(
                         checkNotNull(loop, "loop"),
@@ -83,7 +107,8 @@
                         checkNotNull(store, "store"),
                         checkNotNull(table, "table"),
                         checkNotNull(runner, "runner"),
-                        checkNotNull(self, "self"));
+                        checkNotNull(self, "self"),
+                        checkNotNull(connected, "connected"));
         table.addListener(ownership::jobChanged);
         loop.execute(ownership::renew);
         loop.scheduleAtFixedRate(
@@ -130,14 +155,11 @@
     }
 
     private void check() {
-        boolean orphansPossible =
-                table.jobs().stream()
-                        .map(VersionedJob::job)
-                        .anyMatch(job -> job.isOpen() && !runner.holds(job.id()));
-        if (reading || stopping || !orphansPossible) {
+        if (reading || stopping || !isReadDue()) {
             return;
         }
         reading = true;
+        lastReadNanos = System.nanoTime();
         rows.rows(MEMBERS, "", "", "")
                 .whenCompleteAsync(
                         (page, failure) -> {
@@ -149,6 +171,14 @@
                         loop);
     }
 
+    private boolean isReadDue() {
+        boolean calmReadDue = System.nanoTime() - lastReadNanos > CALM_READ.toNanos();
+        return table.jobs().stream()
+                .map(VersionedJob::job)
+                .filter(job -> job.isOpen() && !runner.holds(job.id()))
+                .anyMatch(job -> calmReadDue || !connected.test(job.owner()));
+    }
+
     private void judge(RowPage page) {
         long now = System.nanoTime();
         Map<String, OwnerLiveness.Renewal> members = new HashMap<>();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobTable.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobTable.java
@@ -27,7 +27,7 @@
     private static final Duration WAIT = Duration.ofMillis(1000);
 
     /** Bounds the calls while results of many jobs are listed. */
-    private static final Duration PAUSE = Duration.ofMillis(50);
+    private static final Duration PAUSE = Duration.ofMillis(200);
 
     private final EventLoop loop;
     private final Map<String, VersionedJob> jobs = new HashMap<>();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerChannels.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerChannels.java
@@ -28,11 +28,17 @@
         channel.pipeline().addLast(new FrameReader(listener));
     }
 
-    /** Sends a frame, or leaves it out if the connection is closed or its peer reads too slowly. */
-    static void send(Channel channel, PeerFrame frame) {
-        if (channel.isActive() && channel.isWritable()) {
+    /**
+     * Sends a frame, or leaves it out if the connection is closed or its peer reads too slowly.
+     *
+     * @return whether it was sent
+     */
+    static boolean send(Channel channel, PeerFrame frame) {
+        boolean open = channel.isActive() && channel.isWritable();
+        if (open) {
             channel.writeAndFlush(frame);
         }
+        return open;
     }
 
     private static final class FrameReader extends SimpleChannelInboundHandler<PeerFrame> {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.membership.AddressAnnouncement;
 import org.fuchsiaspindle.gateway.view.FleetView;
 import org.fuchsiaspindle.gateway.view.FleetViews;
 import org.fuchsiaspindle.gateway.watch.StoreHealth;
@@ -107,6 +108,7 @@
         private Channel channel;
         private boolean connecting;
         private long connectedNanos;
+        private AddressAnnouncement announcement = new AddressAnnouncement();
     }
 
     /** Creates a mesh that does not listen yet. */
@@ -153,7 +155,7 @@
     /** Tells the peers that this process is about to stop. */
     public void announceStop() {
         stopping = true;
-        broadcast(stateFrame());
+        broadcast(stateFrame(Set.of()));
     }
 
     /** Sends the loads of this gateway to all peers. */
@@ -165,6 +167,15 @@
         }
     }
 
+    /** Returns whether a process was heard of lately, goes on, and reaches the store. */
+    public boolean isServing(String ip, String incarnation) {
+        Inbound peer = inbound.get(ip);
+        return peer != null
+                && peer.info().incarnation().equals(incarnation)
+                && peer.info().storeReachable()
+                && !peer.info().stopping();
+    }
+
     /** Returns the peers that were heard of lately. */
     public List<PeerInfo> peers() {
         return inbound.values().stream().map(Inbound::info).toList();
@@ -197,7 +208,8 @@
                     if (done.isSuccess()) {
                         link.channel = connect.channel();
                         link.connectedNanos = System.nanoTime();
-                        PeerChannels.send(link.channel, stateFrame());
+                        link.announcement = new AddressAnnouncement();
+                        tellState(link, knownIps());
                         connected.run();
                     }
                 });
@@ -211,12 +223,12 @@
     private void beat() {
         long now = System.nanoTime();
         dropSilentPeers(now);
-        PeerFrame frame = stateFrame();
+        Set<String> known = knownIps();
         for (Map.Entry<String, Link> entry : List.copyOf(links.entrySet())) {
             Link link = entry.getValue();
             boolean open = link.channel != null && link.channel.isActive();
             if (open) {
-                PeerChannels.send(link.channel, frame);
+                tellState(link, known);
             } else if (!link.connecting) {
                 forgetOrConnect(entry.getKey(), link, now);
             }
@@ -253,8 +265,7 @@
         }
     }
 
-    private PeerFrame stateFrame() {
-        FleetView view = views.view();
+    private Set<String> knownIps() {
         Set<String> known = new HashSet<>(inbound.keySet());
         links.forEach(
                 (ip, link) -> {
@@ -262,16 +273,32 @@
                         known.add(ip);
                     }
                 });
+        return known;
+    }
+
+    /** Sends a heartbeat, with the known addresses if the peer has to hear of them. */
+    private void tellState(Link link, Set<String> known) {
+        long now = System.nanoTime();
+        Set<String> due = link.announcement.due(known, now);
+        if (PeerChannels.send(link.channel, stateFrame(due))) {
+            link.announcement.sent(due, now);
+        }
+    }
+
+    private PeerFrame stateFrame(Set<String> ips) {
+        FleetView view = views.view();
         PeerState.Builder state =
                 PeerState.newBuilder()
-                        .setNode(self.node())
                         .setIp(self.ip())
                         .setIncarnation(self.incarnation())
                         .setConfigVersion(view.configVersion())
                         .setDirectoryVersion(view.directory().version())
                         .setStoreReachable(storeHealth.isReachable())
                         .setStopping(stopping);
-        known.stream().sorted().forEach(state::addKnownIps);
+        if (!ips.isEmpty()) {
+            state.setNode(self.node());
+            ips.stream().sorted().forEach(state::addKnownIps);
+        }
         return PeerFrame.newBuilder().setState(state).build();
     }
 
@@ -313,7 +340,11 @@
         boolean restarted =
                 before != null && !before.info().incarnation().equals(info.incarnation());
         if (before == null || restarted) {
-            LOG.info("peer: heard ip={} incarnation={}", ip, info.incarnation());
+            LOG.info(
+                    "peer: heard ip={} node={} incarnation={}",
+                    ip,
+                    state.getNode(),
+                    info.incarnation());
         }
         if (restarted) {
             loadListener.onPeerLost(ip);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
@@ -27,6 +27,7 @@
     private final Deque<HttpConnection> idle = new ArrayDeque<>();
     private final Set<TargetCall> calls = new LinkedHashSet<>();
     private final Map<String, TargetLoad> peerLoads = new HashMap<>();
+    private TargetLoad peerSum = TargetLoad.NONE;
     private int ownOnline;
     private int ownBatch;
     private long lastHeardNanos;
@@ -102,11 +103,7 @@
     }
 
     TargetLoad load() {
-        TargetLoad sum = ownLoad();
-        for (TargetLoad peer : peerLoads.values()) {
-            sum = sum.plus(peer);
-        }
-        return sum;
+        return peerSum.plus(ownLoad());
     }
 
     /** Returns the batch items of some peers. */
@@ -119,11 +116,8 @@
     }
 
     void peerLoad(String ip, TargetLoad load) {
-        if (load.total() == 0) {
-            peerLoads.remove(ip);
-        } else {
-            peerLoads.put(ip, load);
-        }
+        TargetLoad before = load.total() == 0 ? peerLoads.remove(ip) : peerLoads.put(ip, load);
+        peerSum = peerSum.plus(load).minus(before == null ? TargetLoad.NONE : before);
     }
 
     void add(TargetCall call) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TargetWatch.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TargetWatch.java
@@ -33,7 +33,7 @@
     private static final Duration WAIT = Duration.ofMillis(1000);
 
     /** Heartbeats of targets end each wait early; the pause bounds the number of calls. */
-    private static final Duration PAUSE = Duration.ofMillis(300);
+    private static final Duration PAUSE = Duration.ofMillis(450);
 
     /** How long after the store's return a lapsed registration may take to come back. */
     private static final Duration RENEWAL_TIME = Duration.ofMillis(2200);
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerState.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerState.java
@@ -27,6 +27,10 @@
   public static final int NODE_FIELD_NUMBER = 1;
   private java.lang.String node_;
   /**
+   * <pre>
+   * Name of the instance; sent together with the addresses.
+   * </pre>
+   *
    * <code>string node = 1;</code>
    * @return The node.
    */
@@ -35,6 +39,10 @@
     return node_;
   }
   /**
+   * <pre>
+   * Name of the instance; sent together with the addresses.
+   * </pre>
+   *
    * <code>string node = 1;</code>
    * @return The bytes for node.
    */
@@ -44,6 +52,10 @@
     return com.google.protobuf.ByteString.copyFromUtf8(node_);
   }
   /**
+   * <pre>
+   * Name of the instance; sent together with the addresses.
+   * </pre>
+   *
    * <code>string node = 1;</code>
    * @param value The node to set.
    */
@@ -54,6 +66,10 @@
     node_ = value;
   }
   /**
+   * <pre>
+   * Name of the instance; sent together with the addresses.
+   * </pre>
+   *
    * <code>string node = 1;</code>
    */
   private void clearNode() {
@@ -61,6 +77,10 @@
     node_ = getDefaultInstance().getNode();
   }
   /**
+   * <pre>
+   * Name of the instance; sent together with the addresses.
+   * </pre>
+   *
    * <code>string node = 1;</code>
    * @param value The bytes for node to set.
    */
@@ -337,7 +357,8 @@
   private com.google.protobuf.Internal.ProtobufList<java.lang.String> knownIps_;
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -349,7 +370,8 @@
   }
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -361,7 +383,8 @@
   }
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -374,7 +397,8 @@
   }
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -396,7 +420,8 @@
   }
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -411,7 +436,8 @@
   }
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -425,7 +451,8 @@
   }
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -439,7 +466,8 @@
   }
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -449,7 +477,8 @@
   }
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -564,6 +593,10 @@
 
 
     /**
+     * <pre>
+     * Name of the instance; sent together with the addresses.
+     * </pre>
+     *
      * <code>string node = 1;</code>
      * @return The node.
      */
@@ -572,6 +605,10 @@
       return instance.getNode();
     }
     /**
+     * <pre>
+     * Name of the instance; sent together with the addresses.
+     * </pre>
+     *
      * <code>string node = 1;</code>
      * @return The bytes for node.
      */
@@ -581,6 +618,10 @@
       return instance.getNodeBytes();
     }
     /**
+     * <pre>
+     * Name of the instance; sent together with the addresses.
+     * </pre>
+     *
      * <code>string node = 1;</code>
      * @param value The node to set.
      * @return This builder for chaining.
@@ -592,6 +633,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Name of the instance; sent together with the addresses.
+     * </pre>
+     *
      * <code>string node = 1;</code>
      * @return This builder for chaining.
      */
@@ -601,6 +646,10 @@
       return this;
     }
     /**
+     * <pre>
+     * Name of the instance; sent together with the addresses.
+     * </pre>
+     *
      * <code>string node = 1;</code>
      * @param value The bytes for node to set.
      * @return This builder for chaining.
@@ -888,7 +937,8 @@
 
     /**
      * <pre>
-     * Addresses of all gateways that the sender knows.
+     * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+     * heartbeat on this connection.
      * </pre>
      *
      * <code>repeated string known_ips = 8;</code>
@@ -902,7 +952,8 @@
     }
     /**
      * <pre>
-     * Addresses of all gateways that the sender knows.
+     * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+     * heartbeat on this connection.
      * </pre>
      *
      * <code>repeated string known_ips = 8;</code>
@@ -914,7 +965,8 @@
     }
     /**
      * <pre>
-     * Addresses of all gateways that the sender knows.
+     * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+     * heartbeat on this connection.
      * </pre>
      *
      * <code>repeated string known_ips = 8;</code>
@@ -927,7 +979,8 @@
     }
     /**
      * <pre>
-     * Addresses of all gateways that the sender knows.
+     * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+     * heartbeat on this connection.
      * </pre>
      *
      * <code>repeated string known_ips = 8;</code>
@@ -941,7 +994,8 @@
     }
     /**
      * <pre>
-     * Addresses of all gateways that the sender knows.
+     * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+     * heartbeat on this connection.
      * </pre>
      *
      * <code>repeated string known_ips = 8;</code>
@@ -957,7 +1011,8 @@
     }
     /**
      * <pre>
-     * Addresses of all gateways that the sender knows.
+     * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+     * heartbeat on this connection.
      * </pre>
      *
      * <code>repeated string known_ips = 8;</code>
@@ -972,7 +1027,8 @@
     }
     /**
      * <pre>
-     * Addresses of all gateways that the sender knows.
+     * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+     * heartbeat on this connection.
      * </pre>
      *
      * <code>repeated string known_ips = 8;</code>
@@ -987,7 +1043,8 @@
     }
     /**
      * <pre>
-     * Addresses of all gateways that the sender knows.
+     * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+     * heartbeat on this connection.
      * </pre>
      *
      * <code>repeated string known_ips = 8;</code>
@@ -1000,7 +1057,8 @@
     }
     /**
      * <pre>
-     * Addresses of all gateways that the sender knows.
+     * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+     * heartbeat on this connection.
      * </pre>
      *
      * <code>repeated string known_ips = 8;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerStateOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerStateOrBuilder.java
@@ -11,11 +11,19 @@
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
+   * <pre>
+   * Name of the instance; sent together with the addresses.
+   * </pre>
+   *
    * <code>string node = 1;</code>
    * @return The node.
    */
   java.lang.String getNode();
   /**
+   * <pre>
+   * Name of the instance; sent together with the addresses.
+   * </pre>
+   *
    * <code>string node = 1;</code>
    * @return The bytes for node.
    */
@@ -96,7 +104,8 @@
 
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -106,7 +115,8 @@
       getKnownIpsList();
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -115,7 +125,8 @@
   int getKnownIpsCount();
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
@@ -125,7 +136,8 @@
   java.lang.String getKnownIps(int index);
   /**
    * <pre>
-   * Addresses of all gateways that the sender knows.
+   * Addresses of all gateways that the sender knows; empty if they did not change since a recent
+   * heartbeat on this connection.
    * </pre>
    *
    * <code>repeated string known_ips = 8;</code>
