--- a/cli/src/test/java/org/fuchsiaspindle/cli/LogExplanationTest.java
+++ b/cli/src/test/java/org/fuchsiaspindle/cli/LogExplanationTest.java
@@ -17,9 +17,12 @@
             2026-04-20T10:58:42.000Z WARN  store: lost reason=no answer in time
             2026-04-20T10:58:42.900Z INFO  target: silent target=i-1 calls=3
             2026-04-20T10:58:42.950Z INFO  target: silent target=i-9 calls=1
-            2026-04-20T10:58:43.000Z INFO  online: request=aa11 route=r-1 service=s target=i-1 outcome=resent reason=silent attempts=1 elapsed=800ms
-            2026-04-20T10:58:43.100Z INFO  online: request=aa112 route=r-1 service=s target=i-2 outcome=answered reason=200 attempts=0 elapsed=70ms
-            2026-04-20T10:58:43.500Z INFO  online: request=aa11 route=r-1 service=s target=i-2 outcome=refused reason=OVERLOADED attempts=1 elapsed=1300ms
+            2026-04-20T10:58:43.000Z INFO  online: request=aa11 route=r-1 service=s target=i-1 \
+            outcome=resent reason=silent attempts=1 elapsed=800ms
+            2026-04-20T10:58:43.100Z INFO  online: request=aa112 route=r-1 service=s target=i-2 \
+            outcome=answered reason=200 attempts=0 elapsed=70ms
+            2026-04-20T10:58:43.500Z INFO  online: request=aa11 route=r-1 service=s target=i-2 \
+            outcome=refused reason=OVERLOADED attempts=1 elapsed=1300ms
             2026-04-20T10:58:50.000Z INFO  store: regained after=8000ms
             not a line of a gateway
             """;
@@ -54,9 +57,12 @@
     void processes_areKeptApart() {
         String log =
                 """
-                 12.1000 front-a-1 2026-04-20T10:58:40.000Z INFO  config: in force version=3 source=store
-                 12.1500 front-b-1 2026-04-20T10:58:40.050Z INFO  config: in force version=4 source=store
-                 13.0000 front-a-1 2026-04-20T10:58:41.000Z INFO  batch: job=j1 item=- outcome=accepted reason=new items=3
+                 12.1000 front-a-1 2026-04-20T10:58:40.000Z INFO  config: in force version=3 \
+                source=store
+                 12.1500 front-b-1 2026-04-20T10:58:40.050Z INFO  config: in force version=4 \
+                source=store
+                 13.0000 front-a-1 2026-04-20T10:58:41.000Z INFO  batch: job=j1 item=- \
+                outcome=accepted reason=new items=3
                  14.0000 front-b-1 2026-04-20T10:58:42.000Z WARN  store: lost reason=reset
                 """;
         LogExplanation found = explain(log, "j1");
