--- a/core/src/main/java/org/fuchsiaspindle/core/serving/RequestQueue.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/RequestQueue.java
@@ -7,6 +7,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * A priority queue of the requests of one service that wait for a target.
@@ -79,11 +80,26 @@
         return count;
     }
 
+    /** Removes the requests that match a condition. */
+    public void removeIf(Predicate<T> condition) {
+        entries.removeIf(entry -> condition.test(entry.request()));
+    }
+
+    /** Returns whether a waiting request matches a condition. */
+    public boolean anyMatch(Predicate<T> condition) {
+        return entries.stream().anyMatch(entry -> condition.test(entry.request()));
+    }
+
     /** Returns the request that starts next, without removing it. */
     public Optional<T> peek(long nowNanos) {
         return entries.stream().min(startOrder(nowNanos)).map(Entry::request);
     }
 
+    /** Returns all requests in the order in which they start, without removing them. */
+    public List<T> inStartOrder(long nowNanos) {
+        return entries.stream().sorted(startOrder(nowNanos)).map(Entry::request).toList();
+    }
+
     /** Removes and returns the requests whose latest start has passed. */
     public List<T> removeExpired(long nowNanos) {
         List<T> expired = new ArrayList<>();
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/BatchDemand.java
@@ -0,0 +1,29 @@
+package org.fuchsiaspindle.core.slot;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableSet;
+
+/**
+ * The batch items of one gateway that wait for slots of a pool.
+ *
+ * @param waiting the number of waiting items, not negative
+ * @param dueMillis the earliest ordered due time of a waiting item, see {@link
+ *     org.fuchsiaspindle.core.serving.BatchDue}
+ * @param grantsReceived how many batch slots the gateway had received from the coordinator when it
+ *     sent this demand, so that slots on their way are not granted twice
+ * @param avoided targets that the gateway does not want, not null
+ */
+public record BatchDemand(
+        int waiting, long dueMillis, long grantsReceived, ImmutableSet<String> avoided) {
+
+    /** The demand of a gateway without waiting items. */
+    public static final BatchDemand NONE = new BatchDemand(0, 0, 0, ImmutableSet.of());
+
+    /** Validates the components. */
+    public BatchDemand {
+        checkArgument(waiting >= 0, "negative number of waiting items: %s", waiting);
+        checkNotNull(avoided, "avoided");
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotDecision.java
@@ -0,0 +1,86 @@
+package org.fuchsiaspindle.core.slot;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
+
+/** A decision of a coordinator that the holder must be told. */
+public sealed interface SlotDecision {
+
+    /** Returns the gateway that the decision concerns. */
+    String holder();
+
+    /** Returns the ticket of the slot or of the request for one. */
+    long ticket();
+
+    /** Why a request gets no slot. */
+    enum Refusal {
+        /** Online requests occupy all slots. */
+        FULL,
+        /** No target of the pool accepts the request. */
+        NO_TARGET,
+        /** The request would wait beyond its latest useful start. */
+        OVERLOADED,
+        /** The latest useful start passed while the request waited. */
+        EXPIRED
+    }
+
+    /** An online request may run on a target. */
+    record Granted(String holder, long ticket, String target) implements SlotDecision {
+
+        /** Validates the components. */
+        public Granted {
+            checkNotNull(holder, "holder");
+            checkNotNull(target, "target");
+        }
+    }
+
+    /** An online request waits for a slot. */
+    record Queued(String holder, long ticket) implements SlotDecision {
+
+        /** Validates the components. */
+        public Queued {
+            checkNotNull(holder, "holder");
+        }
+    }
+
+    /**
+     * An online request gets no slot of the pool.
+     *
+     * @param expectedWait how long a request that waits now would wait
+     */
+    record Refused(String holder, long ticket, Refusal reason, Duration expectedWait)
+            implements SlotDecision {
+
+        /** Validates the components. */
+        public Refused {
+            checkNotNull(holder, "holder");
+            checkNotNull(reason, "reason");
+            checkNotNull(expectedWait, "expectedWait");
+        }
+    }
+
+    /**
+     * A waiting batch item of the holder may run on a target.
+     *
+     * @param ticket a new ticket for the slot
+     */
+    record BatchGranted(String holder, long ticket, String target, long dueMillis)
+            implements SlotDecision {
+
+        /** Validates the components. */
+        public BatchGranted {
+            checkNotNull(holder, "holder");
+            checkNotNull(target, "target");
+        }
+    }
+
+    /** A batch item must be stopped, because an online request got its slot. */
+    record Preempted(String holder, long ticket) implements SlotDecision {
+
+        /** Validates the components. */
+        public Preempted {
+            checkNotNull(holder, "holder");
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -0,0 +1,498 @@
+package org.fuchsiaspindle.core.slot;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.fuchsiaspindle.core.serving.RequestQueue;
+import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
+import org.fuchsiaspindle.core.slot.TargetSlots.Lease;
+
+/**
+ * The slots of the targets of one pool, as its coordinator assigns them.
+ *
+ * <p>An online request gets a free slot of the least loaded target, otherwise the slot of a batch
+ * item, otherwise it waits. A free slot goes to the waiting online request that starts first and,
+ * if there is none, to the gateway whose waiting batch item is due first. Load pattern: bursts that
+ * exceed the slots for seconds, between which batch items fill all slots. While online requests
+ * preempt batch items, as many free slots as items were just preempted are left to them, because an
+ * item that is stopped before its first event has only cost capacity.
+ *
+ * <p>Each method returns the decisions that follow from it. Not thread-safe; times are monotonic
+ * nanoseconds.
+ */
+public final class SlotPool {
+
+    private static final double HOLD_TIME_SAMPLE_WEIGHT = 0.05;
+
+    /** Assumed time that an online request occupies a slot before one was observed. */
+    private static final Duration INITIAL_HOLD_TIME = Duration.ofMillis(300);
+
+    /** Time for which a preemption keeps one free slot from batch items. */
+    private static final Duration PREEMPTION_MEMORY = Duration.ofMillis(100);
+
+    private final Deque<Long> preemptionNanos = new ArrayDeque<>();
+    private final Map<String, TargetSlots> targets = new LinkedHashMap<>();
+    private final Map<String, Holder> holders = new LinkedHashMap<>();
+    private final RequestQueue<SlotRequest> waiting = new RequestQueue<>();
+    private double holdNanos = INITIAL_HOLD_TIME.toNanos();
+    private long nextBatchTicket;
+
+    /** The slots and the batch demand of one gateway. */
+    private static final class Holder {
+        private final Map<Long, Lease> leases = new HashMap<>();
+        private BatchDemand demand = BatchDemand.NONE;
+        private long batchGrants;
+
+        int ungrantedItems() {
+            long grantsOnTheirWay = Math.max(0, batchGrants - demand.grantsReceived());
+            return (int) Math.max(0, demand.waiting() - grantsOnTheirWay);
+        }
+    }
+
+    private SlotPool(long firstBatchTicket) {
+        nextBatchTicket = firstBatchTicket;
+    }
+
+    /**
+     * Creates a pool without targets.
+     *
+     * @param firstBatchTicket the first ticket for slots of batch items; random, so that no holder
+     *     has a slot with the same ticket from another coordinator
+     */
+    public static SlotPool create(long firstBatchTicket) {
+        return new SlotPool(firstBatchTicket);
+    }
+
+    /** Replaces the targets; slots that are held on removed targets stay until their release. */
+    public List<SlotDecision> setTargets(Collection<TargetInstance> instances, long now) {
+        targets.values().forEach(TargetSlots::close);
+        for (TargetInstance instance : instances) {
+            if (!instance.leaving()) {
+                target(instance.id()).open(instance.slots());
+            }
+        }
+        removeUnusedTargets();
+        return assignFreeSlots(now);
+    }
+
+    /** Handles the request of a gateway for a slot for an online request. */
+    public List<SlotDecision> request(SlotRequest request, long now) {
+        checkNotNull(request, "request");
+        List<SlotDecision> decisions = new ArrayList<>();
+        Optional<TargetSlots> target = chooseForOnline(request, now);
+        if (target.isPresent()) {
+            grant(request, target.get(), now, decisions);
+            return decisions;
+        }
+        Duration expectedWait = expectedWait(request.priority(), now);
+        Refusal reason = refusalReason(request, now);
+        if (!request.mayWait() || reason == Refusal.NO_TARGET) {
+            decisions.add(refusal(request, reason, expectedWait));
+        } else if (now + expectedWait.toNanos() - request.startUntilNanos() > 0) {
+            decisions.add(refusal(request, Refusal.OVERLOADED, expectedWait));
+        } else {
+            waiting.add(
+                    new RequestQueue.Entry<>(
+                            request,
+                            request.priority(),
+                            request.onTimeUntilNanos(),
+                            request.startUntilNanos(),
+                            now));
+            decisions.add(new SlotDecision.Queued(request.holder(), request.ticket()));
+        }
+        return decisions;
+    }
+
+    /** Handles the release of a slot, or the withdrawal of a waiting request. */
+    public List<SlotDecision> release(String holder, long ticket, LeaseOutcome outcome, long now) {
+        checkNotNull(outcome, "outcome");
+        waiting.removeIf(request -> request.ticket() == ticket && request.holder().equals(holder));
+        Holder state = holders.get(holder);
+        Lease lease = state == null ? null : state.leases.remove(ticket);
+        if (lease == null) {
+            return List.of();
+        }
+        lease.target().remove(lease);
+        recordOutcome(lease, outcome, now);
+        removeUnusedTargets();
+        return assignFreeSlots(now);
+    }
+
+    private void recordOutcome(Lease lease, LeaseOutcome outcome, long now) {
+        TargetReliability reliability = lease.target().reliability();
+        switch (outcome) {
+            case DONE -> {
+                reliability.record(lease.holder(), false, now);
+                if (lease.trafficClass() == TrafficClass.ONLINE) {
+                    long held = now - lease.grantedNanos();
+                    holdNanos += HOLD_TIME_SAMPLE_WEIGHT * (held - holdNanos);
+                }
+            }
+            case FAILED, UNREACHABLE -> reliability.record(lease.holder(), true, now);
+            case TARGET_FULL -> reliability.recordFull(now);
+            case CANCELLED -> {}
+            default -> throw new AssertionError(outcome);
+        }
+    }
+
+    /** Replaces the batch demand of a gateway. */
+    public List<SlotDecision> demand(String holder, BatchDemand demand, long now) {
+        Holder state = holder(holder);
+        state.demand = checkNotNull(demand, "demand");
+        state.batchGrants = Math.max(state.batchGrants, demand.grantsReceived());
+        return assignFreeSlots(now);
+    }
+
+    /**
+     * Replaces everything that is known of a gateway by the slots that it holds. Batch slots that
+     * were granted after the gateway had sent its report are kept.
+     *
+     * @param holder the gateway, not null
+     * @param slots the slots that it holds, not null
+     * @param grantsReceived how many batch slots of this coordinator it had received by then
+     * @param now the time
+     */
+    public List<SlotDecision> replaceHoldings(
+            String holder, Collection<HeldSlot> slots, long grantsReceived, long now) {
+        Holder state = holder(holder);
+        removeKnownTo(state, holder, grantsReceived);
+        for (HeldSlot slot : slots) {
+            add(
+                    state,
+                    new Lease(
+                            holder,
+                            slot.ticket(),
+                            target(slot.target()),
+                            slot.trafficClass(),
+                            slot.dueMillis(),
+                            0,
+                            now));
+        }
+        List<SlotDecision> decisions = new ArrayList<>();
+        preemptExcess(decisions);
+        decisions.addAll(assignFreeSlots(now));
+        return decisions;
+    }
+
+    /** Removes a gateway that was lost, with the slots that it held. */
+    public List<SlotDecision> removeHolder(String holder, long now) {
+        removeKnownTo(holder(holder), holder, Long.MAX_VALUE);
+        holders.remove(holder);
+        return assignFreeSlots(now);
+    }
+
+    /** Records that a target sends a gateway no data although its requests run there. */
+    public void recordSilence(String holder, String target, long now) {
+        TargetSlots slots = targets.get(target);
+        if (slots != null) {
+            slots.reliability().recordSilence(holder, now);
+        }
+    }
+
+    /** Refuses the waiting requests whose latest useful start has passed, and fills free slots. */
+    public List<SlotDecision> checkTimes(long now) {
+        List<SlotDecision> decisions = new ArrayList<>();
+        for (SlotRequest expired : waiting.removeExpired(now)) {
+            decisions.add(refusal(expired, Refusal.EXPIRED, Duration.ZERO));
+        }
+        decisions.addAll(assignFreeSlots(now));
+        return decisions;
+    }
+
+    /** Returns whether the pool holds no slots, requests or demand, so that it can be dropped. */
+    public boolean isIdle() {
+        return waiting.size() == 0
+                && targets.values().stream().allMatch(TargetSlots::isEmpty)
+                && holders.values().stream().allMatch(holder -> holder.demand.waiting() == 0);
+    }
+
+    /** Returns the number of waiting online requests. */
+    public int waitingRequests() {
+        return waiting.size();
+    }
+
+    /** Returns whether batch items wait for slots. */
+    public boolean hasBatchDemand() {
+        return holders.values().stream().anyMatch(holder -> holder.ungrantedItems() > 0);
+    }
+
+    /** Returns the number of occupied slots. */
+    public int occupiedSlots() {
+        return targets.values().stream().mapToInt(TargetSlots::total).sum();
+    }
+
+    private TargetSlots target(String id) {
+        return targets.computeIfAbsent(id, TargetSlots::new);
+    }
+
+    private Holder holder(String ip) {
+        return holders.computeIfAbsent(ip, key -> new Holder());
+    }
+
+    private void removeUnusedTargets() {
+        targets.values().removeIf(target -> !target.isOpen() && target.isEmpty());
+    }
+
+    /** Removes what a gateway holds and wants, but for grants that it had not received. */
+    private void removeKnownTo(Holder state, String holder, long grantsReceived) {
+        for (Lease lease : List.copyOf(state.leases.values())) {
+            if (lease.grantNumber() <= grantsReceived) {
+                state.leases.remove(lease.ticket());
+                lease.target().remove(lease);
+            }
+        }
+        state.demand = BatchDemand.NONE;
+        state.batchGrants = Math.max(state.batchGrants, grantsReceived);
+        waiting.removeIf(request -> request.holder().equals(holder));
+        removeUnusedTargets();
+    }
+
+    private void add(Holder holder, Lease lease) {
+        Lease previous = holder.leases.put(lease.ticket(), lease);
+        if (previous != null) {
+            previous.target().remove(previous);
+        }
+        lease.target().add(lease);
+    }
+
+    /** Preempts the batch items for which online requests leave no slots. */
+    private void preemptExcess(List<SlotDecision> decisions) {
+        for (TargetSlots target : targets.values()) {
+            while (target.isOpen()
+                    && target.total() > target.slots()
+                    && preemptFirst(target, decisions)) {
+                continue;
+            }
+        }
+    }
+
+    private boolean preemptFirst(TargetSlots target, List<SlotDecision> decisions) {
+        Optional<Lease> preempted = target.firstToPreempt();
+        preempted.ifPresent(
+                lease -> {
+                    target.remove(lease);
+                    holders.get(lease.holder()).leases.remove(lease.ticket());
+                    decisions.add(new SlotDecision.Preempted(lease.holder(), lease.ticket()));
+                });
+        return preempted.isPresent();
+    }
+
+    private List<SlotDecision> assignFreeSlots(long now) {
+        List<SlotDecision> decisions = new ArrayList<>();
+        if (waiting.size() > 0) {
+            startWaitingRequests(now, decisions);
+        }
+        startBatchItems(now, decisions);
+        return decisions;
+    }
+
+    private void startWaitingRequests(long now, List<SlotDecision> decisions) {
+        for (SlotRequest request : waiting.inStartOrder(now)) {
+            Optional<TargetSlots> target = chooseForOnline(request, now);
+            if (target.isPresent()) {
+                waiting.remove(request);
+                grant(request, target.get(), now, decisions);
+            }
+        }
+    }
+
+    private void grant(
+            SlotRequest request, TargetSlots target, long now, List<SlotDecision> decisions) {
+        if (!target.hasFreeSlot()) {
+            preemptFirst(target, decisions);
+            preemptionNanos.addLast(now);
+        }
+        add(
+                holder(request.holder()),
+                new Lease(
+                        request.holder(),
+                        request.ticket(),
+                        target,
+                        TrafficClass.ONLINE,
+                        0,
+                        0,
+                        now));
+        decisions.add(new SlotDecision.Granted(request.holder(), request.ticket(), target.id()));
+    }
+
+    private void startBatchItems(long now, List<SlotDecision> decisions) {
+        List<TargetSlots> free = targetsForBatch(now);
+        int startable =
+                free.stream().mapToInt(TargetSlots::freeSlots).sum() - recentPreemptions(now);
+        if (startable <= 0) {
+            return;
+        }
+        List<Map.Entry<String, Holder>> demands = new ArrayList<>();
+        for (Map.Entry<String, Holder> entry : holders.entrySet()) {
+            if (entry.getValue().ungrantedItems() > 0) {
+                demands.add(entry);
+            }
+        }
+        demands.sort(Comparator.comparingLong(entry -> entry.getValue().demand.dueMillis()));
+        for (Map.Entry<String, Holder> entry : demands) {
+            Holder holder = entry.getValue();
+            while (startable > 0
+                    && holder.ungrantedItems() > 0
+                    && startBatchItem(entry.getKey(), holder, free, now, decisions)) {
+                startable--;
+            }
+        }
+    }
+
+    private int recentPreemptions(long now) {
+        while (!preemptionNanos.isEmpty()
+                && now - preemptionNanos.peekFirst() > PREEMPTION_MEMORY.toNanos()) {
+            preemptionNanos.removeFirst();
+        }
+        return preemptionNanos.size();
+    }
+
+    private List<TargetSlots> targetsForBatch(long now) {
+        List<TargetSlots> free = new ArrayList<>();
+        Set<TargetSlots> ejected = null;
+        for (TargetSlots target : targets.values()) {
+            if (!target.isOpen() || !target.hasFreeSlot() || target.isUnavailable(now)) {
+                continue;
+            }
+            ejected = ejected == null ? ejectedTargets(now) : ejected;
+            boolean wantedByOnline =
+                    waiting.anyMatch(request -> !request.avoided().contains(target.id()));
+            if (!ejected.contains(target) && !wantedByOnline) {
+                free.add(target);
+            }
+        }
+        return free;
+    }
+
+    private boolean startBatchItem(
+            String ip,
+            Holder holder,
+            List<TargetSlots> free,
+            long now,
+            List<SlotDecision> decisions) {
+        Optional<TargetSlots> chosen =
+                free.stream()
+                        .filter(TargetSlots::hasFreeSlot)
+                        .filter(target -> !holder.demand.avoided().contains(target.id()))
+                        .min(Comparator.comparingDouble(target -> target.batchCost(now)));
+        if (chosen.isEmpty()) {
+            return false;
+        }
+        long ticket = nextBatchTicket++;
+        long dueMillis = holder.demand.dueMillis();
+        holder.batchGrants++;
+        add(
+                holder,
+                new Lease(
+                        ip,
+                        ticket,
+                        chosen.get(),
+                        TrafficClass.BATCH,
+                        dueMillis,
+                        holder.batchGrants,
+                        now));
+        decisions.add(new SlotDecision.BatchGranted(ip, ticket, chosen.get().id(), dueMillis));
+        return true;
+    }
+
+    private Optional<TargetSlots> chooseForOnline(SlotRequest request, long now) {
+        Set<TargetSlots> ejected = Set.of();
+        if (!request.lastResort()) {
+            ejected = ejectedTargets(now);
+        }
+        TargetSlots best = null;
+        for (TargetSlots target : targets.values()) {
+            boolean acceptable =
+                    target.isOpen()
+                            && target.hasSlotForOnline()
+                            && (request.lastResort()
+                                    || !ejected.contains(target)
+                                            && !request.avoided().contains(target.id())
+                                            && !target.isUnavailable(now));
+            if (acceptable && (best == null || isBetterForOnline(target, best))) {
+                best = target;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Prefers free slots, then slots whose batch item loses least, then the lower load. */
+    private static boolean isBetterForOnline(TargetSlots target, TargetSlots other) {
+        if (target.hasFreeSlot() != other.hasFreeSlot()) {
+            return target.hasFreeSlot();
+        }
+        if (!target.hasFreeSlot()) {
+            long due = target.firstToPreempt().map(Lease::dueMillis).orElse(0L);
+            long otherDue = other.firstToPreempt().map(Lease::dueMillis).orElse(0L);
+            if (due != otherDue) {
+                return due > otherDue;
+            }
+        }
+        if (target.total() != other.total()) {
+            return target.total() < other.total();
+        }
+        return target.lastGrantNanos() - other.lastGrantNanos() < 0;
+    }
+
+    /**
+     * Returns the targets that receive no requests because too many fail there, at most half of the
+     * open ones.
+     */
+    private Set<TargetSlots> ejectedTargets(long now) {
+        List<TargetSlots> unreliable = new ArrayList<>();
+        int openTargets = 0;
+        for (TargetSlots target : targets.values()) {
+            openTargets += target.isOpen() ? 1 : 0;
+            if (target.isOpen() && target.reliability().isUnreliable(now)) {
+                unreliable.add(target);
+            }
+        }
+        if (unreliable.isEmpty()) {
+            return Set.of();
+        }
+        unreliable.sort(
+                Comparator.comparingDouble(
+                                (TargetSlots target) -> target.reliability().failureShare(now))
+                        .reversed());
+        return new HashSet<>(unreliable.subList(0, Math.min(unreliable.size(), openTargets / 2)));
+    }
+
+    private Refusal refusalReason(SlotRequest request, long now) {
+        boolean anyAcceptable =
+                targets.values().stream()
+                        .anyMatch(
+                                target ->
+                                        target.isOpen()
+                                                && !request.avoided().contains(target.id())
+                                                && !target.isUnavailable(now));
+        return anyAcceptable ? Refusal.FULL : Refusal.NO_TARGET;
+    }
+
+    private Duration expectedWait(int priority, long now) {
+        int slots =
+                targets.values().stream()
+                        .filter(TargetSlots::isOpen)
+                        .mapToInt(TargetSlots::slots)
+                        .sum();
+        return RequestQueue.estimateWait(
+                waiting.ahead(priority, now), slots, Duration.ofNanos((long) holdNanos));
+    }
+
+    private static SlotDecision refusal(
+            SlotRequest request, Refusal reason, Duration expectedWait) {
+        return new SlotDecision.Refused(request.holder(), request.ticket(), reason, expectedWait);
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
@@ -0,0 +1,159 @@
+package org.fuchsiaspindle.core.slot;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.Optional;
+import java.util.Set;
+
+/** The slots of one target with what occupies them; not thread-safe. */
+final class TargetSlots {
+
+    /**
+     * One occupied slot.
+     *
+     * @param holder the gateway that holds it
+     * @param ticket the ticket under which it was granted
+     * @param target the target
+     * @param trafficClass what runs there
+     * @param dueMillis the ordered due time of a batch item
+     * @param grantNumber the number of the grant among the batch slots that the coordinator granted
+     *     to the holder, 0 if the holder reported the slot or it is that of an online request
+     * @param grantedNanos when it was granted, in monotonic nanoseconds
+     */
+    record Lease(
+            String holder,
+            long ticket,
+            TargetSlots target,
+            TrafficClass trafficClass,
+            long dueMillis,
+            long grantNumber,
+            long grantedNanos) {
+
+        @Override
+        public boolean equals(Object other) {
+            return this == other;
+        }
+
+        @Override
+        public int hashCode() {
+            return System.identityHashCode(this);
+        }
+    }
+
+    private final String id;
+    private final TargetReliability reliability = new TargetReliability();
+    private final Set<Lease> leases = new LinkedHashSet<>();
+    private int slots = 1;
+    private boolean open;
+    private int online;
+    private long lastGrantNanos;
+
+    TargetSlots(String id) {
+        this.id = checkNotNull(id, "id");
+    }
+
+    String id() {
+        return id;
+    }
+
+    TargetReliability reliability() {
+        return reliability;
+    }
+
+    int slots() {
+        return slots;
+    }
+
+    int online() {
+        return online;
+    }
+
+    int total() {
+        return leases.size();
+    }
+
+    boolean isEmpty() {
+        return leases.isEmpty();
+    }
+
+    int freeSlots() {
+        return Math.max(0, slots - leases.size());
+    }
+
+    boolean hasFreeSlot() {
+        return freeSlots() > 0;
+    }
+
+    boolean hasSlotForOnline() {
+        return online < slots;
+    }
+
+    long lastGrantNanos() {
+        return lastGrantNanos;
+    }
+
+    /** Returns whether the target is registered and accepts new requests. */
+    boolean isOpen() {
+        return open;
+    }
+
+    void open(int newSlots) {
+        open = true;
+        slots = newSlots;
+    }
+
+    void close() {
+        open = false;
+    }
+
+    void add(Lease lease) {
+        leases.add(lease);
+        online += lease.trafficClass() == TrafficClass.ONLINE ? 1 : 0;
+        lastGrantNanos = lease.grantedNanos();
+    }
+
+    void remove(Lease lease) {
+        if (leases.remove(lease)) {
+            online -= lease.trafficClass() == TrafficClass.ONLINE ? 1 : 0;
+        }
+    }
+
+    /** Returns the cost of a further batch item: the load, higher if requests fail here. */
+    double batchCost(long now) {
+        return leases.size() + slots * reliability.failureShare(now);
+    }
+
+    /** Returns the number of gateways that hold slots of the target. */
+    int holders() {
+        Set<String> holders = new HashSet<>();
+        leases.forEach(lease -> holders.add(lease.holder()));
+        return holders.size();
+    }
+
+    /**
+     * Returns the batch item to preempt first, empty if there is none: the one with the latest due
+     * time and, of several, the one that started last and so loses least.
+     */
+    Optional<Lease> firstToPreempt() {
+        Lease first = null;
+        for (Lease lease : leases) {
+            if (lease.trafficClass() == TrafficClass.BATCH
+                    && (first == null || isPreemptedBefore(lease, first))) {
+                first = lease;
+            }
+        }
+        return Optional.ofNullable(first);
+    }
+
+    private static boolean isPreemptedBefore(Lease lease, Lease other) {
+        return lease.dueMillis() == other.dueMillis()
+                ? lease.grantedNanos() - other.grantedNanos() > 0
+                : lease.dueMillis() > other.dueMillis();
+    }
+
+    boolean isUnavailable(long now) {
+        return reliability.isUnavailable(holders(), now);
+    }
+}
--- /dev/null
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -0,0 +1,377 @@
+package org.fuchsiaspindle.core.slot;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.collect.ImmutableSet;
+import com.google.common.net.HostAndPort;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.slot.SlotDecision.BatchGranted;
+import org.fuchsiaspindle.core.slot.SlotDecision.Granted;
+import org.fuchsiaspindle.core.slot.SlotDecision.Preempted;
+import org.fuchsiaspindle.core.slot.SlotDecision.Queued;
+import org.fuchsiaspindle.core.slot.SlotDecision.Refused;
+import org.junit.jupiter.api.Test;
+
+/** Guards against slots that are assigned twice, stay free, or go to the wrong request. */
+final class SlotPoolTest {
+
+    private static final int SLOTS = 4;
+    private static final long FIRST_BATCH_TICKET = 1_000_000;
+
+    private final SlotPool pool = SlotPool.create(FIRST_BATCH_TICKET);
+    private long now = Duration.ofSeconds(100).toNanos();
+    private long nextTicket = 1;
+
+    @Test
+    void online_goesToTheLeastLoadedTarget() {
+        targets("a", "b");
+        Map<String, Integer> granted = new HashMap<>();
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            granted.merge(granted(request("g1", false)).target(), 1, Integer::sum);
+        }
+        assertThat(granted).containsEntry("a", SLOTS).containsEntry("b", SLOTS);
+    }
+
+    /** Batch items are preempted, so they must not make a target unavailable to online requests. */
+    @Test
+    void online_takesTheSlotOfTheBatchItemThatIsDueLast() {
+        targets("a");
+        demand("early", 2, 1000);
+        demand("late", 2, 2000);
+        List<SlotDecision> decisions = request("g1", false);
+        assertThat(decisions)
+                .hasSize(2)
+                .anySatisfy(
+                        decision ->
+                                assertThat(decision)
+                                        .isInstanceOfSatisfying(
+                                                Preempted.class,
+                                                preempted ->
+                                                        assertThat(preempted.holder())
+                                                                .isEqualTo("late")))
+                .anySatisfy(decision -> assertThat(decision).isInstanceOf(Granted.class));
+        assertThat(pool.occupiedSlots()).isEqualTo(SLOTS);
+    }
+
+    /** Guards against preempting one item for two online requests, or two for one. */
+    @Test
+    void eachOnlineRequest_preemptsExactlyOneItem() {
+        targets("a", "b");
+        demand("g1", 3 * SLOTS, 1000);
+        int preempted = 0;
+        for (int i = 0; i < 2 * SLOTS; i++) {
+            for (SlotDecision decision : request("g2", false)) {
+                preempted += decision instanceof Preempted ? 1 : 0;
+            }
+            assertThat(preempted).isEqualTo(i + 1);
+            assertThat(pool.occupiedSlots()).isEqualTo(2 * SLOTS);
+        }
+        assertThat(request("g2", false)).singleElement().isInstanceOf(Refused.class);
+    }
+
+    @Test
+    void freeSlot_goesToTheWaitingRequestAndNotToABatchItem() {
+        targets("a");
+        List<Long> tickets = fill("g1");
+        demand("g2", 5, 1000);
+        assertThat(request("g3", true)).singleElement().isInstanceOf(Queued.class);
+        List<SlotDecision> decisions = release("g1", tickets.getFirst(), LeaseOutcome.DONE);
+        assertThat(decisions).singleElement().isInstanceOf(Granted.class);
+        assertThat(decisions.getFirst().holder()).isEqualTo("g3");
+        assertThat(release("g1", tickets.get(1), LeaseOutcome.DONE))
+                .singleElement()
+                .isInstanceOf(BatchGranted.class);
+    }
+
+    /**
+     * Guards against jobs of one gateway that wait while jobs of others with later due times run.
+     */
+    @Test
+    void freeSlots_goToTheItemsDueFirst() {
+        targets("a");
+        List<Long> tickets = fill("g1");
+        demand("late", 4, 2000);
+        demand("early", 1, 1000);
+        assertThat(release("g1", tickets.get(0), LeaseOutcome.DONE).getFirst().holder())
+                .isEqualTo("early");
+        assertThat(release("g1", tickets.get(1), LeaseOutcome.DONE).getFirst().holder())
+                .isEqualTo("late");
+    }
+
+    /**
+     * Guards against batch items that start in a slot which the next online request takes: while
+     * requests preempt items, free slots are kept for them, but no longer than 100 ms.
+     */
+    @Test
+    void freeSlotsAfterPreemptions_areKeptForOnlineRequestsFor100Millis() {
+        targets("a");
+        demand("g1", 10, 1000);
+        Granted first = granted(request("g2", false));
+        Granted second = granted(request("g2", false));
+        assertThat(release("g2", first.ticket(), LeaseOutcome.DONE)).isEmpty();
+        assertThat(release("g2", second.ticket(), LeaseOutcome.DONE)).isEmpty();
+        assertThat(request("g2", false)).singleElement().isInstanceOf(Granted.class);
+        now += Duration.ofMillis(101).toNanos();
+        assertThat(pool.checkTimes(now)).singleElement().isInstanceOf(BatchGranted.class);
+    }
+
+    /** Guards against more grants than items while a demand and grants cross on the network. */
+    @Test
+    void grantsOnTheirWay_countAgainstTheDemand() {
+        targets("a", "b");
+        assertThat(demand("g1", 3, 1000)).hasSize(3);
+        assertThat(pool.demand("g1", new BatchDemand(3, 1000, 0, ImmutableSet.of()), now))
+                .isEmpty();
+        assertThat(pool.demand("g1", new BatchDemand(2, 1000, 3, ImmutableSet.of()), now))
+                .hasSize(2);
+    }
+
+    /** Guards against the slots of a lost gateway that stay occupied. */
+    @Test
+    void slotsOfALostGateway_areFree() {
+        targets("a");
+        fill("g1");
+        request("g2", true);
+        assertThat(pool.removeHolder("g1", now)).singleElement().isInstanceOf(Granted.class);
+        assertThat(pool.occupiedSlots()).isEqualTo(1);
+    }
+
+    /** Guards against a new coordinator that fills slots twice for which it was not asked. */
+    @Test
+    void reportedHoldings_replaceWhatWasKnownAndPreemptTheExcess() {
+        targets("a");
+        for (int i = 0; i < SLOTS; i++) {
+            request("g1", false);
+        }
+        List<HeldSlot> held = new ArrayList<>();
+        for (long ticket = 50; ticket < 53; ticket++) {
+            held.add(new HeldSlot(ticket, "a", TrafficClass.BATCH, 1000));
+        }
+        assertThat(pool.replaceHoldings("g2", held, 0, now))
+                .hasSize(3)
+                .allSatisfy(decision -> assertThat(decision).isInstanceOf(Preempted.class));
+        pool.replaceHoldings("g1", List.of(), 0, now);
+        assertThat(pool.occupiedSlots()).isZero();
+    }
+
+    /**
+     * Guards against a report that crosses a grant on the network, so that the coordinator forgets
+     * the slot and fills it again.
+     */
+    @Test
+    void reportThatCrossesAGrant_doesNotRemoveTheSlot() {
+        targets("a");
+        demand("g1", 1, 1000);
+        pool.replaceHoldings("g1", List.of(), 0, now);
+        assertThat(pool.occupiedSlots()).isEqualTo(1);
+        pool.replaceHoldings("g1", List.of(), 1, now);
+        assertThat(pool.occupiedSlots()).isZero();
+    }
+
+    @Test
+    void waitingRequest_whoseLatestStartPasses_isRefused() {
+        targets("a");
+        fill("g1");
+        request("g2", true);
+        now += Duration.ofSeconds(4).toNanos();
+        assertThat(pool.checkTimes(now))
+                .singleElement()
+                .isInstanceOfSatisfying(
+                        Refused.class,
+                        refused ->
+                                assertThat(refused.reason())
+                                        .isEqualTo(SlotDecision.Refusal.EXPIRED));
+    }
+
+    /** Guards against requests that wait although it is known that they cannot start in time. */
+    @Test
+    void requestThatCannotStartInTime_isRefusedAtOnce() {
+        targets("a");
+        fill("g1");
+        List<SlotDecision> last = List.of();
+        for (int i = 0; i < 100 && !(last.stream().anyMatch(Refused.class::isInstance)); i++) {
+            last = request("g2", true);
+        }
+        assertThat(last)
+                .singleElement()
+                .isInstanceOfSatisfying(
+                        Refused.class,
+                        refused -> {
+                            assertThat(refused.reason()).isEqualTo(SlotDecision.Refusal.OVERLOADED);
+                            assertThat(refused.expectedWait()).isGreaterThan(Duration.ofSeconds(2));
+                        });
+    }
+
+    /** Guards against requests that wait for a target that no request may use. */
+    @Test
+    void requestWithoutAnAcceptableTarget_isRefusedUnlessItIsTheLastResort() {
+        targets("a");
+        SlotRequest avoiding = newRequest("g1", true, Set.of("a"), false);
+        assertThat(pool.request(avoiding, now))
+                .singleElement()
+                .isInstanceOfSatisfying(
+                        Refused.class,
+                        refused ->
+                                assertThat(refused.reason())
+                                        .isEqualTo(SlotDecision.Refusal.NO_TARGET));
+        assertThat(pool.request(newRequest("g1", false, Set.of("a"), true), now))
+                .singleElement()
+                .isInstanceOf(Granted.class);
+    }
+
+    /** Guards against requests lost at a target that fails a part of them for all gateways. */
+    @Test
+    void targetThatFailsForSeveralGateways_isAvoidedAndTriedAgainLater() {
+        targets("good", "bad");
+        fail("bad", "g1", "g2");
+        for (int i = 0; i < SLOTS; i++) {
+            assertThat(granted(request("g1", false)).target()).isEqualTo("good");
+        }
+        now += Duration.ofSeconds(10).toNanos();
+        assertThat(granted(request("g1", false)).target()).isEqualTo("bad");
+    }
+
+    /** Guards against a cut link of one gateway that takes a target from all others. */
+    @Test
+    void targetThatFailsForOneGateway_staysInUse() {
+        targets("good", "cut");
+        fail("cut", "g1", "g1", "g1", "g1");
+        Set<String> used = new java.util.HashSet<>();
+        for (int i = 0; i < SLOTS; i++) {
+            used.add(granted(request("g2", false)).target());
+        }
+        assertThat(used).contains("cut");
+    }
+
+    @Test
+    void targetReportedSilentByTwoGateways_receivesNothing() {
+        targets("good", "silent");
+        pool.recordSilence("g1", "silent", now);
+        pool.recordSilence("g2", "silent", now);
+        for (int i = 0; i < SLOTS; i++) {
+            assertThat(granted(request("g3", false)).target()).isEqualTo("good");
+        }
+        assertThat(demand("g3", 2, 1000)).isEmpty();
+    }
+
+    @Test
+    void leavingTarget_receivesNothing() {
+        pool.setTargets(List.of(target("a", true)), now);
+        assertThat(request("g1", false)).singleElement().isInstanceOf(Refused.class);
+        assertThat(demand("g1", 2, 1000)).isEmpty();
+    }
+
+    /**
+     * Replays a burst: requests of many gateways arrive faster than slots become free while batch
+     * items wait. No slot is used twice, none is idle, and no request is started after a later one.
+     */
+    @Test
+    void burstOverManyGateways_usesEverySlotOnceAndStartsInOrder() {
+        targets("a", "b", "c", "d", "e");
+        int slots = 5 * SLOTS;
+        demand("batch", 200, 1000);
+        List<Granted> running = new ArrayList<>();
+        List<Long> started = new ArrayList<>();
+        for (int i = 0; i < 40; i++) {
+            collect(request("g" + i % 7, true), running, started);
+            assertThat(pool.occupiedSlots()).isEqualTo(slots);
+        }
+        assertThat(running).hasSize(slots);
+        assertThat(pool.waitingRequests()).isEqualTo(40 - slots);
+        while (!running.isEmpty()) {
+            Granted first = running.removeFirst();
+            now += Duration.ofMillis(40).toNanos();
+            collect(release(first.holder(), first.ticket(), LeaseOutcome.DONE), running, started);
+            assertThat(pool.occupiedSlots()).isEqualTo(slots);
+        }
+        assertThat(started).hasSize(40).isSorted();
+    }
+
+    private static void collect(
+            List<SlotDecision> decisions, List<Granted> running, List<Long> started) {
+        for (SlotDecision decision : decisions) {
+            if (decision instanceof Granted granted) {
+                running.add(granted);
+                started.add(granted.ticket());
+            }
+        }
+    }
+
+    private void fail(String target, String... holders) {
+        for (String holder : holders) {
+            List<Granted> grants = new ArrayList<>();
+            Granted granted;
+            do {
+                granted = granted(request(holder, false));
+                grants.add(granted);
+            } while (!granted.target().equals(target));
+            for (Granted grant : grants) {
+                boolean failed = grant.target().equals(target);
+                release(
+                        holder,
+                        grant.ticket(),
+                        failed ? LeaseOutcome.FAILED : LeaseOutcome.CANCELLED);
+            }
+        }
+    }
+
+    private List<Long> fill(String holder) {
+        return IntStream.range(0, SLOTS)
+                .mapToObj(i -> granted(request(holder, false)).ticket())
+                .toList();
+    }
+
+    private void targets(String... ids) {
+        List<TargetInstance> targets = new ArrayList<>();
+        for (String id : ids) {
+            targets.add(target(id, false));
+        }
+        pool.setTargets(targets, now);
+    }
+
+    private static TargetInstance target(String id, boolean leaving) {
+        return new TargetInstance(
+                id, "model", HostAndPort.fromParts("10.0.0.1", 80), "zone-a", SLOTS, leaving, 0);
+    }
+
+    private List<SlotDecision> demand(String holder, int waiting, long due) {
+        return pool.demand(holder, new BatchDemand(waiting, due, 0, ImmutableSet.of()), now);
+    }
+
+    private List<SlotDecision> release(String holder, long ticket, LeaseOutcome outcome) {
+        return pool.release(holder, ticket, outcome, now);
+    }
+
+    private List<SlotDecision> request(String holder, boolean mayWait) {
+        return pool.request(newRequest(holder, mayWait, Set.of(), false), now);
+    }
+
+    private SlotRequest newRequest(
+            String holder, boolean mayWait, Set<String> avoided, boolean lastResort) {
+        now++;
+        return new SlotRequest(
+                holder,
+                nextTicket++,
+                mayWait,
+                0,
+                now + Duration.ofMillis(300).toNanos(),
+                now + Duration.ofSeconds(3).toNanos(),
+                ImmutableSet.copyOf(avoided),
+                lastResort);
+    }
+
+    private static Granted granted(List<SlotDecision> decisions) {
+        return decisions.stream()
+                .filter(Granted.class::isInstance)
+                .map(Granted.class::cast)
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("not granted: " + decisions));
+    }
+}
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -9,6 +9,7 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
@@ -16,6 +17,7 @@
 import org.fuchsiaspindle.core.error.FuchsiaspindleException;
 import org.fuchsiaspindle.core.error.ResultCode;
 import org.fuchsiaspindle.core.job.JobOwner;
+import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.time.Clock;
 import org.fuchsiaspindle.gateway.batch.JobCallHandler;
 import org.fuchsiaspindle.gateway.batch.JobOwnership;
@@ -26,9 +28,11 @@
 import org.fuchsiaspindle.gateway.batch.JobTable;
 import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
+import org.fuchsiaspindle.gateway.slot.SlotClient;
 import org.fuchsiaspindle.gateway.target.TargetFleet;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
+import org.fuchsiaspindle.gateway.view.TargetDirectory;
 import org.fuchsiaspindle.gateway.watch.ConfigWatch;
 import org.fuchsiaspindle.gateway.watch.StoreHealth;
 import org.fuchsiaspindle.gateway.watch.TargetWatch;
@@ -66,11 +70,13 @@
     private final StoreClock storeClock = StoreClock.create(Clock.system());
     private final StoreClient storeClient;
     private final TargetFleet fleet;
+    private final SlotClient slots;
     private final PeerMesh mesh;
     private final OnlineDispatcher onlineDispatcher;
     private final JobTable jobTable;
     private final JobStore jobStore;
     private final JobOwner self;
+    private Map<String, TargetInstance> appliedTargets = Map.of();
     private JobRunner runner;
     private JobOwnership ownership;
     private ClientServer clientServer;
@@ -79,16 +85,18 @@
     private Gateway(ProcessSettings settings, String incarnation) {
         this.settings = settings;
         this.storeClient = HttpStoreClient.create(storeLoop, settings.storeAddress(), storeClock);
-        this.fleet = TargetFleet.create(requestLoop, settings.ip(), settings.dataCentre());
-        this.mesh =
-                PeerMesh.create(
-                        requestLoop,
-                        new PeerMesh.Self(
-                                settings.node(), settings.ip(), settings.firstPort(), incarnation),
-                        viewHolder,
-                        storeHealth,
-                        fleet);
-        this.onlineDispatcher = OnlineDispatcher.create(requestLoop, fleet, metrics);
+        PeerMesh.Self peerSelf =
+                new PeerMesh.Self(
+                        settings.node(),
+                        settings.ip(),
+                        settings.firstPort(),
+                        incarnation,
+                        settings.dataCentre(),
+                        settings.cpuCapacity());
+        this.fleet = TargetFleet.create(requestLoop);
+        this.slots = SlotClient.create(requestLoop, peerSelf, metrics);
+        this.mesh = PeerMesh.create(requestLoop, peerSelf, viewHolder, storeHealth, slots, metrics);
+        this.onlineDispatcher = OnlineDispatcher.create(requestLoop, fleet, slots, metrics);
         this.jobTable = JobTable.create(requestLoop);
         this.jobStore = JobStore.on(storeClient);
         this.self = new JobOwner(settings.ip(), incarnation);
@@ -117,17 +125,18 @@
     private void start() {
         HostAndPort clientAddress = required(settings.clientAddress(), "listen.front");
         HostAndPort statusAddress = required(settings.readinessAddress(), "listen.readiness");
-        viewHolder.addListener(view -> requestLoop.execute(() -> fleet.apply(view.directory())));
+        slots.start(mesh, fleet);
+        fleet.start(slots::reportSilence);
+        viewHolder.addListener(view -> requestLoop.execute(() -> apply(view.directory())));
         ConfigWatch.start(storeLoop, storeClient, storeHealth, viewHolder);
         TargetWatch.start(storeLoop, storeClient, storeHealth, viewHolder);
-        fleet.addCapacityListener(onlineDispatcher);
         runner =
                 JobRunner.start(
                         new JobRunner.Dependencies(
                                 requestLoop,
                                 viewHolder,
                                 fleet,
-                                onlineDispatcher,
+                                slots.batchDemands(),
                                 jobStore,
                                 jobTable,
                                 storeClock,
@@ -143,7 +152,6 @@
                         self,
                         owner -> mesh.isServing(owner.ip(), owner.incarnation()));
         jobTable.start(storeLoop, storeClient, storeHealth);
-        fleet.start(mesh);
         mesh.start(settings.peerIps());
         clientServer = ClientServer.create(requestLoop, () -> viewHolder.view().limits(), router());
         clientServer.listen(clientAddress);
@@ -157,6 +165,14 @@
                 settings.storeAddress());
     }
 
+    private void apply(TargetDirectory directory) {
+        if (!directory.targets().equals(appliedTargets)) {
+            appliedTargets = directory.targets();
+            fleet.apply(directory);
+            slots.apply(directory);
+        }
+    }
+
     private void serveMetrics(int port) {
         HostAndPort address = HostAndPort.fromParts(settings.ip(), port);
         StatusServer.start(requestLoop, address, this::isReady, metrics::text);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -4,6 +4,8 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.OptionalLong;
+import java.util.concurrent.ThreadLocalRandom;
+import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.gateway.target.TargetCall;
 import org.fuchsiaspindle.platform.job.BatchItem;
 import org.fuchsiaspindle.platform.target.EventSplitter;
@@ -26,6 +28,7 @@
     private final int index;
     private final BatchItem item;
     private final StringBuilder text = new StringBuilder();
+    private final double serviceFraction = ThreadLocalRandom.current().nextDouble();
     private State state = State.PENDING;
     private OptionalLong lastEvent = OptionalLong.empty();
     private TargetCall call;
@@ -86,6 +89,14 @@
         return completed ? text.toString().getBytes(StandardCharsets.UTF_8) : new byte[0];
     }
 
+    /**
+     * Returns the service on which the item runs; of several services of the route, it is the same
+     * in each run while their weights are.
+     */
+    String service(Route route) {
+        return route.chooseService(serviceFraction);
+    }
+
     /** Returns the identifier of the target of the current or last run, a dash before the first. */
     String targetId() {
         return targetId;
@@ -148,6 +159,18 @@
         return Optional.of(new ItemProgress(lastEvent.getAsLong(), text.toString()));
     }
 
+    /** Returns the size of the text so far, in characters. */
+    int textLength() {
+        return text.length();
+    }
+
+    /** Discards the progress, so that the next run starts from the first event. */
+    void discardProgress() {
+        text.setLength(0);
+        lastEvent = OptionalLong.empty();
+        lastPolledEvent = OptionalLong.empty();
+    }
+
     /** Returns the item to the pending state; it does not start before a monotonic time. */
     void interrupt(long newEarliestStartNanos) {
         state = State.PENDING;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemSchedule.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemSchedule.java
@@ -3,8 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -12,7 +10,7 @@
 import java.util.Optional;
 import org.fuchsiaspindle.core.job.ItemDurationEstimator;
 import org.fuchsiaspindle.core.job.JobRecord;
-import org.fuchsiaspindle.core.serving.BatchUrgency;
+import org.fuchsiaspindle.core.serving.BatchDue;
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.RouteKind;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
@@ -45,10 +43,21 @@
                 .filter(route -> route.kind() == RouteKind.BATCH);
     }
 
-    /**
-     * Returns items in the order in which they run: by due time, then by progress, largest first.
-     */
-    List<ItemRun> byUrgency(List<ItemRun> runs) {
+    /** Returns the item that runs next: the one due first and, of several, the most advanced. */
+    Optional<ItemRun> mostUrgent(List<ItemRun> runs) {
+        Map<ItemRun, Long> dueMillisByRun = orderedDueMillis(runs);
+        return runs.stream()
+                .min(
+                        Comparator.comparingLong((ItemRun run) -> dueMillisByRun.get(run))
+                                .thenComparingLong(run -> -run.lastEventNumber()));
+    }
+
+    /** Returns the earliest ordered due time of some items, 0 if there are none. */
+    long earliestDueMillis(List<ItemRun> runs) {
+        return orderedDueMillis(runs).values().stream().mapToLong(due -> due).min().orElse(0);
+    }
+
+    private Map<ItemRun, Long> orderedDueMillis(List<ItemRun> runs) {
         Map<OwnedJob, Long> dueMillisByJob = new HashMap<>();
         Map<ItemRun, Long> dueMillisByRun = new HashMap<>();
         for (ItemRun run : runs) {
@@ -56,11 +65,7 @@
                     dueMillisByJob.computeIfAbsent(run.job(), job -> dueMillis(job.job()));
             dueMillisByRun.put(run, orderedDueMillis(run, jobDueMillis));
         }
-        List<ItemRun> sorted = new ArrayList<>(runs);
-        sorted.sort(
-                Comparator.comparingLong((ItemRun run) -> dueMillisByRun.get(run))
-                        .thenComparingLong(run -> -run.lastEventNumber()));
-        return sorted;
+        return dueMillisByRun;
     }
 
     /** Returns when the results of a job are due, in milliseconds of the store's clock. */
@@ -77,25 +82,6 @@
         long now = storeClock.nowMillis().orElse(run.job().job().acceptedAtMillis());
         long expectedFinishMillis =
                 now + durationEstimator.remainingTime(run.lastEventNumber()).toMillis();
-        return BatchUrgency.orderedDue(jobDueMillis, expectedFinishMillis);
-    }
-
-    /** Returns the urgency of the items of some jobs, which other gateways compare with theirs. */
-    BatchUrgency urgency(Collection<OwnedJob> jobs) {
-        long earliestWaiting = BatchUrgency.NONE;
-        long latestRunning = BatchUrgency.NONE;
-        for (OwnedJob job : jobs) {
-            long jobDueMillis = dueMillis(job.job());
-            for (ItemRun run : job.runs()) {
-                long dueMillis = orderedDueMillis(run, jobDueMillis);
-                if (run.isPending()
-                        && (earliestWaiting == BatchUrgency.NONE || dueMillis < earliestWaiting)) {
-                    earliestWaiting = dueMillis;
-                } else if (run.isRunning()) {
-                    latestRunning = Math.max(latestRunning, dueMillis);
-                }
-            }
-        }
-        return new BatchUrgency(earliestWaiting, latestRunning);
+        return BatchDue.ordered(jobDueMillis, expectedFinishMillis);
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.collect.Sets;
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
@@ -14,7 +15,6 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.job.ItemOutcome;
 import org.fuchsiaspindle.core.job.JobOwner;
@@ -22,11 +22,11 @@
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
-import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
+import org.fuchsiaspindle.gateway.slot.BatchDemands;
+import org.fuchsiaspindle.gateway.slot.SlotLease;
 import org.fuchsiaspindle.gateway.target.CallFailure;
 import org.fuchsiaspindle.gateway.target.CallListener;
 import org.fuchsiaspindle.gateway.target.TargetFleet;
-import org.fuchsiaspindle.gateway.target.TrafficClass;
 import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
@@ -44,16 +44,13 @@
  *
  * <p>Confined to the event loop of the request path.
  */
-public final class JobRunner implements TargetFleet.CapacityListener {
+public final class JobRunner {
 
     private static final Logger LOG = LoggerFactory.getLogger(JobRunner.class);
 
     private static final Duration MAINTENANCE_INTERVAL = Duration.ofMillis(250);
 
-    /**
-     * Delay before a preempted or refused item starts again, so that it does not return to a target
-     * that is still full.
-     */
+    /** Delay before an item that a target refused starts again. */
     private static final Duration REQUEUE_DELAY = Duration.ofMillis(40);
 
     /** Bounds the work lost if a gateway fails, at the cost of one write per job and interval. */
@@ -64,13 +61,19 @@
     /** How long a route may be missing from the configuration before its items are abandoned. */
     private static final Duration MISSING_ROUTE_GRACE = Duration.ofSeconds(3);
 
+    /** Maximum length of the text of an item; a longer one does not fit into a transaction. */
+    private static final int MAX_TEXT_LENGTH = JobStore.MAX_COMMIT_BYTES;
+
+    /** Maximum size of the body of a failure, which is not used. */
+    private static final long MAX_IGNORED_BYTES = 256 * 1024;
+
     /** Time limit for one run of an item on a target. */
     private static final Duration RUN_TIMEOUT = Duration.ofSeconds(60);
 
     private final EventLoop loop;
     private final FleetViewHolder viewHolder;
     private final TargetFleet fleet;
-    private final OnlineDispatcher onlineDispatcher;
+    private final BatchDemands batchDemands;
     private final JobStore jobStore;
     private final JobTable jobTable;
     private final StoreClock storeClock;
@@ -81,7 +84,7 @@
     private final ItemSchedule schedule;
     private final Set<String> loading = new HashSet<>();
     private final Map<String, Long> routeMissingSinceNanos = new HashMap<>();
-    private boolean preemptionScheduled;
+    private boolean demandUpdateScheduled;
     private long lastCheckpointNanos = System.nanoTime();
     private boolean stopping;
 
@@ -89,7 +92,7 @@
         this.loop = dependencies.loop();
         this.viewHolder = dependencies.viewHolder();
         this.fleet = dependencies.fleet();
-        this.onlineDispatcher = dependencies.onlineDispatcher();
+        this.batchDemands = dependencies.batchDemands();
         this.jobStore = dependencies.jobStore();
         this.jobTable = dependencies.jobTable();
         this.storeClock = dependencies.storeClock();
@@ -105,7 +108,7 @@
      * @param loop its event loop
      * @param viewHolder the configuration in force
      * @param fleet the targets
-     * @param onlineDispatcher dispatches the online requests; batch items start only if none waits
+     * @param batchDemands requests slots for the items
      * @param jobStore the stored jobs
      * @param jobTable the known jobs
      * @param storeClock the clock that measures the age of jobs
@@ -116,7 +119,7 @@
             EventLoop loop,
             FleetViewHolder viewHolder,
             TargetFleet fleet,
-            OnlineDispatcher onlineDispatcher,
+            BatchDemands batchDemands,
             JobStore jobStore,
             JobTable jobTable,
             StoreClock storeClock,
@@ -127,11 +130,7 @@
     public static JobRunner start(Dependencies dependencies) {
         JobRunner runner = new JobRunner(checkNotNull(dependencies, "dependencies"));
         dependencies.jobTable().addListener(runner::jobChanged);
-        dependencies.fleet().addCapacityListener(runner);
-        dependencies.fleet().onOverload(runner::schedulePreemption);
-        dependencies
-                .fleet()
-                .setBatchUrgency(() -> runner.schedule.urgency(runner.ownedJobs.values()));
+        dependencies.batchDemands().setListener(runner::onSlot);
         dependencies
                 .loop()
                 .scheduleAtFixedRate(
@@ -161,7 +160,7 @@
             return;
         }
         ownedJobs.put(job.job().id(), new OwnedJob(job, ImmutableList.copyOf(items), progress));
-        onCapacity();
+        scheduleDemandUpdate();
     }
 
     /** Reads the submission and progress of a job that this gateway owns, and starts to run it. */
@@ -235,6 +234,7 @@
     private void dropJob(OwnedJob job, String reason) {
         if (ownedJobs.remove(job.id(), job)) {
             job.stopAll();
+            scheduleDemandUpdate();
             DecisionLog.batch(job.id(), "-", "dropped", reason);
         }
     }
@@ -247,6 +247,9 @@
                 if (run.isRunning() && run.call().isTargetSilent()) {
                     run.call().cancel();
                     retryLater(run, now, "silent target");
+                } else if (run.isRunning() && run.timeOfThisRun(now).compareTo(RUN_TIMEOUT) > 0) {
+                    run.call().fail();
+                    retryLater(run, now, "run timeout");
                 }
             }
             abandonIfExpired(job, now);
@@ -258,8 +261,7 @@
         if (checkpointDue) {
             lastCheckpointNanos = now;
         }
-        fleet.broadcastUrgency();
-        onCapacity();
+        updateDemand();
     }
 
     private void abandonIfExpired(OwnedJob job, long now) {
@@ -293,42 +295,86 @@
         }
     }
 
-    @Override
-    public void onCapacity() {
-        if (stopping) {
-            return;
+    /** Updates the demand after the current event, which also covers later changes in it. */
+    private void scheduleDemandUpdate() {
+        if (!demandUpdateScheduled) {
+            demandUpdateScheduled = true;
+            loop.execute(
+                    () -> {
+                        demandUpdateScheduled = false;
+                        updateDemand();
+                    });
         }
-        long now = System.nanoTime();
-        List<ItemRun> startable = new ArrayList<>();
-        for (OwnedJob job : ownedJobs.values()) {
-            job.runs().stream().filter(run -> run.mayStart(now)).forEach(startable::add);
+    }
+
+    /** Updates the demand when an item that waits for some time may start. */
+    private void scheduleDemandUpdate(Duration delay) {
+        loop.schedule(this::updateDemand, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Requests slots for all items that may start now. */
+    private void updateDemand() {
+        Map<String, List<ItemRun>> startable = new HashMap<>();
+        if (!stopping) {
+            startableRuns()
+                    .forEach(
+                            (run, service) ->
+                                    startable
+                                            .computeIfAbsent(service, key -> new ArrayList<>())
+                                            .add(run));
         }
-        Set<String> fullServices = new HashSet<>();
-        for (ItemRun run : schedule.byUrgency(startable)) {
-            schedule.route(run.job().job())
-                    .ifPresent(route -> startIfFree(run, route, fullServices));
+        for (String service : Sets.union(batchDemands.services(), startable.keySet())) {
+            List<ItemRun> runs = startable.getOrDefault(service, List.of());
+            batchDemands.set(service, runs.size(), schedule.earliestDueMillis(runs));
         }
     }
 
-    private void startIfFree(ItemRun run, Route route, Set<String> fullServices) {
-        String service = route.chooseService(ThreadLocalRandom.current().nextDouble());
-        if (fullServices.contains(service) || onlineDispatcher.hasWaitingRequests(service)) {
-            return;
+    private Map<ItemRun, String> startableRuns() {
+        long now = System.nanoTime();
+        Map<ItemRun, String> startable = new HashMap<>();
+        for (OwnedJob job : ownedJobs.values()) {
+            schedule.route(job.job())
+                    .ifPresent(
+                            route -> {
+                                for (ItemRun run : job.runs()) {
+                                    if (run.mayStart(now)) {
+                                        startable.put(run, run.service(route));
+                                    }
+                                }
+                            });
         }
-        Optional<TargetInstance> target = fleet.choose(service, TrafficClass.BATCH, List.of());
-        if (target.isEmpty()) {
-            fullServices.add(service);
-        } else {
-            startItem(run, target.get(), route);
+        return startable;
+    }
+
+    /** Starts the most urgent item of a service in a granted slot, if there is one. */
+    private boolean onSlot(SlotLease lease, TargetInstance target) {
+        if (stopping) {
+            return false;
         }
+        List<ItemRun> startable = new ArrayList<>();
+        startableRuns()
+                .forEach(
+                        (run, service) -> {
+                            if (service.equals(target.service())) {
+                                startable.add(run);
+                            }
+                        });
+        Optional<ItemRun> first = schedule.mostUrgent(startable);
+        first.ifPresent(
+                run ->
+                        schedule.route(run.job().job())
+                                .ifPresent(route -> startItem(run, lease, target, route)));
+        scheduleDemandUpdate();
+        return first.isPresent();
     }
 
-    private void startItem(ItemRun run, TargetInstance target, Route route) {
+    private void startItem(ItemRun run, SlotLease lease, TargetInstance target, Route route) {
         BatchItem item = run.item();
+        lease.onRevocation(() -> preempt(run));
         run.start(
                 fleet.call(
                         target,
-                        TrafficClass.BATCH,
+                        lease,
                         true,
                         item.id(),
                         () ->
@@ -354,39 +400,16 @@
 
     private void retryLater(ItemRun run, long now, String reason) {
         run.interrupt(now + FAILURE_RETRY_DELAY.toNanos());
+        scheduleDemandUpdate(FAILURE_RETRY_DELAY);
         DecisionLog.batch(run.job().id(), run.item().id(), "again", reason);
     }
 
-    private void schedulePreemption() {
-        if (!preemptionScheduled) {
-            preemptionScheduled = true;
-            loop.execute(this::preemptExcess);
-        }
-    }
-
-    /**
-     * Preempts items of this gateway on targets with more calls than slots, latest due time first.
-     */
-    private void preemptExcess() {
-        preemptionScheduled = false;
-        Map<String, Integer> excess = fleet.batchItemsToPreempt();
-        if (excess.isEmpty()) {
-            return;
-        }
-        long now = System.nanoTime();
-        List<ItemRun> running = new ArrayList<>();
-        for (OwnedJob job : ownedJobs.values()) {
-            job.runs().stream().filter(ItemRun::isRunning).forEach(running::add);
-        }
-        for (ItemRun run : schedule.byUrgency(running).reversed()) {
-            int itemsToPreempt = excess.getOrDefault(run.targetId(), 0);
-            if (itemsToPreempt > 0) {
-                excess.put(run.targetId(), itemsToPreempt - 1);
-                run.call().cancel();
-                run.interrupt(now + REQUEUE_DELAY.toNanos());
-                metrics.countItem("gave_way");
-            }
-        }
+    /** Stops an item whose slot was given to an online request; it resumes in another slot. */
+    private void preempt(ItemRun run) {
+        run.call().cancel();
+        run.interrupt(System.nanoTime());
+        scheduleDemandUpdate();
+        metrics.countItem("preempted");
     }
 
     /** One run of an item on a target. */
@@ -396,6 +419,7 @@
         private final Route route;
         private final EventSplitter eventSplitter;
         private TargetResponse response;
+        private long ignoredBytes;
 
         Attempt(ItemRun run, Route route) {
             this.run = run;
@@ -410,8 +434,17 @@
 
         @Override
         public void onData(ByteBuf data) {
-            if (response.meaning() == TargetResponse.Meaning.SUCCESS) {
-                eventSplitter.add(data);
+            if (response.meaning() != TargetResponse.Meaning.SUCCESS) {
+                ignoredBytes += data.readableBytes();
+                if (ignoredBytes > MAX_IGNORED_BYTES) {
+                    run.call().fail();
+                    retryLater(run, System.nanoTime(), "oversized answer");
+                }
+            } else if (!eventSplitter.add(data) || run.textLength() > MAX_TEXT_LENGTH) {
+                // The text so far cannot be trusted, because the target does not end the stream.
+                run.call().fail();
+                run.discardProgress();
+                retryLater(run, System.nanoTime(), "oversized answer");
             }
         }
 
@@ -431,6 +464,7 @@
 
         private void refused(long now) {
             run.interrupt(now + REQUEUE_DELAY.toNanos());
+            scheduleDemandUpdate(REQUEUE_DELAY);
             DecisionLog.batch(
                     run.job().id(),
                     run.item().id(),
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -1,22 +1,23 @@
 package org.fuchsiaspindle.gateway.online;
 
+import com.google.common.collect.ImmutableSet;
 import io.netty.buffer.ByteBuf;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.HashSet;
-import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.error.ResultCode;
-import org.fuchsiaspindle.core.serving.RequestQueue;
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.RouteKind;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.slot.SlotDecision;
+import org.fuchsiaspindle.gateway.slot.SlotAcquisition;
+import org.fuchsiaspindle.gateway.slot.SlotLease;
 import org.fuchsiaspindle.gateway.target.CallFailure;
 import org.fuchsiaspindle.gateway.target.CallListener;
 import org.fuchsiaspindle.gateway.target.TargetCall;
-import org.fuchsiaspindle.gateway.target.TrafficClass;
 import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
 import org.fuchsiaspindle.platform.ingress.ClientExchange;
 import org.fuchsiaspindle.platform.ingress.Refusal;
@@ -44,6 +45,12 @@
     /** Assumed time from sending a request to the first event of a stream. */
     private static final Duration FIRST_EVENT_LATENCY = Duration.ofMillis(70);
 
+    /** Fraction of the latency target for which a request waits if no target is known. */
+    private static final int NO_TARGET_WAIT_DIVISOR = 4;
+
+    /** Retry time if no target is known; targets register again within some seconds. */
+    private static final Duration NO_TARGET_RETRY_AFTER = Duration.ofMillis(300);
+
     private static final Duration MIN_RETRY_AFTER = Duration.ofMillis(50);
     private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(2);
 
@@ -61,7 +68,7 @@
     private int attempts;
     private int refusals;
     private boolean mayHaveRun;
-    private boolean waiting;
+    private SlotAcquisition acquisition;
     private boolean finished;
     private OptionalLong lastEvent = OptionalLong.empty();
     private String lastTarget = "-";
@@ -78,14 +85,6 @@
                 arrivedNanos + (clientDeadlineFirst ? deadline : route.timeout()).toNanos();
     }
 
-    String service() {
-        return service;
-    }
-
-    Set<String> triedTargets() {
-        return triedTargets;
-    }
-
     void start() {
         exchange.onClientDisconnect(this::clientDisconnected);
         long remainingNanos = deadlineNanos - System.nanoTime();
@@ -99,34 +98,24 @@
         dispatch();
     }
 
-    /** Sends the request to a target, or queues it if no target is free or other requests wait. */
+    /** Obtains a slot of a target, waiting for one if necessary, and sends the request there. */
     private void dispatch() {
-        if (!dispatcher.hasWaitingRequests(service)) {
-            Optional<TargetInstance> target =
-                    dispatcher.fleet().choose(service, TrafficClass.ONLINE, triedTargets);
-            if (target.isPresent()) {
-                sendTo(target.get());
-                return;
-            }
-        }
-        waitForTarget();
-    }
-
-    private void waitForTarget() {
-        long now = System.nanoTime();
-        Duration expectedWait = dispatcher.estimateWait(service, route.priority(), now);
-        long latestStartNanos = latestUsefulStartNanos();
-        if (now + expectedWait.toNanos() - latestStartNanos > 0) {
-            refuse(ResultCode.OVERLOADED, expectedWait);
-            return;
-        }
-        waiting = true;
         long latestOnTimeStartNanos =
                 arrivedNanos + route.latencyTarget().toNanos() - timeToResultNanos();
-        dispatcher.enqueue(
-                service,
-                new RequestQueue.Entry<>(
-                        this, route.priority(), latestOnTimeStartNanos, latestStartNanos, now));
+        long retryUntilNanos =
+                arrivedNanos + route.latencyTarget().dividedBy(NO_TARGET_WAIT_DIVISOR).toNanos();
+        acquisition =
+                dispatcher
+                        .slots()
+                        .acquire(
+                                new SlotAcquisition.Need(
+                                        service,
+                                        route.priority(),
+                                        latestOnTimeStartNanos,
+                                        latestUsefulStartNanos(),
+                                        retryUntilNanos,
+                                        ImmutableSet.copyOf(triedTargets)),
+                                new SlotListener());
     }
 
     private long timeToResultNanos() {
@@ -141,8 +130,7 @@
         return deadlineNanos - dispatcher.serviceTimes().average(service).toNanos();
     }
 
-    void sendTo(TargetInstance target) {
-        waiting = false;
+    private void sendTo(TargetInstance target, SlotLease lease) {
         lastTarget = target.id();
         startedNanos = System.nanoTime();
         Attempt attempt = new Attempt();
@@ -151,7 +139,7 @@
                         .fleet()
                         .call(
                                 target,
-                                TrafficClass.ONLINE,
+                                lease,
                                 route.kind() == RouteKind.STREAM,
                                 exchange.request().id(),
                                 () ->
@@ -247,11 +235,6 @@
         return time.compareTo(MAX_RETRY_AFTER) > 0 ? MAX_RETRY_AFTER : time;
     }
 
-    void onWaitExpired() {
-        waiting = false;
-        refuse(ResultCode.DEADLINE_UNREACHABLE, MIN_RETRY_AFTER);
-    }
-
     private void deadlineReached() {
         if (finished) {
             return;
@@ -279,9 +262,9 @@
     }
 
     private void cancelPendingWork() {
-        if (waiting) {
-            dispatcher.removeWaiting(service, this);
-            waiting = false;
+        if (acquisition != null) {
+            acquisition.cancel();
+            acquisition = null;
         }
         if (call != null) {
             call.cancel();
@@ -319,6 +302,27 @@
                 TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivedNanos));
     }
 
+    /** Receives the slot for the next attempt. */
+    private final class SlotListener implements SlotAcquisition.Listener {
+
+        @Override
+        public void onGranted(SlotLease lease, TargetInstance target) {
+            acquisition = null;
+            sendTo(target, lease);
+        }
+
+        @Override
+        public void onRefused(SlotDecision.Refusal reason, Duration expectedWait) {
+            acquisition = null;
+            switch (reason) {
+                case FULL, OVERLOADED -> refuse(ResultCode.OVERLOADED, expectedWait);
+                case EXPIRED -> refuse(ResultCode.DEADLINE_UNREACHABLE, MIN_RETRY_AFTER);
+                case NO_TARGET -> refuse(ResultCode.NO_TARGET, NO_TARGET_RETRY_AFTER);
+                default -> throw new AssertionError(reason);
+            }
+        }
+    }
+
     /** One attempt on one target, with its response. */
     private final class Attempt implements CallListener {
 
@@ -339,8 +343,7 @@
             boolean wellFormed = forwarder.add(data);
             lastEvent = forwarder.lastEvent();
             if (!wellFormed) {
-                call.cancel();
-                attemptLost("oversized event");
+                oversized();
             } else if (!exchange.isWritable() && call != null) {
                 TargetCall pausedCall = call;
                 pausedCall.setReading(false);
@@ -348,6 +351,17 @@
             }
         }
 
+        /** Ends the attempt because the target sends more than a response may hold. */
+        private void oversized() {
+            call.fail();
+            switch (response.meaning()) {
+                case NOT_RUN -> refusedByTarget("full, oversized answer");
+                case OTHER_TARGET -> refusedByTarget("address reused, oversized answer");
+                case SUCCESS, FAILED, IMPOSSIBLE, UNTRUSTED -> attemptLost("oversized answer");
+                default -> throw new AssertionError(response.meaning());
+            }
+        }
+
         @Override
         public void onComplete() {
             if (finished) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerInfo.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerInfo.java
@@ -11,6 +11,8 @@
  * @param directoryVersion the version of its directory of targets
  * @param storeReachable whether it reaches the store
  * @param stopping whether it is shutting down
+ * @param dataCentre the data centre of its instance, not null
+ * @param capacity the processor capacity of its instance in cores, 0 if it did not announce it
  */
 public record PeerInfo(
         String ip,
@@ -18,11 +20,14 @@
         long configVersion,
         long directoryVersion,
         boolean storeReachable,
-        boolean stopping) {
+        boolean stopping,
+        String dataCentre,
+        double capacity) {
 
     /** Validates the components. */
     public PeerInfo {
         checkNotNull(ip, "ip");
         checkNotNull(incarnation, "incarnation");
+        checkNotNull(dataCentre, "dataCentre");
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
@@ -21,12 +21,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.fuchsiaspindle.core.membership.AddressAnnouncement;
+import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.gateway.view.FleetView;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
 import org.fuchsiaspindle.gateway.watch.StoreHealth;
-import org.fuchsiaspindle.wire.peer.LoadUpdate;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
 import org.fuchsiaspindle.wire.peer.PeerState;
 import org.fuchsiaspindle.wire.peer.ViewRequest;
@@ -46,27 +48,42 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(PeerMesh.class);
 
+    /** Time between two heartbeats to a peer that must detect soon that this process is lost. */
     private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
 
-    /** A peer that sends no heartbeat for longer is removed as lost. */
-    private static final Duration SILENCE_LIMIT = Duration.ofMillis(1700);
+    /**
+     * Bounds the heartbeats to all other peers: their interval grows with the number of peers, so
+     * that the control traffic of a process does not.
+     */
+    private static final int MAX_HEARTBEATS_PER_SECOND = 20;
+
+    /** A peer is lost if it is silent for this many of the intervals that it announced. */
+    private static final double SILENCE_LIMIT_INTERVALS = 3.4;
 
     /** An address that could not be reached for longer is removed. */
     private static final Duration ADDRESS_EXPIRY = Duration.ofSeconds(30);
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
 
+    private static final double MILLICORES_PER_CORE = 1000;
+
     /** A store that has not served a call for longer is treated as unreachable. */
     private static final Duration STORE_SILENCE_LIMIT = Duration.ofMillis(1500);
 
-    /** Receives the loads that peers report. */
-    public interface LoadListener {
+    /** Receives what peers send about slots, and the changes of the membership. */
+    public interface PeerListener {
 
-        /** Called when a peer reports the number of calls that it runs. */
-        void onLoad(String peerIp, LoadUpdate update);
+        /** Called with each frame that is neither a heartbeat nor part of a view. */
+        void onFrame(String peerIp, PeerFrame frame);
 
-        /** Called when a peer is lost or was restarted; its reported loads are no longer valid. */
+        /** Called when a peer is lost or was restarted; what it reported is no longer valid. */
         void onPeerLost(String peerIp);
+
+        /** Called after a connection to a peer was opened. */
+        void onConnected(String peerIp);
+
+        /** Called when a peer was added or removed, or announced that it is shutting down. */
+        void onMembersChanged();
     }
 
     /**
@@ -76,18 +93,28 @@
      * @param ip the address of its instance
      * @param port the port on which all gateways accept connections of their peers
      * @param incarnation identifies this start of the process, different after each restart
+     * @param dataCentre the data centre of its instance
+     * @param capacity the processor capacity of its instance, in cores
      */
-    public record Self(String node, String ip, int port, String incarnation) {}
+    public record Self(
+            String node,
+            String ip,
+            int port,
+            String incarnation,
+            String dataCentre,
+            double capacity) {}
 
     private final EventLoop loop;
     private final Self self;
     private final FleetViewHolder viewHolder;
     private final StoreHealth storeHealth;
-    private final LoadListener loadListener;
+    private final PeerListener peerListener;
+    private final GatewayMetrics metrics;
     private final Map<String, Link> links = new HashMap<>();
     private final Map<Channel, String> ipsByChannel = new HashMap<>();
     private final Map<String, PeerHeartbeat> heartbeats = new HashMap<>();
-    private Runnable connectionListener = () -> {};
+    private Supplier<Set<String>> closePeers = Set::of;
+    private AnnouncedState announcedState;
     private boolean stopping;
 
     private PeerMesh(
@@ -95,16 +122,32 @@
             Self self,
             FleetViewHolder viewHolder,
             StoreHealth storeHealth,
-            LoadListener loadListener) {
+            PeerListener peerListener,
+            GatewayMetrics metrics) {
         this.loop = loop;
         this.self = self;
         this.viewHolder = viewHolder;
         this.storeHealth = storeHealth;
-        this.loadListener = loadListener;
+        this.peerListener = peerListener;
+        this.metrics = metrics;
+    }
+
+    /**
+     * The last heartbeat of a peer.
+     *
+     * @param info what it said
+     * @param interval the time until the next heartbeat, as announced
+     * @param receivedNanos when it arrived, in monotonic nanoseconds
+     */
+    private record PeerHeartbeat(PeerInfo info, Duration interval, long receivedNanos) {
+
+        boolean isSilent(long now) {
+            return now - receivedNanos > interval.toNanos() * SILENCE_LIMIT_INTERVALS;
+        }
     }
 
-    /** The last heartbeat of a peer and when it arrived, in monotonic nanoseconds. */
-    private record PeerHeartbeat(PeerInfo info, long receivedNanos) {}
+    /** The part of this process's state that peers are told as soon as it changes. */
+    private record AnnouncedState(long configVersion, boolean storeReachable, boolean stopping) {}
 
     /** The outgoing connection to one address. */
     private static final class Link {
@@ -112,7 +155,21 @@
         private Channel channel;
         private boolean connecting;
         private long connectedNanos;
+        private long heartbeatSentNanos;
+        private Duration announcedInterval = HEARTBEAT_INTERVAL;
         private AddressAnnouncement announcement = new AddressAnnouncement();
+
+        boolean isOpen() {
+            return channel != null && channel.isActive();
+        }
+
+        /** Returns whether the peer must hear again, or must learn of a shorter interval. */
+        boolean isHeartbeatDue(Duration interval, long now) {
+            // Half an interval of the timer covers its jitter.
+            Duration margin = HEARTBEAT_INTERVAL.dividedBy(2);
+            return interval.compareTo(announcedInterval) < 0
+                    || now - heartbeatSentNanos > announcedInterval.minus(margin).toNanos();
+        }
     }
 
     /** Creates a mesh that does not listen yet. */
@@ -121,13 +178,23 @@
             Self self,
             FleetViewHolder viewHolder,
             StoreHealth storeHealth,
-            LoadListener loadListener) {
+            PeerListener peerListener,
+            GatewayMetrics metrics) {
         return new PeerMesh(
                 checkNotNull(loop, "loop"),
                 checkNotNull(self, "self"),
                 checkNotNull(viewHolder, "viewHolder"),
                 checkNotNull(storeHealth, "storeHealth"),
-                checkNotNull(loadListener, "loadListener"));
+                checkNotNull(peerListener, "peerListener"),
+                checkNotNull(metrics, "metrics"));
+    }
+
+    /**
+     * Sets the source of the peers that must detect soon that this process is lost; they receive
+     * heartbeats at short intervals.
+     */
+    public void setClosePeers(Supplier<Set<String>> newClosePeers) {
+        closePeers = checkNotNull(newClosePeers, "newClosePeers");
     }
 
     /**
@@ -164,16 +231,44 @@
     /** Announces to all peers that this process is shutting down. */
     public void announceStop() {
         stopping = true;
-        broadcast(heartbeatFrame(Set.of()));
+        sendHeartbeats();
     }
 
-    /** Sends a frame to all connected peers; it is discarded for a peer that reads too slowly. */
-    public void broadcast(PeerFrame frame) {
-        for (Link link : links.values()) {
-            if (link.channel != null) {
-                PeerChannels.send(link.channel, frame);
-            }
+    /**
+     * Sends a frame to a peer.
+     *
+     * @return whether it was handed to a connection; it may still be lost
+     */
+    public boolean send(String ip, PeerFrame frame) {
+        Link link = links.get(ip);
+        boolean sent = link != null && link.isOpen() && PeerChannels.send(link.channel, frame);
+        if (sent) {
+            metrics.countControlMessage(frame.getBodyCase().name(), frame.getSerializedSize());
         }
+        return sent;
+    }
+
+    /** Returns whether a connection to a peer is open. */
+    public boolean isConnected(String ip) {
+        Link link = links.get(ip);
+        return link != null && link.isOpen();
+    }
+
+    /** Returns whether this process has announced that it is shutting down. */
+    public boolean isStopping() {
+        return stopping;
+    }
+
+    /** Returns the addresses of all peers to which a connection is open. */
+    public List<String> connectedIps() {
+        List<String> ips = new ArrayList<>();
+        links.forEach(
+                (ip, link) -> {
+                    if (link.isOpen()) {
+                        ips.add(ip);
+                    }
+                });
+        return ips;
     }
 
     /**
@@ -221,26 +316,29 @@
                         link.channel = connectFuture.channel();
                         link.connectedNanos = System.nanoTime();
                         link.announcement = new AddressAnnouncement();
-                        sendHeartbeat(link, knownIps());
-                        connectionListener.run();
+                        sendHeartbeat(ip, link, knownIps(), HEARTBEAT_INTERVAL);
+                        peerListener.onConnected(ip);
                     }
                 });
     }
 
-    /** Sets the listener that is called after a connection to a peer was opened. */
-    public void onConnected(Runnable listener) {
-        connectionListener = checkNotNull(listener, "listener");
-    }
-
     private void sendHeartbeats() {
         long now = System.nanoTime();
         removeSilentPeers(now);
         Set<String> known = knownIps();
+        Set<String> close = closePeers.get();
+        AnnouncedState state = state();
+        boolean stateChanged = !state.equals(announcedState);
+        announcedState = state;
+        Duration distantInterval = distantInterval();
         for (Map.Entry<String, Link> entry : List.copyOf(links.entrySet())) {
             Link link = entry.getValue();
-            boolean isOpen = link.channel != null && link.channel.isActive();
-            if (isOpen) {
-                sendHeartbeat(link, known);
+            if (link.isOpen()) {
+                boolean isClose = close.contains(entry.getKey());
+                Duration interval = isClose ? HEARTBEAT_INTERVAL : distantInterval;
+                if (stateChanged || link.isHeartbeatDue(interval, now)) {
+                    sendHeartbeat(entry.getKey(), link, known, interval);
+                }
             } else if (!link.connecting) {
                 expireOrReconnect(entry.getKey(), link, now);
             }
@@ -248,6 +346,19 @@
         requestNewerView();
     }
 
+    private AnnouncedState state() {
+        return new AnnouncedState(
+                viewHolder.view().configVersion(), storeHealth.isReachable(), stopping);
+    }
+
+    private Duration distantInterval() {
+        Duration bounded =
+                Duration.ofSeconds(1)
+                        .multipliedBy(links.size())
+                        .dividedBy(MAX_HEARTBEATS_PER_SECOND);
+        return bounded.compareTo(HEARTBEAT_INTERVAL) > 0 ? bounded : HEARTBEAT_INTERVAL;
+    }
+
     private void expireOrReconnect(String ip, Link link, long now) {
         long lastConnected = Math.max(link.createdNanos, link.connectedNanos);
         if (!heartbeats.containsKey(ip) && now - lastConnected > ADDRESS_EXPIRY.toNanos()) {
@@ -259,7 +370,7 @@
 
     private void removeSilentPeers(long now) {
         for (Map.Entry<String, PeerHeartbeat> entry : List.copyOf(heartbeats.entrySet())) {
-            if (now - entry.getValue().receivedNanos() > SILENCE_LIMIT.toNanos()) {
+            if (entry.getValue().isSilent(now)) {
                 removePeer(entry.getKey(), "silent");
                 Link link = links.get(entry.getKey());
                 if (link != null && link.channel != null) {
@@ -273,7 +384,8 @@
     private void removePeer(String ip, String reason) {
         if (heartbeats.remove(ip) != null) {
             LOG.info("peer: lost ip={} reason={}", ip, reason);
-            loadListener.onPeerLost(ip);
+            peerListener.onPeerLost(ip);
+            peerListener.onMembersChanged();
         }
     }
 
@@ -281,7 +393,7 @@
         Set<String> known = new HashSet<>(heartbeats.keySet());
         links.forEach(
                 (ip, link) -> {
-                    if (link.channel != null && link.channel.isActive()) {
+                    if (link.isOpen()) {
                         known.add(ip);
                     }
                 });
@@ -289,15 +401,17 @@
     }
 
     /** Sends a heartbeat, with the known addresses if they have changed or must be repeated. */
-    private void sendHeartbeat(Link link, Set<String> known) {
+    private void sendHeartbeat(String ip, Link link, Set<String> known, Duration interval) {
         long now = System.nanoTime();
         Set<String> addresses = link.announcement.addressesToSend(known, now);
-        if (PeerChannels.send(link.channel, heartbeatFrame(addresses))) {
+        if (send(ip, heartbeatFrame(addresses, interval))) {
             link.announcement.recordSent(addresses, now);
+            link.heartbeatSentNanos = now;
+            link.announcedInterval = interval;
         }
     }
 
-    private PeerFrame heartbeatFrame(Set<String> ips) {
+    private PeerFrame heartbeatFrame(Set<String> ips, Duration interval) {
         FleetView view = viewHolder.view();
         PeerState.Builder state =
                 PeerState.newBuilder()
@@ -306,7 +420,10 @@
                         .setConfigVersion(view.configVersion())
                         .setDirectoryVersion(view.directory().version())
                         .setStoreReachable(storeHealth.isReachable())
-                        .setStopping(stopping);
+                        .setStopping(stopping)
+                        .setDataCentre(self.dataCentre())
+                        .setCapacityMillicores((int) (self.capacity() * MILLICORES_PER_CORE))
+                        .setIntervalMillis((int) interval.toMillis());
         if (!ips.isEmpty()) {
             state.setNode(self.node());
             ips.stream().sorted().forEach(state::addKnownIps);
@@ -322,24 +439,30 @@
         FleetView view = viewHolder.view();
         boolean storeUnreachable =
                 storeHealth.sinceLastSuccess().compareTo(STORE_SILENCE_LIMIT) > 0;
-        for (PeerHeartbeat heartbeat : heartbeats.values()) {
-            boolean newerConfig = heartbeat.info().configVersion() > view.configVersion();
-            boolean newerTargets =
-                    storeUnreachable
-                            && heartbeat.info().directoryVersion() > view.directory().version();
-            Link link = links.get(heartbeat.info().ip());
-            if ((newerConfig || newerTargets) && link != null && link.channel != null) {
-                ViewRequest request =
-                        ViewRequest.newBuilder()
-                                .setConfigVersion(view.configVersion())
-                                .setDirectoryVersion(
-                                        newerTargets ? view.directory().version() : Long.MAX_VALUE)
-                                .build();
-                PeerChannels.send(
-                        link.channel, PeerFrame.newBuilder().setViewRequest(request).build());
-                return;
-            }
+        List<PeerInfo> sources =
+                peers().stream()
+                        .filter(peer -> isConnected(peer.ip()))
+                        .filter(
+                                peer ->
+                                        peer.configVersion() > view.configVersion()
+                                                || storeUnreachable
+                                                        && mayHaveNewerTargets(peer, view))
+                        .toList();
+        if (sources.isEmpty()) {
+            return;
         }
+        PeerInfo source = sources.get(ThreadLocalRandom.current().nextInt(sources.size()));
+        ViewRequest request =
+                ViewRequest.newBuilder()
+                        .setConfigVersion(view.configVersion())
+                        .setDirectoryVersion(
+                                storeUnreachable ? view.directory().version() : Long.MAX_VALUE)
+                        .build();
+        send(source.ip(), PeerFrame.newBuilder().setViewRequest(request).build());
+    }
+
+    private static boolean mayHaveNewerTargets(PeerInfo peer, FleetView view) {
+        return peer.storeReachable() || peer.directoryVersion() > view.directory().version();
     }
 
     private void handleHeartbeat(Channel channel, PeerState state) {
@@ -352,8 +475,15 @@
                         state.getConfigVersion(),
                         state.getDirectoryVersion(),
                         state.getStoreReachable(),
-                        state.getStopping());
-        PeerHeartbeat previous = heartbeats.put(ip, new PeerHeartbeat(info, System.nanoTime()));
+                        state.getStopping(),
+                        state.getDataCentre(),
+                        state.getCapacityMillicores() / MILLICORES_PER_CORE);
+        Duration interval =
+                state.getIntervalMillis() == 0
+                        ? HEARTBEAT_INTERVAL
+                        : Duration.ofMillis(state.getIntervalMillis());
+        PeerHeartbeat previous =
+                heartbeats.put(ip, new PeerHeartbeat(info, interval, System.nanoTime()));
         boolean restarted =
                 previous != null && !previous.info().incarnation().equals(info.incarnation());
         if (previous == null || restarted) {
@@ -364,7 +494,10 @@
                     info.incarnation());
         }
         if (restarted) {
-            loadListener.onPeerLost(ip);
+            peerListener.onPeerLost(ip);
+        }
+        if (previous == null || restarted || previous.info().stopping() != info.stopping()) {
+            peerListener.onMembersChanged();
         }
         List<String> ips = new ArrayList<>(state.getKnownIpsList());
         ips.add(ip);
@@ -404,15 +537,16 @@
         public void onFrame(Channel channel, PeerFrame frame) {
             switch (frame.getBodyCase()) {
                 case STATE -> handleHeartbeat(channel, frame.getState());
-                case LOAD -> {
+                case VIEW_REQUEST -> handleViewRequest(channel, frame.getViewRequest());
+                case VIEW -> applyView(frame.getView());
+                // A newer version may send frames that this one does not know.
+                case BODY_NOT_SET -> LOG.debug("peer: frame of an unknown type ignored");
+                default -> {
                     String ip = ipsByChannel.get(channel);
                     if (ip != null) {
-                        loadListener.onLoad(ip, frame.getLoad());
+                        peerListener.onFrame(ip, frame);
                     }
                 }
-                case VIEW_REQUEST -> handleViewRequest(channel, frame.getViewRequest());
-                case VIEW -> applyView(frame.getView());
-                default -> LOG.warn("peer: frame of an unknown type ignored");
             }
         }
 
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -0,0 +1,456 @@
+package org.fuchsiaspindle.gateway.slot;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableSet;
+import io.netty.channel.EventLoop;
+import io.netty.util.concurrent.ScheduledFuture;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.slot.BatchDemand;
+import org.fuchsiaspindle.core.slot.HeldSlot;
+import org.fuchsiaspindle.core.slot.LeaseOutcome;
+import org.fuchsiaspindle.core.slot.PoolId;
+import org.fuchsiaspindle.core.slot.PoolPlan;
+import org.fuchsiaspindle.core.slot.SlotRequest;
+import org.fuchsiaspindle.core.slot.TrafficClass;
+import org.fuchsiaspindle.gateway.peer.PeerMesh;
+import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
+import org.fuchsiaspindle.gateway.view.TargetDirectory;
+import org.fuchsiaspindle.wire.peer.BatchGrant;
+import org.fuchsiaspindle.wire.peer.CoordinatorCheck;
+import org.fuchsiaspindle.wire.peer.PeerFrame;
+import org.fuchsiaspindle.wire.peer.SlotReply;
+
+/**
+ * Obtains slots of targets from the coordinators of their pools, and returns them.
+ *
+ * <p>Each gateway has one coordinator per pool at a time. When it changes, the old one is told that
+ * this gateway holds nothing any more, and the new one what it holds. Confined to the event loop of
+ * the request path.
+ */
+public final class SlotClient implements PeerMesh.PeerListener {
+
+    private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
+
+    /** Time between two checks while a coordinator does not answer. */
+    private static final Duration UNANSWERED_CHECK_INTERVAL = Duration.ofMillis(60);
+
+    /** Time for which an answer to a check may take before the coordinator is avoided. */
+    private static final Duration CHECK_TIMEOUT = Duration.ofMillis(120);
+
+    /** Time for which a granted target that this gateway does not know is avoided. */
+    private static final Duration UNUSABLE_TIME = Duration.ofSeconds(1);
+
+    /** Targets as this gateway sees them. */
+    public interface Targets {
+
+        /** Returns a target that is registered and accepts new requests, empty otherwise. */
+        Optional<TargetInstance> usableTarget(String id);
+
+        /** Returns the targets of a service that this gateway cannot use at the moment. */
+        Set<String> avoidedTargets(String service);
+    }
+
+    private final EventLoop loop;
+    private final PeerMesh.Self self;
+    private final GatewayMetrics metrics;
+    private final Map<PoolId, PoolHoldings> pools = new HashMap<>();
+    private final Map<String, Long> checksSentNanos = new HashMap<>();
+    private final Map<String, Long> unusableUntilNanos = new HashMap<>();
+    private PoolPlan plan;
+    private PeerMesh mesh;
+    private Coordinators coordinators;
+    private SlotCoordinator coordinator;
+    private BatchDemands batchDemands;
+    private Targets targets;
+    private ScheduledFuture<?> nextCheck;
+    private long nextTicket = ThreadLocalRandom.current().nextLong();
+
+    private SlotClient(EventLoop loop, PeerMesh.Self self, GatewayMetrics metrics) {
+        this.loop = loop;
+        this.self = self;
+        this.metrics = metrics;
+        this.plan = PoolPlan.of(self.ip(), self.dataCentre(), List.of());
+    }
+
+    /** Creates a client of a gateway that knows no targets. */
+    public static SlotClient create(EventLoop loop, PeerMesh.Self self, GatewayMetrics metrics) {
+        return new SlotClient(
+                checkNotNull(loop, "loop"),
+                checkNotNull(self, "self"),
+                checkNotNull(metrics, "metrics"));
+    }
+
+    /** Starts the exchange with the coordinators and the coordinator of this gateway. */
+    public void start(PeerMesh newMesh, Targets newTargets) {
+        mesh = checkNotNull(newMesh, "newMesh");
+        targets = checkNotNull(newTargets, "newTargets");
+        coordinators = new Coordinators(self, newMesh);
+        coordinator =
+                SlotCoordinator.create(loop, self.ip(), self.dataCentre(), newMesh, this::onFrame);
+        batchDemands = new BatchDemands(this, loop);
+        newMesh.setClosePeers(this::coordinatorsInUse);
+        scheduleCheck(CHECK_INTERVAL);
+    }
+
+    private void scheduleCheck(Duration delay) {
+        if (nextCheck != null) {
+            nextCheck.cancel(false);
+        }
+        nextCheck = schedule(this::checkCoordinators, delay);
+    }
+
+    /** Replaces the known targets. */
+    public void apply(TargetDirectory directory) {
+        plan = PoolPlan.of(self.ip(), self.dataCentre(), directory.targets().values());
+        coordinator.apply(plan);
+        pools.keySet().removeIf(pool -> isUnused(pool));
+        batchDemands.changed();
+    }
+
+    private boolean isUnused(PoolId pool) {
+        return plan.targets(pool).isEmpty() && !pools.get(pool).isInUse();
+    }
+
+    /** Starts to obtain a slot for an online request. */
+    public SlotAcquisition acquire(
+            SlotAcquisition.Need need, SlotAcquisition.Listener acquisitionListener) {
+        SlotAcquisition acquisition = new SlotAcquisition(this, need, acquisitionListener);
+        // Deferred, so that the listener is not called before this method returns.
+        loop.execute(acquisition::start);
+        return acquisition;
+    }
+
+    /** Returns the demand of this gateway for slots of batch items. */
+    public BatchDemands batchDemands() {
+        return batchDemands;
+    }
+
+    /** Reports to the coordinator that a target sends no data although requests run there. */
+    public void reportSilence(TargetInstance target) {
+        for (PoolId pool : plan.preferred(target.service())) {
+            if (plan.targets(pool).stream().anyMatch(other -> other.id().equals(target.id()))) {
+                send(holdings(pool).coordinator(), SlotCodec.silence(pool, target.id()));
+            }
+        }
+    }
+
+    @Override
+    public void onFrame(String peerIp, PeerFrame frame) {
+        checksSentNanos.remove(peerIp);
+        coordinators.recordAnswer(peerIp);
+        switch (frame.getBodyCase()) {
+            case SLOT_REPLY -> onReply(peerIp, frame.getSlotReply());
+            case BATCH_GRANT -> onBatchGrant(peerIp, frame.getBatchGrant());
+            case SLOT_REVOCATION ->
+                    onRevocation(
+                            peerIp,
+                            SlotCodec.decode(frame.getSlotRevocation().getPool()),
+                            frame.getSlotRevocation().getTicket());
+            case HOLDINGS_QUERY ->
+                    onHoldingsQuery(peerIp, SlotCodec.decode(frame.getHoldingsQuery().getPool()));
+            case COORDINATOR_CHECK -> {
+                if (!frame.getCoordinatorCheck().getResponse()) {
+                    send(peerIp, check(true));
+                }
+            }
+            default -> coordinator.onFrame(peerIp, frame);
+        }
+    }
+
+    @Override
+    public void onPeerLost(String peerIp) {
+        coordinators.recordLost(peerIp);
+        coordinator.onPeerLost(peerIp);
+        refreshCoordinators();
+    }
+
+    @Override
+    public void onConnected(String peerIp) {
+        pools.forEach(
+                (pool, holdings) -> {
+                    if (holdings.coordinator().equals(peerIp)) {
+                        // The peer forgot what this gateway held when the old connection closed.
+                        startExchange(pool, holdings);
+                    }
+                });
+        refreshCoordinators();
+    }
+
+    @Override
+    public void onMembersChanged() {
+        coordinators.membersChanged();
+        refreshCoordinators();
+    }
+
+    private void onReply(String ip, SlotReply reply) {
+        PoolId pool = SlotCodec.decode(reply.getPool());
+        PoolHoldings holdings = pools.get(pool);
+        SlotAcquisition acquisition =
+                holdings == null ? null : holdings.acquisitions().get(reply.getTicket());
+        boolean expected = acquisition != null && acquisition.isAsking(ip);
+        switch (reply.getOutcomeCase()) {
+            case GRANTED_TARGET -> {
+                if (expected) {
+                    metrics.countSlotEvent("granted");
+                    acquisition.onGranted(reply.getGrantedTarget());
+                } else {
+                    send(ip, SlotCodec.release(pool, reply.getTicket(), LeaseOutcome.CANCELLED));
+                }
+            }
+            case QUEUED -> {
+                if (expected) {
+                    metrics.countSlotEvent("queued");
+                    acquisition.onQueued();
+                }
+            }
+            case REFUSAL -> {
+                if (expected) {
+                    metrics.countSlotEvent(
+                            "refused_" + reply.getRefusal().getReason().name().toLowerCase());
+                    acquisition.onRefused(
+                            SlotCodec.decode(reply.getRefusal().getReason()),
+                            SlotCodec.expectedWait(reply.getRefusal()));
+                }
+            }
+            case OUTCOME_NOT_SET -> {}
+        }
+    }
+
+    private void onBatchGrant(String ip, BatchGrant grant) {
+        PoolId pool = SlotCodec.decode(grant.getPool());
+        PoolHoldings holdings = holdings(pool);
+        if (!holdings.coordinator().equals(ip)) {
+            send(ip, SlotCodec.release(pool, grant.getTicket(), LeaseOutcome.CANCELLED));
+            return;
+        }
+        metrics.countSlotEvent("batch_granted");
+        holdings.countBatchGrant();
+        SlotLease lease =
+                addLease(
+                        pool,
+                        grant.getTicket(),
+                        grant.getTarget(),
+                        TrafficClass.BATCH,
+                        grant.getDueMillis());
+        usableTarget(grant.getTarget())
+                .ifPresentOrElse(
+                        target -> batchDemands.onGranted(lease, target),
+                        () -> releaseUnusable(lease));
+    }
+
+    private void onRevocation(String ip, PoolId pool, long ticket) {
+        PoolHoldings holdings = pools.get(pool);
+        if (holdings != null && holdings.coordinator().equals(ip)) {
+            metrics.countSlotEvent("preempted");
+            holdings.removeTicket(ticket).ifPresent(SlotLease::revoke);
+        }
+    }
+
+    /**
+     * Handles the query of a gateway that started to coordinate a pool. If this gateway has another
+     * coordinator, it finds out whether that one still answers.
+     */
+    private void onHoldingsQuery(String ip, PoolId pool) {
+        PoolHoldings holdings = pools.get(pool);
+        if (holdings == null || !holdings.isInUse()) {
+            return;
+        }
+        refreshCoordinator(pool, holdings);
+        if (holdings.coordinator().equals(ip)) {
+            startExchange(pool, holdings);
+        } else {
+            sendCheck(holdings.coordinator());
+        }
+    }
+
+    private void checkCoordinators() {
+        long now = System.nanoTime();
+        checksSentNanos.forEach(
+                (ip, sentNanos) -> {
+                    if (now - sentNanos > CHECK_TIMEOUT.toNanos()) {
+                        coordinators.recordUnanswered(ip, sentNanos, now);
+                    }
+                });
+        checksSentNanos.keySet().removeIf(ip -> !mesh.isConnected(ip));
+        coordinators.unanswering().forEach(this::sendCheck);
+        unusableUntilNanos.values().removeIf(until -> now - until > 0);
+        refreshCoordinators();
+        scheduleCheck(checksSentNanos.isEmpty() ? CHECK_INTERVAL : UNANSWERED_CHECK_INTERVAL);
+    }
+
+    private void sendCheck(String ip) {
+        if (!ip.equals(self.ip())) {
+            if (checksSentNanos.putIfAbsent(ip, System.nanoTime()) == null) {
+                scheduleCheck(UNANSWERED_CHECK_INTERVAL);
+            }
+            send(ip, check(false));
+        }
+    }
+
+    private static PeerFrame check(boolean response) {
+        return PeerFrame.newBuilder()
+                .setCoordinatorCheck(CoordinatorCheck.newBuilder().setResponse(response))
+                .build();
+    }
+
+    private void refreshCoordinators() {
+        for (Map.Entry<PoolId, PoolHoldings> entry : List.copyOf(pools.entrySet())) {
+            refreshCoordinator(entry.getKey(), entry.getValue());
+        }
+    }
+
+    private void refreshCoordinator(PoolId pool, PoolHoldings holdings) {
+        String chosen = coordinators.of(pool, System.nanoTime());
+        if (!chosen.equals(holdings.coordinator())) {
+            send(
+                    holdings.coordinator(),
+                    SlotCodec.holdings(pool, List.of(), holdings.batchGrants()));
+            holdings.setCoordinator(chosen);
+            startExchange(pool, holdings);
+        }
+    }
+
+    /** Tells the coordinator of a pool everything that it must know of this gateway. */
+    private void startExchange(PoolId pool, PoolHoldings holdings) {
+        holdings.setSentDemand(BatchDemand.NONE);
+        send(
+                holdings.coordinator(),
+                SlotCodec.holdings(pool, holdings.heldSlots(), holdings.batchGrants()));
+        List.copyOf(holdings.acquisitions().values()).forEach(SlotAcquisition::restart);
+        batchDemands.changed();
+    }
+
+    private Set<String> coordinatorsInUse() {
+        Set<String> ips = new HashSet<>();
+        for (PoolHoldings holdings : pools.values()) {
+            if (holdings.isInUse()) {
+                ips.add(holdings.coordinator());
+            }
+        }
+        return ips;
+    }
+
+    String ip() {
+        return self.ip();
+    }
+
+    long nextTicket() {
+        return nextTicket++;
+    }
+
+    ScheduledFuture<?> schedule(Runnable action, Duration delay) {
+        return loop.schedule(action, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    Optional<TargetInstance> usableTarget(String id) {
+        return targets.usableTarget(id);
+    }
+
+    Set<String> avoidedTargets(String service) {
+        Set<String> avoided = targets.avoidedTargets(service);
+        if (unusableUntilNanos.isEmpty()) {
+            return avoided;
+        }
+        return ImmutableSet.<String>builder()
+                .addAll(avoided)
+                .addAll(unusableUntilNanos.keySet())
+                .build();
+    }
+
+    /**
+     * Returns the pools of a service in the order in which they are asked; those whose coordinator
+     * does not answer come last.
+     */
+    List<PoolId> pools(String service) {
+        List<PoolId> answering = new ArrayList<>();
+        List<PoolId> unanswering = new ArrayList<>();
+        for (PoolId pool : plan.preferred(service)) {
+            boolean silent = coordinators.isUnanswering(holdings(pool).coordinator());
+            (silent ? unanswering : answering).add(pool);
+        }
+        answering.addAll(unanswering);
+        return answering;
+    }
+
+    /** Returns whether a pool is in the data centre of this gateway. */
+    boolean isLocal(PoolId pool) {
+        return pool.dataCentre().equals(self.dataCentre());
+    }
+
+    PoolHoldings holdings(PoolId pool) {
+        return pools.computeIfAbsent(
+                pool, id -> new PoolHoldings(coordinators.of(id, System.nanoTime())));
+    }
+
+    /** Sends a request to the coordinator of a pool, and returns the address of the coordinator. */
+    String send(SlotAcquisition acquisition, PoolId pool, SlotRequest request, long now) {
+        PoolHoldings holdings = holdings(pool);
+        refreshCoordinator(pool, holdings);
+        holdings.acquisitions().put(request.ticket(), acquisition);
+        send(holdings.coordinator(), SlotCodec.request(pool, request, now));
+        return holdings.coordinator();
+    }
+
+    /** Sends a frame to a coordinator, which may be this gateway. */
+    void send(String ip, PeerFrame frame) {
+        if (ip.equals(self.ip())) {
+            loop.execute(() -> onFrame(ip, frame));
+        } else {
+            // A frame that is not sent needs no handling: the answer is missed, or the exchange
+            // starts anew after the next connection.
+            mesh.send(ip, frame);
+        }
+    }
+
+    void recordUnanswered(String ip, long askedNanos) {
+        metrics.countSlotEvent("unanswered");
+        coordinators.recordUnanswered(ip, askedNanos, System.nanoTime());
+        sendCheck(ip);
+    }
+
+    void withdraw(PoolId pool, long ticket, String ip) {
+        send(ip, SlotCodec.release(pool, ticket, LeaseOutcome.CANCELLED));
+    }
+
+    void forget(PoolId pool, long ticket) {
+        holdings(pool).acquisitions().remove(ticket);
+    }
+
+    SlotLease addLease(
+            PoolId pool, long ticket, String target, TrafficClass trafficClass, long dueMillis) {
+        SlotLease lease =
+                new SlotLease(
+                        pool,
+                        new HeldSlot(ticket, target, trafficClass, dueMillis),
+                        this::leaseReleased);
+        holdings(pool).add(lease);
+        return lease;
+    }
+
+    /** Releases a slot of a target that this gateway does not know or that is leaving. */
+    void releaseUnusable(SlotLease lease) {
+        metrics.countSlotEvent("unusable");
+        unusableUntilNanos.put(lease.target(), System.nanoTime() + UNUSABLE_TIME.toNanos());
+        lease.release(LeaseOutcome.CANCELLED);
+    }
+
+    private void leaseReleased(SlotLease lease, LeaseOutcome outcome) {
+        PoolHoldings holdings = holdings(lease.pool());
+        if (holdings.remove(lease)) {
+            send(
+                    holdings.coordinator(),
+                    SlotCodec.release(lease.pool(), lease.slot().ticket(), outcome));
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
@@ -0,0 +1,225 @@
+package org.fuchsiaspindle.gateway.slot;
+
+import com.google.common.collect.ImmutableSet;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.slot.BatchDemand;
+import org.fuchsiaspindle.core.slot.HeldSlot;
+import org.fuchsiaspindle.core.slot.LeaseOutcome;
+import org.fuchsiaspindle.core.slot.PoolId;
+import org.fuchsiaspindle.core.slot.SlotDecision;
+import org.fuchsiaspindle.core.slot.SlotRequest;
+import org.fuchsiaspindle.core.slot.TrafficClass;
+import org.fuchsiaspindle.wire.peer.BatchDemandMessage;
+import org.fuchsiaspindle.wire.peer.BatchGrant;
+import org.fuchsiaspindle.wire.peer.HeldSlotMessage;
+import org.fuchsiaspindle.wire.peer.HoldingsQuery;
+import org.fuchsiaspindle.wire.peer.PeerFrame;
+import org.fuchsiaspindle.wire.peer.Pool;
+import org.fuchsiaspindle.wire.peer.SilenceReport;
+import org.fuchsiaspindle.wire.peer.SlotHoldings;
+import org.fuchsiaspindle.wire.peer.SlotRefusal;
+import org.fuchsiaspindle.wire.peer.SlotRelease;
+import org.fuchsiaspindle.wire.peer.SlotReply;
+import org.fuchsiaspindle.wire.peer.SlotRequestMessage;
+import org.fuchsiaspindle.wire.peer.SlotRevocation;
+
+/** Encodes what gateways tell each other about slots, and decodes it. */
+final class SlotCodec {
+
+    private SlotCodec() {}
+
+    static Pool encode(PoolId pool) {
+        return Pool.newBuilder()
+                .setService(pool.service())
+                .setDataCentre(pool.dataCentre())
+                .setShard(pool.shard())
+                .build();
+    }
+
+    static PoolId decode(Pool pool) {
+        return new PoolId(pool.getService(), pool.getDataCentre(), pool.getShard());
+    }
+
+    static PeerFrame request(PoolId pool, SlotRequest request, long now) {
+        return PeerFrame.newBuilder()
+                .setSlotRequest(
+                        SlotRequestMessage.newBuilder()
+                                .setPool(encode(pool))
+                                .setTicket(request.ticket())
+                                .setMayWait(request.mayWait())
+                                .setPriority(request.priority())
+                                .setOnTimeMillis(millisUntil(request.onTimeUntilNanos(), now))
+                                .setStartMillis(millisUntil(request.startUntilNanos(), now))
+                                .addAllAvoidedTargets(request.avoided())
+                                .setLastResort(request.lastResort()))
+                .build();
+    }
+
+    /** Decodes the request of a holder; its relative times start when it arrives. */
+    static SlotRequest decode(String holder, SlotRequestMessage message, long now) {
+        return new SlotRequest(
+                holder,
+                message.getTicket(),
+                message.getMayWait(),
+                message.getPriority(),
+                now + TimeUnit.MILLISECONDS.toNanos(message.getOnTimeMillis()),
+                now + TimeUnit.MILLISECONDS.toNanos(message.getStartMillis()),
+                ImmutableSet.copyOf(message.getAvoidedTargetsList()),
+                message.getLastResort());
+    }
+
+    static PeerFrame release(PoolId pool, long ticket, LeaseOutcome outcome) {
+        return PeerFrame.newBuilder()
+                .setSlotRelease(
+                        SlotRelease.newBuilder()
+                                .setPool(encode(pool))
+                                .setTicket(ticket)
+                                .setOutcome(encode(outcome)))
+                .build();
+    }
+
+    private static SlotRelease.Outcome encode(LeaseOutcome outcome) {
+        return switch (outcome) {
+            case DONE -> SlotRelease.Outcome.DONE;
+            case FAILED -> SlotRelease.Outcome.FAILED;
+            case TARGET_FULL -> SlotRelease.Outcome.TARGET_FULL;
+            case UNREACHABLE -> SlotRelease.Outcome.UNREACHABLE;
+            case CANCELLED -> SlotRelease.Outcome.CANCELLED;
+        };
+    }
+
+    static LeaseOutcome decode(SlotRelease.Outcome outcome) {
+        return switch (outcome) {
+            case DONE -> LeaseOutcome.DONE;
+            case FAILED -> LeaseOutcome.FAILED;
+            case TARGET_FULL -> LeaseOutcome.TARGET_FULL;
+            case UNREACHABLE -> LeaseOutcome.UNREACHABLE;
+            case CANCELLED, OUTCOME_UNSPECIFIED, UNRECOGNIZED -> LeaseOutcome.CANCELLED;
+        };
+    }
+
+    static PeerFrame demand(PoolId pool, BatchDemand demand) {
+        return PeerFrame.newBuilder()
+                .setBatchDemand(
+                        BatchDemandMessage.newBuilder()
+                                .setPool(encode(pool))
+                                .setWaiting(demand.waiting())
+                                .setDueMillis(demand.dueMillis())
+                                .setGrantsReceived(demand.grantsReceived())
+                                .addAllAvoidedTargets(demand.avoided()))
+                .build();
+    }
+
+    static BatchDemand decode(BatchDemandMessage message) {
+        return new BatchDemand(
+                message.getWaiting(),
+                message.getDueMillis(),
+                message.getGrantsReceived(),
+                ImmutableSet.copyOf(message.getAvoidedTargetsList()));
+    }
+
+    static PeerFrame holdings(PoolId pool, List<HeldSlot> slots, long grantsReceived) {
+        SlotHoldings.Builder holdings =
+                SlotHoldings.newBuilder().setPool(encode(pool)).setGrantsReceived(grantsReceived);
+        for (HeldSlot slot : slots) {
+            holdings.addSlots(
+                    HeldSlotMessage.newBuilder()
+                            .setTicket(slot.ticket())
+                            .setTarget(slot.target())
+                            .setBatch(slot.trafficClass() == TrafficClass.BATCH)
+                            .setDueMillis(slot.dueMillis()));
+        }
+        return PeerFrame.newBuilder().setSlotHoldings(holdings).build();
+    }
+
+    static List<HeldSlot> decode(SlotHoldings holdings) {
+        return holdings.getSlotsList().stream()
+                .map(
+                        slot ->
+                                new HeldSlot(
+                                        slot.getTicket(),
+                                        slot.getTarget(),
+                                        slot.getBatch() ? TrafficClass.BATCH : TrafficClass.ONLINE,
+                                        slot.getDueMillis()))
+                .toList();
+    }
+
+    static PeerFrame holdingsQuery(PoolId pool) {
+        return PeerFrame.newBuilder()
+                .setHoldingsQuery(HoldingsQuery.newBuilder().setPool(encode(pool)))
+                .build();
+    }
+
+    static PeerFrame silence(PoolId pool, String target) {
+        return PeerFrame.newBuilder()
+                .setSilenceReport(
+                        SilenceReport.newBuilder().setPool(encode(pool)).setTarget(target))
+                .build();
+    }
+
+    /** Encodes a decision for its holder. */
+    static PeerFrame decision(PoolId pool, SlotDecision decision) {
+        PeerFrame.Builder frame = PeerFrame.newBuilder();
+        Pool encodedPool = encode(pool);
+        switch (decision) {
+            case SlotDecision.Granted granted ->
+                    frame.setSlotReply(
+                            reply(encodedPool, granted).setGrantedTarget(granted.target()));
+            case SlotDecision.Queued queued ->
+                    frame.setSlotReply(reply(encodedPool, queued).setQueued(true));
+            case SlotDecision.Refused refused ->
+                    frame.setSlotReply(reply(encodedPool, refused).setRefusal(encode(refused)));
+            case SlotDecision.BatchGranted granted ->
+                    frame.setBatchGrant(
+                            BatchGrant.newBuilder()
+                                    .setPool(encodedPool)
+                                    .setTicket(granted.ticket())
+                                    .setTarget(granted.target())
+                                    .setDueMillis(granted.dueMillis()));
+            case SlotDecision.Preempted preempted ->
+                    frame.setSlotRevocation(
+                            SlotRevocation.newBuilder()
+                                    .setPool(encodedPool)
+                                    .setTicket(preempted.ticket()));
+        }
+        return frame.build();
+    }
+
+    private static SlotReply.Builder reply(Pool pool, SlotDecision decision) {
+        return SlotReply.newBuilder().setPool(pool).setTicket(decision.ticket());
+    }
+
+    private static SlotRefusal encode(SlotDecision.Refused refused) {
+        SlotRefusal.Reason reason =
+                switch (refused.reason()) {
+                    case FULL -> SlotRefusal.Reason.FULL;
+                    case NO_TARGET -> SlotRefusal.Reason.NO_TARGET;
+                    case OVERLOADED -> SlotRefusal.Reason.OVERLOADED;
+                    case EXPIRED -> SlotRefusal.Reason.EXPIRED;
+                };
+        long waitMillis = Math.min(refused.expectedWait().toMillis(), Integer.MAX_VALUE);
+        return SlotRefusal.newBuilder()
+                .setReason(reason)
+                .setExpectedWaitMillis((int) waitMillis)
+                .build();
+    }
+
+    static SlotDecision.Refusal decode(SlotRefusal.Reason reason) {
+        return switch (reason) {
+            case FULL -> SlotDecision.Refusal.FULL;
+            case OVERLOADED -> SlotDecision.Refusal.OVERLOADED;
+            case EXPIRED -> SlotDecision.Refusal.EXPIRED;
+            case NO_TARGET, REASON_UNSPECIFIED, UNRECOGNIZED -> SlotDecision.Refusal.NO_TARGET;
+        };
+    }
+
+    static Duration expectedWait(SlotRefusal refusal) {
+        return Duration.ofMillis(refusal.getExpectedWaitMillis());
+    }
+
+    private static int millisUntil(long nanos, long now) {
+        return (int) TimeUnit.NANOSECONDS.toMillis(nanos - now);
+    }
+}
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -7,6 +7,8 @@
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.function.Supplier;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.slot.LeaseOutcome;
+import org.fuchsiaspindle.gateway.slot.SlotLease;
 import org.fuchsiaspindle.platform.channel.ExchangeFailure;
 import org.fuchsiaspindle.platform.channel.ExchangeListener;
 import org.fuchsiaspindle.platform.channel.HttpConnection;
@@ -22,7 +24,7 @@
 
     private final TargetFleet fleet;
     private final TargetState target;
-    private final TrafficClass trafficClass;
+    private final SlotLease lease;
     private final boolean isStream;
     private final String requestId;
     private final CallListener listener;
@@ -36,14 +38,14 @@
     TargetCall(
             TargetFleet fleet,
             TargetState target,
-            TrafficClass trafficClass,
+            SlotLease lease,
             boolean isStream,
             String requestId,
             Supplier<FullHttpRequest> request,
             CallListener listener) {
         this.fleet = fleet;
         this.target = target;
-        this.trafficClass = trafficClass;
+        this.lease = checkNotNull(lease, "lease");
         this.isStream = isStream;
         this.requestId = requestId;
         this.request = checkNotNull(request, "request");
@@ -79,17 +81,21 @@
      * is not called again.
      */
     public void cancel() {
-        if (end() && connection != null) {
+        if (end(LeaseOutcome.CANCELLED) && connection != null) {
             connection.close();
         }
     }
 
-    boolean isStream() {
-        return isStream;
+    /** Ends the call like {@link #cancel}, because the target violates the protocol. */
+    public void fail() {
+        target.health().protocolViolated(System.nanoTime());
+        if (end(LeaseOutcome.FAILED) && connection != null) {
+            connection.close();
+        }
     }
 
-    TrafficClass trafficClass() {
-        return trafficClass;
+    boolean isStream() {
+        return isStream;
     }
 
     long createdNanos() {
@@ -112,20 +118,30 @@
     }
 
     void connectFailed() {
-        if (end()) {
+        if (end(LeaseOutcome.UNREACHABLE)) {
             listener.onFailure(CallFailure.NOT_SENT);
         }
     }
 
-    private boolean end() {
+    private boolean end(LeaseOutcome outcome) {
         if (ended) {
             return false;
         }
         ended = true;
         fleet.callEnded(this);
+        lease.release(outcome);
         return true;
     }
 
+    private static LeaseOutcome outcome(TargetResponse.Meaning meaning) {
+        return switch (meaning) {
+            case SUCCESS, IMPOSSIBLE -> LeaseOutcome.DONE;
+            case FAILED, UNTRUSTED -> LeaseOutcome.FAILED;
+            case NOT_RUN -> LeaseOutcome.TARGET_FULL;
+            case OTHER_TARGET -> LeaseOutcome.UNREACHABLE;
+        };
+    }
+
     private final class ResponseReader implements ExchangeListener {
 
         @Override
@@ -154,14 +170,18 @@
                 connection.setReading(true);
                 target.returnToPool(connection);
             }
-            if (end()) {
+            target.health().responseCompleted();
+            if (end(outcome(response.meaning()))) {
                 listener.onComplete();
             }
         }
 
         @Override
         public void onFailure(ExchangeFailure failure) {
-            if (end()) {
+            if (failure == ExchangeFailure.MALFORMED_ANSWER) {
+                target.health().protocolViolated(System.nanoTime());
+            }
+            if (end(LeaseOutcome.FAILED)) {
                 listener.onFailure(
                         failure == ExchangeFailure.MALFORMED_ANSWER
                                 ? CallFailure.MALFORMED
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetHealth.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetHealth.java
@@ -7,9 +7,9 @@
  * Decides from the outcomes of calls whether a target receives new calls.
  *
  * <p>A target that refuses connections is ejected for a time that doubles with each consecutive
- * failure. A target that sends no data although calls run on it is silent: it is ejected until it
- * sends data, and probed with a single call at intervals. Not thread-safe; times are monotonic
- * nanoseconds.
+ * failure, and so is one that broke the protocol several times in a row. A target that sends no
+ * data although calls run on it is silent: it is ejected until it sends data, and probed with a
+ * single call at intervals. Not thread-safe; times are monotonic nanoseconds.
  */
 final class TargetHealth {
 
@@ -30,7 +30,11 @@
     /** Time between two probe calls to a silent target. */
     private static final Duration PROBE_INTERVAL = Duration.ofMillis(1500);
 
+    /** Number of consecutive violations of the protocol from which a target is ejected. */
+    private static final int MIN_VIOLATIONS = 2;
+
     private int connectFailures;
+    private int violations;
     private long blockedUntilNanos;
     private boolean blocked;
     private boolean silent;
@@ -58,7 +62,7 @@
     void dataReceived() {
         silent = false;
         connectFailures = 0;
-        blocked = false;
+        blocked &= violations >= MIN_VIOLATIONS;
     }
 
     void connectFailed(long now) {
@@ -66,6 +70,20 @@
         block(now, Backoff.bound(connectFailures, INITIAL_EJECTION_TIME, MAX_EJECTION_TIME));
     }
 
+    /** Records a response that was malformed or did not end. */
+    void protocolViolated(long now) {
+        violations++;
+        if (violations >= MIN_VIOLATIONS) {
+            int ejections = violations - MIN_VIOLATIONS + 1;
+            block(now, Backoff.bound(ejections, INITIAL_EJECTION_TIME, MAX_EJECTION_TIME));
+        }
+    }
+
+    /** Records a complete response. */
+    void responseCompleted() {
+        violations = 0;
+    }
+
     void refusedAsFull(long now) {
         block(now, FULL_BACKOFF);
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
@@ -2,20 +2,13 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
-import java.util.Collection;
 import java.util.Deque;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
-import java.util.Map;
 import java.util.Set;
 import org.fuchsiaspindle.core.serving.TargetInstance;
-import org.fuchsiaspindle.core.serving.TargetLoad;
 import org.fuchsiaspindle.platform.channel.HttpConnection;
 
-/**
- * The connections, calls, load and health of one incarnation of a target, as known to this gateway;
- * not thread-safe.
- */
+/** The connections, calls and health of one incarnation of a target; not thread-safe. */
 final class TargetState {
 
     /**
@@ -23,6 +16,9 @@
      */
     private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(4);
 
+    /** Time between two reports that the target is silent. */
+    private static final Duration SILENCE_REPORT_INTERVAL = Duration.ofSeconds(1);
+
     /** How long before the end of the announced keep-alive time an idle connection is closed. */
     private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(700);
 
@@ -31,13 +27,8 @@
     private final TargetHealth health = new TargetHealth();
     private final Deque<HttpConnection> idleConnections = new ArrayDeque<>();
     private final Set<TargetCall> calls = new LinkedHashSet<>();
-    private final Map<String, TargetLoad> peerLoads = new HashMap<>();
-    private TargetLoad totalPeerLoad = TargetLoad.NONE;
-    private int localOnlineCalls;
-    private int localBatchItems;
     private long lastDataNanos;
-    private boolean slotFree = true;
-    private long slotFreeSinceNanos = System.nanoTime();
+    private long silenceReportedNanos;
 
     TargetState(TargetInstance instance) {
         this.instance = instance;
@@ -69,19 +60,8 @@
         return !registered && calls.isEmpty();
     }
 
-    boolean acceptsWork(long now) {
-        return isOpen() && health.acceptsCalls(now);
-    }
-
-    /**
-     * Returns whether the target may receive calls if no target accepts work; a silent target may,
-     * a blocked one may not.
-     */
-    boolean isLastResort(long now) {
-        return isOpen() && !health.isBlocked(now);
-    }
-
-    private boolean isOpen() {
+    /** Returns whether the target is registered and not leaving. */
+    boolean isOpen() {
         return registered && !instance.leaving();
     }
 
@@ -92,65 +72,22 @@
                 : TargetHealth.UNARY_SILENCE_LIMIT;
     }
 
-    /**
-     * Updates the time since which a slot has been free; called after the load may have changed.
-     */
-    void updateFreeSlot(long now) {
-        boolean hasFreeSlot = load().total() < instance.slots();
-        if (hasFreeSlot && !slotFree) {
-            slotFreeSinceNanos = now;
-        }
-        slotFree = hasFreeSlot;
-    }
-
-    /** Returns whether a slot has been free for at least the given time. */
-    boolean hasFreeSlotFor(Duration time, long now) {
-        return slotFree && now - slotFreeSinceNanos >= time.toNanos();
-    }
-
-    TargetLoad localLoad() {
-        return new TargetLoad(localOnlineCalls, localBatchItems);
-    }
-
-    TargetLoad load() {
-        return totalPeerLoad.plus(localLoad());
-    }
-
-    /** Returns the number of batch items that the given peers run on this target. */
-    int batchItemsOf(Collection<String> peerIps) {
-        int items = 0;
-        for (String ip : peerIps) {
-            items += peerLoads.getOrDefault(ip, TargetLoad.NONE).batch();
-        }
-        return items;
-    }
-
-    void setPeerLoad(String ip, TargetLoad load) {
-        TargetLoad previous = load.total() == 0 ? peerLoads.remove(ip) : peerLoads.put(ip, load);
-        totalPeerLoad =
-                totalPeerLoad.plus(load).minus(previous == null ? TargetLoad.NONE : previous);
-    }
-
     void add(TargetCall call) {
-        if (calls.add(call)) {
-            adjustCallCount(call.trafficClass(), 1);
-        }
+        calls.add(call);
     }
 
     boolean remove(TargetCall call) {
-        boolean removed = calls.remove(call);
-        if (removed) {
-            adjustCallCount(call.trafficClass(), -1);
-        }
-        return removed;
+        return calls.remove(call);
     }
 
-    private void adjustCallCount(TrafficClass trafficClass, int change) {
-        switch (trafficClass) {
-            case ONLINE -> localOnlineCalls += change;
-            case BATCH -> localBatchItems += change;
-            default -> throw new AssertionError(trafficClass);
+    /** Returns whether the coordinator must be told now that the target is silent. */
+    boolean isSilenceReportDue(long now) {
+        boolean due =
+                health.isSilent() && now - silenceReportedNanos > SILENCE_REPORT_INTERVAL.toNanos();
+        if (due) {
+            silenceReportedNanos = now;
         }
+        return due;
     }
 
     void dataReceived(long now) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
@@ -36,6 +36,25 @@
                     .labelNames("outcome")
                     .register(registry);
 
+    private final Counter controlMessages =
+            Counter.builder()
+                    .name("fuchsiaspindle_control_messages_total")
+                    .help("Messages sent to other gateways.")
+                    .labelNames("kind")
+                    .register(registry);
+    private final Counter controlBytes =
+            Counter.builder()
+                    .name("fuchsiaspindle_control_bytes_total")
+                    .help("Bytes of the messages sent to other gateways, without framing.")
+                    .labelNames("kind")
+                    .register(registry);
+    private final Counter slots =
+            Counter.builder()
+                    .name("fuchsiaspindle_slot_events_total")
+                    .help("Requests for slots, and what came of them.")
+                    .labelNames("event")
+                    .register(registry);
+
     /** Creates metrics in a new registry. */
     public GatewayMetrics() {}
 
@@ -54,6 +73,17 @@
         items.labelValues(outcome).inc();
     }
 
+    /** Counts a message to another gateway. */
+    public void countControlMessage(String kind, int bytes) {
+        controlMessages.labelValues(kind).inc();
+        controlBytes.labelValues(kind).inc(bytes);
+    }
+
+    /** Counts an event on a slot or on a request for one. */
+    public void countSlotEvent(String event) {
+        slots.labelValues(event).inc();
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public byte[] text() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/Bench.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/Bench.java
@@ -17,7 +17,8 @@
             FootprintBench.class,
             SlopesBench.class,
             DecisionBench.class,
-            PlatformBench.class
+            PlatformBench.class,
+            GrowthBench.class
         })
 public final class Bench {
 
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -32,6 +32,7 @@
 
     private static final String STORE_IP = "127.0.1.1";
     private static final String ENGINE_IP = "127.0.2.1";
+    private static final double CPU_CAPACITY = 1;
     private static final Duration STOP_GRACE = Duration.ofSeconds(8);
 
     private final StoreEmulator store = StoreEmulator.start(STORE_IP);
@@ -108,6 +109,26 @@
         return EmulatorClient.of(ip, clientPort, HOST);
     }
 
+    /** Returns the sum of a metric over all gateways and label values. */
+    public double metric(String name) throws IOException {
+        double sum = 0;
+        for (String ip : gateways.keySet()) {
+            String text =
+                    EmulatorClient.of(ip, statusPort, HOST)
+                            .call("GET", "/metrics", Map.of(), "")
+                            .body();
+            sum +=
+                    text.lines()
+                            .filter(line -> line.startsWith(name))
+                            .mapToDouble(
+                                    line ->
+                                            Double.parseDouble(
+                                                    line.substring(line.lastIndexOf(' ') + 1)))
+                            .sum();
+        }
+        return sum;
+    }
+
     /** Stores a new configuration with the given routes, as JSON; returns its version. */
     public int configure(String... routes) {
         configVersion += 3;
@@ -153,6 +174,7 @@
                 peerPort,
                 seeds,
                 HostAndPort.fromParts(STORE_IP, store.port()),
+                CPU_CAPACITY,
                 STOP_GRACE);
     }
 
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/TargetCount.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/HeldSlotMessage.java
@@ -6,21 +6,47 @@
 package org.fuchsiaspindle.wire.peer;
 
 /**
- * Protobuf type {@code org.fuchsiaspindle.wire.peer.TargetCount}
+ * Protobuf type {@code org.fuchsiaspindle.wire.peer.HeldSlotMessage}
  */
 @com.google.protobuf.Generated
-public  final class TargetCount extends
+public  final class HeldSlotMessage extends
     com.google.protobuf.GeneratedMessageLite<
-        TargetCount, TargetCount.Builder> implements
-    // @@protoc_insertion_point(message_implements:org.fuchsiaspindle.wire.peer.TargetCount)
-    TargetCountOrBuilder {
-  private TargetCount() {
+        HeldSlotMessage, HeldSlotMessage.Builder> implements
+    // @@protoc_insertion_point(message_implements:org.fuchsiaspindle.wire.peer.HeldSlotMessage)
+    HeldSlotMessageOrBuilder {
+  private HeldSlotMessage() {
     target_ = "";
   }
-  public static final int TARGET_FIELD_NUMBER = 1;
+  public static final int TICKET_FIELD_NUMBER = 1;
+  private long ticket_;
+  /**
+   * <code>fixed64 ticket = 1;</code>
+   * @return The ticket.
+   */
+  @java.lang.Override
+  public long getTicket() {
+    return ticket_;
+  }
+  /**
+   * <code>fixed64 ticket = 1;</code>
+   * @param value The ticket to set.
+   */
+  private void setTicket(long value) {
+    
+    ticket_ = value;
+  }
+  /**
+   * <code>fixed64 ticket = 1;</code>
+   */
+  private void clearTicket() {
+
+    ticket_ = 0L;
+  }
+
+  public static final int TARGET_FIELD_NUMBER = 2;
   private java.lang.String target_;
   /**
-   * <code>string target = 1;</code>
+   * <code>string target = 2;</code>
    * @return The target.
    */
   @java.lang.Override
@@ -28,7 +54,7 @@
     return target_;
   }
   /**
-   * <code>string target = 1;</code>
+   * <code>string target = 2;</code>
    * @return The bytes for target.
    */
   @java.lang.Override
@@ -37,7 +63,7 @@
     return com.google.protobuf.ByteString.copyFromUtf8(target_);
   }
   /**
-   * <code>string target = 1;</code>
+   * <code>string target = 2;</code>
    * @param value The target to set.
    */
   private void setTarget(
@@ -47,14 +73,14 @@
     target_ = value;
   }
   /**
-   * <code>string target = 1;</code>
+   * <code>string target = 2;</code>
    */
   private void clearTarget() {
 
     target_ = getDefaultInstance().getTarget();
   }
   /**
-   * <code>string target = 1;</code>
+   * <code>string target = 2;</code>
    * @param value The bytes for target to set.
    */
   private void setTargetBytes(
@@ -64,102 +90,102 @@
 
   }
 
-  public static final int ONLINE_FIELD_NUMBER = 2;
-  private int online_;
+  public static final int BATCH_FIELD_NUMBER = 3;
+  private boolean batch_;
   /**
-   * <code>uint32 online = 2;</code>
-   * @return The online.
+   * <code>bool batch = 3;</code>
+   * @return The batch.
    */
   @java.lang.Override
-  public int getOnline() {
-    return online_;
+  public boolean getBatch() {
+    return batch_;
   }
   /**
-   * <code>uint32 online = 2;</code>
-   * @param value The online to set.
+   * <code>bool batch = 3;</code>
+   * @param value The batch to set.
    */
-  private void setOnline(int value) {
+  private void setBatch(boolean value) {
     
-    online_ = value;
+    batch_ = value;
   }
   /**
-   * <code>uint32 online = 2;</code>
+   * <code>bool batch = 3;</code>
    */
-  private void clearOnline() {
+  private void clearBatch() {
 
-    online_ = 0;
+    batch_ = false;
   }
 
-  public static final int BATCH_FIELD_NUMBER = 3;
-  private int batch_;
+  public static final int DUE_MILLIS_FIELD_NUMBER = 4;
+  private long dueMillis_;
   /**
-   * <code>uint32 batch = 3;</code>
-   * @return The batch.
+   * <code>int64 due_millis = 4;</code>
+   * @return The dueMillis.
    */
   @java.lang.Override
-  public int getBatch() {
-    return batch_;
+  public long getDueMillis() {
+    return dueMillis_;
   }
   /**
-   * <code>uint32 batch = 3;</code>
-   * @param value The batch to set.
+   * <code>int64 due_millis = 4;</code>
+   * @param value The dueMillis to set.
    */
-  private void setBatch(int value) {
+  private void setDueMillis(long value) {
     
-    batch_ = value;
+    dueMillis_ = value;
   }
   /**
-   * <code>uint32 batch = 3;</code>
+   * <code>int64 due_millis = 4;</code>
    */
-  private void clearBatch() {
+  private void clearDueMillis() {
 
-    batch_ = 0;
+    dueMillis_ = 0L;
   }
 
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data);
   }
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data, extensionRegistry);
   }
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data);
   }
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data, extensionRegistry);
   }
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseFrom(byte[] data)
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data);
   }
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data, extensionRegistry);
   }
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseFrom(java.io.InputStream input)
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, input);
   }
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -167,24 +193,24 @@
         DEFAULT_INSTANCE, input, extensionRegistry);
   }
 
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseDelimitedFrom(java.io.InputStream input)
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return parseDelimitedFrom(DEFAULT_INSTANCE, input);
   }
 
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseDelimitedFrom(
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return parseDelimitedFrom(DEFAULT_INSTANCE, input, extensionRegistry);
   }
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, input);
   }
-  public static org.fuchsiaspindle.wire.peer.TargetCount parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -195,26 +221,54 @@
   public static Builder newBuilder() {
     return (Builder) DEFAULT_INSTANCE.createBuilder();
   }
-  public static Builder newBuilder(org.fuchsiaspindle.wire.peer.TargetCount prototype) {
+  public static Builder newBuilder(org.fuchsiaspindle.wire.peer.HeldSlotMessage prototype) {
     return DEFAULT_INSTANCE.createBuilder(prototype);
   }
 
   /**
-   * Protobuf type {@code org.fuchsiaspindle.wire.peer.TargetCount}
+   * Protobuf type {@code org.fuchsiaspindle.wire.peer.HeldSlotMessage}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessageLite.Builder<
-        org.fuchsiaspindle.wire.peer.TargetCount, Builder> implements
-      // @@protoc_insertion_point(builder_implements:org.fuchsiaspindle.wire.peer.TargetCount)
-      org.fuchsiaspindle.wire.peer.TargetCountOrBuilder {
-    // Construct using org.fuchsiaspindle.wire.peer.TargetCount.newBuilder()
+        org.fuchsiaspindle.wire.peer.HeldSlotMessage, Builder> implements
+      // @@protoc_insertion_point(builder_implements:org.fuchsiaspindle.wire.peer.HeldSlotMessage)
+      org.fuchsiaspindle.wire.peer.HeldSlotMessageOrBuilder {
+    // Construct using org.fuchsiaspindle.wire.peer.HeldSlotMessage.newBuilder()
     private Builder() {
       super(DEFAULT_INSTANCE);
     }
 
 
     /**
-     * <code>string target = 1;</code>
+     * <code>fixed64 ticket = 1;</code>
+     * @return The ticket.
+     */
+    @java.lang.Override
+    public long getTicket() {
+      return instance.getTicket();
+    }
+    /**
+     * <code>fixed64 ticket = 1;</code>
+     * @param value The ticket to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTicket(long value) {
+      copyOnWrite();
+      instance.setTicket(value);
+      return this;
+    }
+    /**
+     * <code>fixed64 ticket = 1;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTicket() {
+      copyOnWrite();
+      instance.clearTicket();
+      return this;
+    }
+
+    /**
+     * <code>string target = 2;</code>
      * @return The target.
      */
     @java.lang.Override
@@ -222,7 +276,7 @@
       return instance.getTarget();
     }
     /**
-     * <code>string target = 1;</code>
+     * <code>string target = 2;</code>
      * @return The bytes for target.
      */
     @java.lang.Override
@@ -231,7 +285,7 @@
       return instance.getTargetBytes();
     }
     /**
-     * <code>string target = 1;</code>
+     * <code>string target = 2;</code>
      * @param value The target to set.
      * @return This builder for chaining.
      */
@@ -242,7 +296,7 @@
       return this;
     }
     /**
-     * <code>string target = 1;</code>
+     * <code>string target = 2;</code>
      * @return This builder for chaining.
      */
     public Builder clearTarget() {
@@ -251,7 +305,7 @@
       return this;
     }
     /**
-     * <code>string target = 1;</code>
+     * <code>string target = 2;</code>
      * @param value The bytes for target to set.
      * @return This builder for chaining.
      */
@@ -263,62 +317,62 @@
     }
 
     /**
-     * <code>uint32 online = 2;</code>
-     * @return The online.
+     * <code>bool batch = 3;</code>
+     * @return The batch.
      */
     @java.lang.Override
-    public int getOnline() {
-      return instance.getOnline();
+    public boolean getBatch() {
+      return instance.getBatch();
     }
     /**
-     * <code>uint32 online = 2;</code>
-     * @param value The online to set.
+     * <code>bool batch = 3;</code>
+     * @param value The batch to set.
      * @return This builder for chaining.
      */
-    public Builder setOnline(int value) {
+    public Builder setBatch(boolean value) {
       copyOnWrite();
-      instance.setOnline(value);
+      instance.setBatch(value);
       return this;
     }
     /**
-     * <code>uint32 online = 2;</code>
+     * <code>bool batch = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearOnline() {
+    public Builder clearBatch() {
       copyOnWrite();
-      instance.clearOnline();
+      instance.clearBatch();
       return this;
     }
 
     /**
-     * <code>uint32 batch = 3;</code>
-     * @return The batch.
+     * <code>int64 due_millis = 4;</code>
+     * @return The dueMillis.
      */
     @java.lang.Override
-    public int getBatch() {
-      return instance.getBatch();
+    public long getDueMillis() {
+      return instance.getDueMillis();
     }
     /**
-     * <code>uint32 batch = 3;</code>
-     * @param value The batch to set.
+     * <code>int64 due_millis = 4;</code>
+     * @param value The dueMillis to set.
      * @return This builder for chaining.
      */
-    public Builder setBatch(int value) {
+    public Builder setDueMillis(long value) {
       copyOnWrite();
-      instance.setBatch(value);
+      instance.setDueMillis(value);
       return this;
     }
     /**
-     * <code>uint32 batch = 3;</code>
+     * <code>int64 due_millis = 4;</code>
      * @return This builder for chaining.
      */
-    public Builder clearBatch() {
+    public Builder clearDueMillis() {
       copyOnWrite();
-      instance.clearBatch();
+      instance.clearDueMillis();
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.TargetCount)
+    // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.HeldSlotMessage)
   }
   @java.lang.Override
   @java.lang.SuppressWarnings({"ThrowNull"})
@@ -327,33 +381,34 @@
       java.lang.Object arg0, java.lang.Object arg1) {
     switch (method) {
       case NEW_MUTABLE_INSTANCE: {
-        return new org.fuchsiaspindle.wire.peer.TargetCount();
+        return new org.fuchsiaspindle.wire.peer.HeldSlotMessage();
       }
       case NEW_BUILDER: {
         return new Builder();
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
+            "ticket_",
             "target_",
-            "online_",
             "batch_",
+            "dueMillis_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u000b" +
-              "\u0003\u000b";
+              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0005\u0002\u0208" +
+              "\u0003\u0007\u0004\u0002";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
         return DEFAULT_INSTANCE;
       }
       case GET_PARSER: {
-        com.google.protobuf.Parser<org.fuchsiaspindle.wire.peer.TargetCount> parser = PARSER;
+        com.google.protobuf.Parser<org.fuchsiaspindle.wire.peer.HeldSlotMessage> parser = PARSER;
         if (parser == null) {
-          synchronized (org.fuchsiaspindle.wire.peer.TargetCount.class) {
+          synchronized (org.fuchsiaspindle.wire.peer.HeldSlotMessage.class) {
             parser = PARSER;
             if (parser == null) {
               parser =
-                  new DefaultInstanceBasedParser<org.fuchsiaspindle.wire.peer.TargetCount>(
+                  new DefaultInstanceBasedParser<org.fuchsiaspindle.wire.peer.HeldSlotMessage>(
                       DEFAULT_INSTANCE);
               PARSER = parser;
             }
@@ -373,24 +428,24 @@
   }
 
 
-  // @@protoc_insertion_point(class_scope:org.fuchsiaspindle.wire.peer.TargetCount)
-  private static final org.fuchsiaspindle.wire.peer.TargetCount DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:org.fuchsiaspindle.wire.peer.HeldSlotMessage)
+  private static final org.fuchsiaspindle.wire.peer.HeldSlotMessage DEFAULT_INSTANCE;
   static {
-    TargetCount defaultInstance = new TargetCount();
+    HeldSlotMessage defaultInstance = new HeldSlotMessage();
     // New instances are implicitly immutable so no need to make
     // immutable.
     DEFAULT_INSTANCE = defaultInstance;
     com.google.protobuf.GeneratedMessageLite.registerDefaultInstance(
-      TargetCount.class, defaultInstance);
+      HeldSlotMessage.class, defaultInstance);
   }
 
-  public static org.fuchsiaspindle.wire.peer.TargetCount getDefaultInstance() {
+  public static org.fuchsiaspindle.wire.peer.HeldSlotMessage getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static volatile com.google.protobuf.Parser<TargetCount> PARSER;
+  private static volatile com.google.protobuf.Parser<HeldSlotMessage> PARSER;
 
-  public static com.google.protobuf.Parser<TargetCount> parser() {
+  public static com.google.protobuf.Parser<HeldSlotMessage> parser() {
     return DEFAULT_INSTANCE.getParserForType();
   }
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/TargetCountOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/HeldSlotMessageOrBuilder.java
@@ -6,31 +6,37 @@
 package org.fuchsiaspindle.wire.peer;
 
 @com.google.protobuf.Generated
-public interface TargetCountOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:org.fuchsiaspindle.wire.peer.TargetCount)
+public interface HeldSlotMessageOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:org.fuchsiaspindle.wire.peer.HeldSlotMessage)
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
-   * <code>string target = 1;</code>
+   * <code>fixed64 ticket = 1;</code>
+   * @return The ticket.
+   */
+  long getTicket();
+
+  /**
+   * <code>string target = 2;</code>
    * @return The target.
    */
   java.lang.String getTarget();
   /**
-   * <code>string target = 1;</code>
+   * <code>string target = 2;</code>
    * @return The bytes for target.
    */
   com.google.protobuf.ByteString
       getTargetBytes();
 
   /**
-   * <code>uint32 online = 2;</code>
-   * @return The online.
+   * <code>bool batch = 3;</code>
+   * @return The batch.
    */
-  int getOnline();
+  boolean getBatch();
 
   /**
-   * <code>uint32 batch = 3;</code>
-   * @return The batch.
+   * <code>int64 due_millis = 4;</code>
+   * @return The dueMillis.
    */
-  int getBatch();
+  long getDueMillis();
 }
