--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrame.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrame.java
@@ -25,9 +25,18 @@
   public enum BodyCase
       implements com.google.protobuf.AbstractMessageLite.InternalOneOfEnum {
     STATE(1),
-    LOAD(2),
     VIEW_REQUEST(3),
     VIEW(4),
+    SLOT_REQUEST(5),
+    SLOT_REPLY(6),
+    SLOT_RELEASE(7),
+    BATCH_DEMAND(8),
+    BATCH_GRANT(9),
+    SLOT_REVOCATION(10),
+    SLOT_HOLDINGS(11),
+    HOLDINGS_QUERY(12),
+    SILENCE_REPORT(13),
+    COORDINATOR_CHECK(14),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -44,9 +53,18 @@
     public static BodyCase forNumber(int value) {
       switch (value) {
         case 1: return STATE;
-        case 2: return LOAD;
         case 3: return VIEW_REQUEST;
         case 4: return VIEW;
+        case 5: return SLOT_REQUEST;
+        case 6: return SLOT_REPLY;
+        case 7: return SLOT_RELEASE;
+        case 8: return BATCH_DEMAND;
+        case 9: return BATCH_GRANT;
+        case 10: return SLOT_REVOCATION;
+        case 11: return SLOT_HOLDINGS;
+        case 12: return HOLDINGS_QUERY;
+        case 13: return SILENCE_REPORT;
+        case 14: return COORDINATOR_CHECK;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -118,56 +136,6 @@
     }
   }
 
-  public static final int LOAD_FIELD_NUMBER = 2;
-  /**
-   * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
-   */
-  @java.lang.Override
-  public boolean hasLoad() {
-    return bodyCase_ == 2;
-  }
-  /**
-   * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
-   */
-  @java.lang.Override
-  public org.fuchsiaspindle.wire.peer.LoadUpdate getLoad() {
-    if (bodyCase_ == 2) {
-       return (org.fuchsiaspindle.wire.peer.LoadUpdate) body_;
-    }
-    return org.fuchsiaspindle.wire.peer.LoadUpdate.getDefaultInstance();
-  }
-  /**
-   * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
-   */
-  private void setLoad(org.fuchsiaspindle.wire.peer.LoadUpdate value) {
-    java.util.Objects.requireNonNull(value);
-    body_ = value;
-    bodyCase_ = 2;
-  }
-  /**
-   * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
-   */
-  private void mergeLoad(org.fuchsiaspindle.wire.peer.LoadUpdate value) {
-    java.util.Objects.requireNonNull(value);
-    if (bodyCase_ == 2 &&
-        body_ != org.fuchsiaspindle.wire.peer.LoadUpdate.getDefaultInstance()) {
-      body_ = org.fuchsiaspindle.wire.peer.LoadUpdate.newBuilder((org.fuchsiaspindle.wire.peer.LoadUpdate) body_)
-          .mergeFrom(value).buildPartial();
-    } else {
-      body_ = value;
-    }
-    bodyCase_ = 2;
-  }
-  /**
-   * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
-   */
-  private void clearLoad() {
-    if (bodyCase_ == 2) {
-      bodyCase_ = 0;
-      body_ = null;
-    }
-  }
-
   public static final int VIEW_REQUEST_FIELD_NUMBER = 3;
   /**
    * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
@@ -268,6 +236,506 @@
     }
   }
 
+  public static final int SLOT_REQUEST_FIELD_NUMBER = 5;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+   */
+  @java.lang.Override
+  public boolean hasSlotRequest() {
+    return bodyCase_ == 5;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.SlotRequestMessage getSlotRequest() {
+    if (bodyCase_ == 5) {
+       return (org.fuchsiaspindle.wire.peer.SlotRequestMessage) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.SlotRequestMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+   */
+  private void setSlotRequest(org.fuchsiaspindle.wire.peer.SlotRequestMessage value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 5;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+   */
+  private void mergeSlotRequest(org.fuchsiaspindle.wire.peer.SlotRequestMessage value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 5 &&
+        body_ != org.fuchsiaspindle.wire.peer.SlotRequestMessage.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.SlotRequestMessage.newBuilder((org.fuchsiaspindle.wire.peer.SlotRequestMessage) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 5;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+   */
+  private void clearSlotRequest() {
+    if (bodyCase_ == 5) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int SLOT_REPLY_FIELD_NUMBER = 6;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+   */
+  @java.lang.Override
+  public boolean hasSlotReply() {
+    return bodyCase_ == 6;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.SlotReply getSlotReply() {
+    if (bodyCase_ == 6) {
+       return (org.fuchsiaspindle.wire.peer.SlotReply) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.SlotReply.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+   */
+  private void setSlotReply(org.fuchsiaspindle.wire.peer.SlotReply value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 6;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+   */
+  private void mergeSlotReply(org.fuchsiaspindle.wire.peer.SlotReply value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 6 &&
+        body_ != org.fuchsiaspindle.wire.peer.SlotReply.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.SlotReply.newBuilder((org.fuchsiaspindle.wire.peer.SlotReply) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 6;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+   */
+  private void clearSlotReply() {
+    if (bodyCase_ == 6) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int SLOT_RELEASE_FIELD_NUMBER = 7;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+   */
+  @java.lang.Override
+  public boolean hasSlotRelease() {
+    return bodyCase_ == 7;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.SlotRelease getSlotRelease() {
+    if (bodyCase_ == 7) {
+       return (org.fuchsiaspindle.wire.peer.SlotRelease) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.SlotRelease.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+   */
+  private void setSlotRelease(org.fuchsiaspindle.wire.peer.SlotRelease value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 7;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+   */
+  private void mergeSlotRelease(org.fuchsiaspindle.wire.peer.SlotRelease value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 7 &&
+        body_ != org.fuchsiaspindle.wire.peer.SlotRelease.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.SlotRelease.newBuilder((org.fuchsiaspindle.wire.peer.SlotRelease) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 7;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+   */
+  private void clearSlotRelease() {
+    if (bodyCase_ == 7) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int BATCH_DEMAND_FIELD_NUMBER = 8;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+   */
+  @java.lang.Override
+  public boolean hasBatchDemand() {
+    return bodyCase_ == 8;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.BatchDemandMessage getBatchDemand() {
+    if (bodyCase_ == 8) {
+       return (org.fuchsiaspindle.wire.peer.BatchDemandMessage) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.BatchDemandMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+   */
+  private void setBatchDemand(org.fuchsiaspindle.wire.peer.BatchDemandMessage value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 8;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+   */
+  private void mergeBatchDemand(org.fuchsiaspindle.wire.peer.BatchDemandMessage value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 8 &&
+        body_ != org.fuchsiaspindle.wire.peer.BatchDemandMessage.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.BatchDemandMessage.newBuilder((org.fuchsiaspindle.wire.peer.BatchDemandMessage) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 8;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+   */
+  private void clearBatchDemand() {
+    if (bodyCase_ == 8) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int BATCH_GRANT_FIELD_NUMBER = 9;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+   */
+  @java.lang.Override
+  public boolean hasBatchGrant() {
+    return bodyCase_ == 9;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.BatchGrant getBatchGrant() {
+    if (bodyCase_ == 9) {
+       return (org.fuchsiaspindle.wire.peer.BatchGrant) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.BatchGrant.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+   */
+  private void setBatchGrant(org.fuchsiaspindle.wire.peer.BatchGrant value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 9;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+   */
+  private void mergeBatchGrant(org.fuchsiaspindle.wire.peer.BatchGrant value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 9 &&
+        body_ != org.fuchsiaspindle.wire.peer.BatchGrant.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.BatchGrant.newBuilder((org.fuchsiaspindle.wire.peer.BatchGrant) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 9;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+   */
+  private void clearBatchGrant() {
+    if (bodyCase_ == 9) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int SLOT_REVOCATION_FIELD_NUMBER = 10;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
+   */
+  @java.lang.Override
+  public boolean hasSlotRevocation() {
+    return bodyCase_ == 10;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.SlotRevocation getSlotRevocation() {
+    if (bodyCase_ == 10) {
+       return (org.fuchsiaspindle.wire.peer.SlotRevocation) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.SlotRevocation.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
+   */
+  private void setSlotRevocation(org.fuchsiaspindle.wire.peer.SlotRevocation value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 10;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
+   */
+  private void mergeSlotRevocation(org.fuchsiaspindle.wire.peer.SlotRevocation value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 10 &&
+        body_ != org.fuchsiaspindle.wire.peer.SlotRevocation.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.SlotRevocation.newBuilder((org.fuchsiaspindle.wire.peer.SlotRevocation) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 10;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
+   */
+  private void clearSlotRevocation() {
+    if (bodyCase_ == 10) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int SLOT_HOLDINGS_FIELD_NUMBER = 11;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
+   */
+  @java.lang.Override
+  public boolean hasSlotHoldings() {
+    return bodyCase_ == 11;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.SlotHoldings getSlotHoldings() {
+    if (bodyCase_ == 11) {
+       return (org.fuchsiaspindle.wire.peer.SlotHoldings) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.SlotHoldings.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
+   */
+  private void setSlotHoldings(org.fuchsiaspindle.wire.peer.SlotHoldings value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 11;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
+   */
+  private void mergeSlotHoldings(org.fuchsiaspindle.wire.peer.SlotHoldings value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 11 &&
+        body_ != org.fuchsiaspindle.wire.peer.SlotHoldings.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.SlotHoldings.newBuilder((org.fuchsiaspindle.wire.peer.SlotHoldings) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 11;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
+   */
+  private void clearSlotHoldings() {
+    if (bodyCase_ == 11) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int HOLDINGS_QUERY_FIELD_NUMBER = 12;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
+   */
+  @java.lang.Override
+  public boolean hasHoldingsQuery() {
+    return bodyCase_ == 12;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.HoldingsQuery getHoldingsQuery() {
+    if (bodyCase_ == 12) {
+       return (org.fuchsiaspindle.wire.peer.HoldingsQuery) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.HoldingsQuery.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
+   */
+  private void setHoldingsQuery(org.fuchsiaspindle.wire.peer.HoldingsQuery value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 12;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
+   */
+  private void mergeHoldingsQuery(org.fuchsiaspindle.wire.peer.HoldingsQuery value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 12 &&
+        body_ != org.fuchsiaspindle.wire.peer.HoldingsQuery.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.HoldingsQuery.newBuilder((org.fuchsiaspindle.wire.peer.HoldingsQuery) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 12;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
+   */
+  private void clearHoldingsQuery() {
+    if (bodyCase_ == 12) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int SILENCE_REPORT_FIELD_NUMBER = 13;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
+   */
+  @java.lang.Override
+  public boolean hasSilenceReport() {
+    return bodyCase_ == 13;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.SilenceReport getSilenceReport() {
+    if (bodyCase_ == 13) {
+       return (org.fuchsiaspindle.wire.peer.SilenceReport) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.SilenceReport.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
+   */
+  private void setSilenceReport(org.fuchsiaspindle.wire.peer.SilenceReport value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 13;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
+   */
+  private void mergeSilenceReport(org.fuchsiaspindle.wire.peer.SilenceReport value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 13 &&
+        body_ != org.fuchsiaspindle.wire.peer.SilenceReport.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.SilenceReport.newBuilder((org.fuchsiaspindle.wire.peer.SilenceReport) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 13;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
+   */
+  private void clearSilenceReport() {
+    if (bodyCase_ == 13) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int COORDINATOR_CHECK_FIELD_NUMBER = 14;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+   */
+  @java.lang.Override
+  public boolean hasCoordinatorCheck() {
+    return bodyCase_ == 14;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.CoordinatorCheck getCoordinatorCheck() {
+    if (bodyCase_ == 14) {
+       return (org.fuchsiaspindle.wire.peer.CoordinatorCheck) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.CoordinatorCheck.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+   */
+  private void setCoordinatorCheck(org.fuchsiaspindle.wire.peer.CoordinatorCheck value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 14;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+   */
+  private void mergeCoordinatorCheck(org.fuchsiaspindle.wire.peer.CoordinatorCheck value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 14 &&
+        body_ != org.fuchsiaspindle.wire.peer.CoordinatorCheck.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.CoordinatorCheck.newBuilder((org.fuchsiaspindle.wire.peer.CoordinatorCheck) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 14;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+   */
+  private void clearCoordinatorCheck() {
+    if (bodyCase_ == 14) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.fuchsiaspindle.wire.peer.PeerFrame parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -344,232 +812,664 @@
         DEFAULT_INSTANCE, input, extensionRegistry);
   }
 
-  public static Builder newBuilder() {
-    return (Builder) DEFAULT_INSTANCE.createBuilder();
-  }
-  public static Builder newBuilder(org.fuchsiaspindle.wire.peer.PeerFrame prototype) {
-    return DEFAULT_INSTANCE.createBuilder(prototype);
-  }
+  public static Builder newBuilder() {
+    return (Builder) DEFAULT_INSTANCE.createBuilder();
+  }
+  public static Builder newBuilder(org.fuchsiaspindle.wire.peer.PeerFrame prototype) {
+    return DEFAULT_INSTANCE.createBuilder(prototype);
+  }
+
+  /**
+   * <pre>
+   * One message on a connection.
+   * </pre>
+   *
+   * Protobuf type {@code org.fuchsiaspindle.wire.peer.PeerFrame}
+   */
+  public static final class Builder extends
+      com.google.protobuf.GeneratedMessageLite.Builder<
+        org.fuchsiaspindle.wire.peer.PeerFrame, Builder> implements
+      // @@protoc_insertion_point(builder_implements:org.fuchsiaspindle.wire.peer.PeerFrame)
+      org.fuchsiaspindle.wire.peer.PeerFrameOrBuilder {
+    // Construct using org.fuchsiaspindle.wire.peer.PeerFrame.newBuilder()
+    private Builder() {
+      super(DEFAULT_INSTANCE);
+    }
+
+    @java.lang.Override
+    public BodyCase
+        getBodyCase() {
+      return instance.getBodyCase();
+    }
+
+    public Builder clearBody() {
+      copyOnWrite();
+      instance.clearBody();
+      return this;
+    }
+
+
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     */
+    @java.lang.Override
+    public boolean hasState() {
+      return instance.hasState();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.PeerState getState() {
+      return instance.getState();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     */
+    public Builder setState(org.fuchsiaspindle.wire.peer.PeerState value) {
+      copyOnWrite();
+      instance.setState(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     */
+    public Builder setState(
+        org.fuchsiaspindle.wire.peer.PeerState.Builder builderForValue) {
+      copyOnWrite();
+      instance.setState(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     */
+    public Builder mergeState(org.fuchsiaspindle.wire.peer.PeerState value) {
+      copyOnWrite();
+      instance.mergeState(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     */
+    public Builder clearState() {
+      copyOnWrite();
+      instance.clearState();
+      return this;
+    }
+
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     */
+    @java.lang.Override
+    public boolean hasViewRequest() {
+      return instance.hasViewRequest();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.ViewRequest getViewRequest() {
+      return instance.getViewRequest();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     */
+    public Builder setViewRequest(org.fuchsiaspindle.wire.peer.ViewRequest value) {
+      copyOnWrite();
+      instance.setViewRequest(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     */
+    public Builder setViewRequest(
+        org.fuchsiaspindle.wire.peer.ViewRequest.Builder builderForValue) {
+      copyOnWrite();
+      instance.setViewRequest(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     */
+    public Builder mergeViewRequest(org.fuchsiaspindle.wire.peer.ViewRequest value) {
+      copyOnWrite();
+      instance.mergeViewRequest(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     */
+    public Builder clearViewRequest() {
+      copyOnWrite();
+      instance.clearViewRequest();
+      return this;
+    }
+
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     */
+    @java.lang.Override
+    public boolean hasView() {
+      return instance.hasView();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.ViewShare getView() {
+      return instance.getView();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     */
+    public Builder setView(org.fuchsiaspindle.wire.peer.ViewShare value) {
+      copyOnWrite();
+      instance.setView(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     */
+    public Builder setView(
+        org.fuchsiaspindle.wire.peer.ViewShare.Builder builderForValue) {
+      copyOnWrite();
+      instance.setView(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     */
+    public Builder mergeView(org.fuchsiaspindle.wire.peer.ViewShare value) {
+      copyOnWrite();
+      instance.mergeView(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     */
+    public Builder clearView() {
+      copyOnWrite();
+      instance.clearView();
+      return this;
+    }
+
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+     */
+    @java.lang.Override
+    public boolean hasSlotRequest() {
+      return instance.hasSlotRequest();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.SlotRequestMessage getSlotRequest() {
+      return instance.getSlotRequest();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+     */
+    public Builder setSlotRequest(org.fuchsiaspindle.wire.peer.SlotRequestMessage value) {
+      copyOnWrite();
+      instance.setSlotRequest(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+     */
+    public Builder setSlotRequest(
+        org.fuchsiaspindle.wire.peer.SlotRequestMessage.Builder builderForValue) {
+      copyOnWrite();
+      instance.setSlotRequest(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+     */
+    public Builder mergeSlotRequest(org.fuchsiaspindle.wire.peer.SlotRequestMessage value) {
+      copyOnWrite();
+      instance.mergeSlotRequest(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+     */
+    public Builder clearSlotRequest() {
+      copyOnWrite();
+      instance.clearSlotRequest();
+      return this;
+    }
 
-  /**
-   * <pre>
-   * One message on a connection.
-   * </pre>
-   *
-   * Protobuf type {@code org.fuchsiaspindle.wire.peer.PeerFrame}
-   */
-  public static final class Builder extends
-      com.google.protobuf.GeneratedMessageLite.Builder<
-        org.fuchsiaspindle.wire.peer.PeerFrame, Builder> implements
-      // @@protoc_insertion_point(builder_implements:org.fuchsiaspindle.wire.peer.PeerFrame)
-      org.fuchsiaspindle.wire.peer.PeerFrameOrBuilder {
-    // Construct using org.fuchsiaspindle.wire.peer.PeerFrame.newBuilder()
-    private Builder() {
-      super(DEFAULT_INSTANCE);
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+     */
+    @java.lang.Override
+    public boolean hasSlotReply() {
+      return instance.hasSlotReply();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.SlotReply getSlotReply() {
+      return instance.getSlotReply();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+     */
+    public Builder setSlotReply(org.fuchsiaspindle.wire.peer.SlotReply value) {
+      copyOnWrite();
+      instance.setSlotReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+     */
+    public Builder setSlotReply(
+        org.fuchsiaspindle.wire.peer.SlotReply.Builder builderForValue) {
+      copyOnWrite();
+      instance.setSlotReply(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+     */
+    public Builder mergeSlotReply(org.fuchsiaspindle.wire.peer.SlotReply value) {
+      copyOnWrite();
+      instance.mergeSlotReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+     */
+    public Builder clearSlotReply() {
+      copyOnWrite();
+      instance.clearSlotReply();
+      return this;
     }
 
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+     */
     @java.lang.Override
-    public BodyCase
-        getBodyCase() {
-      return instance.getBodyCase();
+    public boolean hasSlotRelease() {
+      return instance.hasSlotRelease();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.SlotRelease getSlotRelease() {
+      return instance.getSlotRelease();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+     */
+    public Builder setSlotRelease(org.fuchsiaspindle.wire.peer.SlotRelease value) {
+      copyOnWrite();
+      instance.setSlotRelease(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+     */
+    public Builder setSlotRelease(
+        org.fuchsiaspindle.wire.peer.SlotRelease.Builder builderForValue) {
+      copyOnWrite();
+      instance.setSlotRelease(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+     */
+    public Builder mergeSlotRelease(org.fuchsiaspindle.wire.peer.SlotRelease value) {
+      copyOnWrite();
+      instance.mergeSlotRelease(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+     */
+    public Builder clearSlotRelease() {
+      copyOnWrite();
+      instance.clearSlotRelease();
+      return this;
     }
 
-    public Builder clearBody() {
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+     */
+    @java.lang.Override
+    public boolean hasBatchDemand() {
+      return instance.hasBatchDemand();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.BatchDemandMessage getBatchDemand() {
+      return instance.getBatchDemand();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+     */
+    public Builder setBatchDemand(org.fuchsiaspindle.wire.peer.BatchDemandMessage value) {
       copyOnWrite();
-      instance.clearBody();
+      instance.setBatchDemand(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+     */
+    public Builder setBatchDemand(
+        org.fuchsiaspindle.wire.peer.BatchDemandMessage.Builder builderForValue) {
+      copyOnWrite();
+      instance.setBatchDemand(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+     */
+    public Builder mergeBatchDemand(org.fuchsiaspindle.wire.peer.BatchDemandMessage value) {
+      copyOnWrite();
+      instance.mergeBatchDemand(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+     */
+    public Builder clearBatchDemand() {
+      copyOnWrite();
+      instance.clearBatchDemand();
       return this;
     }
 
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+     */
+    @java.lang.Override
+    public boolean hasBatchGrant() {
+      return instance.hasBatchGrant();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.BatchGrant getBatchGrant() {
+      return instance.getBatchGrant();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+     */
+    public Builder setBatchGrant(org.fuchsiaspindle.wire.peer.BatchGrant value) {
+      copyOnWrite();
+      instance.setBatchGrant(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+     */
+    public Builder setBatchGrant(
+        org.fuchsiaspindle.wire.peer.BatchGrant.Builder builderForValue) {
+      copyOnWrite();
+      instance.setBatchGrant(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+     */
+    public Builder mergeBatchGrant(org.fuchsiaspindle.wire.peer.BatchGrant value) {
+      copyOnWrite();
+      instance.mergeBatchGrant(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+     */
+    public Builder clearBatchGrant() {
+      copyOnWrite();
+      instance.clearBatchGrant();
+      return this;
+    }
 
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
      */
     @java.lang.Override
-    public boolean hasState() {
-      return instance.hasState();
+    public boolean hasSlotRevocation() {
+      return instance.hasSlotRevocation();
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
      */
     @java.lang.Override
-    public org.fuchsiaspindle.wire.peer.PeerState getState() {
-      return instance.getState();
+    public org.fuchsiaspindle.wire.peer.SlotRevocation getSlotRevocation() {
+      return instance.getSlotRevocation();
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
      */
-    public Builder setState(org.fuchsiaspindle.wire.peer.PeerState value) {
+    public Builder setSlotRevocation(org.fuchsiaspindle.wire.peer.SlotRevocation value) {
       copyOnWrite();
-      instance.setState(value);
+      instance.setSlotRevocation(value);
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
      */
-    public Builder setState(
-        org.fuchsiaspindle.wire.peer.PeerState.Builder builderForValue) {
+    public Builder setSlotRevocation(
+        org.fuchsiaspindle.wire.peer.SlotRevocation.Builder builderForValue) {
       copyOnWrite();
-      instance.setState(builderForValue.build());
+      instance.setSlotRevocation(builderForValue.build());
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
      */
-    public Builder mergeState(org.fuchsiaspindle.wire.peer.PeerState value) {
+    public Builder mergeSlotRevocation(org.fuchsiaspindle.wire.peer.SlotRevocation value) {
       copyOnWrite();
-      instance.mergeState(value);
+      instance.mergeSlotRevocation(value);
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.PeerState state = 1;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
      */
-    public Builder clearState() {
+    public Builder clearSlotRevocation() {
       copyOnWrite();
-      instance.clearState();
+      instance.clearSlotRevocation();
       return this;
     }
 
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
      */
     @java.lang.Override
-    public boolean hasLoad() {
-      return instance.hasLoad();
+    public boolean hasSlotHoldings() {
+      return instance.hasSlotHoldings();
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
      */
     @java.lang.Override
-    public org.fuchsiaspindle.wire.peer.LoadUpdate getLoad() {
-      return instance.getLoad();
+    public org.fuchsiaspindle.wire.peer.SlotHoldings getSlotHoldings() {
+      return instance.getSlotHoldings();
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
      */
-    public Builder setLoad(org.fuchsiaspindle.wire.peer.LoadUpdate value) {
+    public Builder setSlotHoldings(org.fuchsiaspindle.wire.peer.SlotHoldings value) {
       copyOnWrite();
-      instance.setLoad(value);
+      instance.setSlotHoldings(value);
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
      */
-    public Builder setLoad(
-        org.fuchsiaspindle.wire.peer.LoadUpdate.Builder builderForValue) {
+    public Builder setSlotHoldings(
+        org.fuchsiaspindle.wire.peer.SlotHoldings.Builder builderForValue) {
       copyOnWrite();
-      instance.setLoad(builderForValue.build());
+      instance.setSlotHoldings(builderForValue.build());
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
      */
-    public Builder mergeLoad(org.fuchsiaspindle.wire.peer.LoadUpdate value) {
+    public Builder mergeSlotHoldings(org.fuchsiaspindle.wire.peer.SlotHoldings value) {
       copyOnWrite();
-      instance.mergeLoad(value);
+      instance.mergeSlotHoldings(value);
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
      */
-    public Builder clearLoad() {
+    public Builder clearSlotHoldings() {
       copyOnWrite();
-      instance.clearLoad();
+      instance.clearSlotHoldings();
       return this;
     }
 
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
      */
     @java.lang.Override
-    public boolean hasViewRequest() {
-      return instance.hasViewRequest();
+    public boolean hasHoldingsQuery() {
+      return instance.hasHoldingsQuery();
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
      */
     @java.lang.Override
-    public org.fuchsiaspindle.wire.peer.ViewRequest getViewRequest() {
-      return instance.getViewRequest();
+    public org.fuchsiaspindle.wire.peer.HoldingsQuery getHoldingsQuery() {
+      return instance.getHoldingsQuery();
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
      */
-    public Builder setViewRequest(org.fuchsiaspindle.wire.peer.ViewRequest value) {
+    public Builder setHoldingsQuery(org.fuchsiaspindle.wire.peer.HoldingsQuery value) {
       copyOnWrite();
-      instance.setViewRequest(value);
+      instance.setHoldingsQuery(value);
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
      */
-    public Builder setViewRequest(
-        org.fuchsiaspindle.wire.peer.ViewRequest.Builder builderForValue) {
+    public Builder setHoldingsQuery(
+        org.fuchsiaspindle.wire.peer.HoldingsQuery.Builder builderForValue) {
       copyOnWrite();
-      instance.setViewRequest(builderForValue.build());
+      instance.setHoldingsQuery(builderForValue.build());
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
      */
-    public Builder mergeViewRequest(org.fuchsiaspindle.wire.peer.ViewRequest value) {
+    public Builder mergeHoldingsQuery(org.fuchsiaspindle.wire.peer.HoldingsQuery value) {
       copyOnWrite();
-      instance.mergeViewRequest(value);
+      instance.mergeHoldingsQuery(value);
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
      */
-    public Builder clearViewRequest() {
+    public Builder clearHoldingsQuery() {
       copyOnWrite();
-      instance.clearViewRequest();
+      instance.clearHoldingsQuery();
       return this;
     }
 
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
      */
     @java.lang.Override
-    public boolean hasView() {
-      return instance.hasView();
+    public boolean hasSilenceReport() {
+      return instance.hasSilenceReport();
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
      */
     @java.lang.Override
-    public org.fuchsiaspindle.wire.peer.ViewShare getView() {
-      return instance.getView();
+    public org.fuchsiaspindle.wire.peer.SilenceReport getSilenceReport() {
+      return instance.getSilenceReport();
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
      */
-    public Builder setView(org.fuchsiaspindle.wire.peer.ViewShare value) {
+    public Builder setSilenceReport(org.fuchsiaspindle.wire.peer.SilenceReport value) {
       copyOnWrite();
-      instance.setView(value);
+      instance.setSilenceReport(value);
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
      */
-    public Builder setView(
-        org.fuchsiaspindle.wire.peer.ViewShare.Builder builderForValue) {
+    public Builder setSilenceReport(
+        org.fuchsiaspindle.wire.peer.SilenceReport.Builder builderForValue) {
       copyOnWrite();
-      instance.setView(builderForValue.build());
+      instance.setSilenceReport(builderForValue.build());
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
      */
-    public Builder mergeView(org.fuchsiaspindle.wire.peer.ViewShare value) {
+    public Builder mergeSilenceReport(org.fuchsiaspindle.wire.peer.SilenceReport value) {
       copyOnWrite();
-      instance.mergeView(value);
+      instance.mergeSilenceReport(value);
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.ViewShare view = 4;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
      */
-    public Builder clearView() {
+    public Builder clearSilenceReport() {
       copyOnWrite();
-      instance.clearView();
+      instance.clearSilenceReport();
+      return this;
+    }
+
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+     */
+    @java.lang.Override
+    public boolean hasCoordinatorCheck() {
+      return instance.hasCoordinatorCheck();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.CoordinatorCheck getCoordinatorCheck() {
+      return instance.getCoordinatorCheck();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+     */
+    public Builder setCoordinatorCheck(org.fuchsiaspindle.wire.peer.CoordinatorCheck value) {
+      copyOnWrite();
+      instance.setCoordinatorCheck(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+     */
+    public Builder setCoordinatorCheck(
+        org.fuchsiaspindle.wire.peer.CoordinatorCheck.Builder builderForValue) {
+      copyOnWrite();
+      instance.setCoordinatorCheck(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+     */
+    public Builder mergeCoordinatorCheck(org.fuchsiaspindle.wire.peer.CoordinatorCheck value) {
+      copyOnWrite();
+      instance.mergeCoordinatorCheck(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+     */
+    public Builder clearCoordinatorCheck() {
+      copyOnWrite();
+      instance.clearCoordinatorCheck();
       return this;
     }
 
@@ -592,13 +1492,23 @@
             "body_",
             "bodyCase_",
             org.fuchsiaspindle.wire.peer.PeerState.class,
-            org.fuchsiaspindle.wire.peer.LoadUpdate.class,
             org.fuchsiaspindle.wire.peer.ViewRequest.class,
             org.fuchsiaspindle.wire.peer.ViewShare.class,
+            org.fuchsiaspindle.wire.peer.SlotRequestMessage.class,
+            org.fuchsiaspindle.wire.peer.SlotReply.class,
+            org.fuchsiaspindle.wire.peer.SlotRelease.class,
+            org.fuchsiaspindle.wire.peer.BatchDemandMessage.class,
+            org.fuchsiaspindle.wire.peer.BatchGrant.class,
+            org.fuchsiaspindle.wire.peer.SlotRevocation.class,
+            org.fuchsiaspindle.wire.peer.SlotHoldings.class,
+            org.fuchsiaspindle.wire.peer.HoldingsQuery.class,
+            org.fuchsiaspindle.wire.peer.SilenceReport.class,
+            org.fuchsiaspindle.wire.peer.CoordinatorCheck.class,
           };
           java.lang.String info =
-              "\u0000\u0004\u0001\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001<\u0000\u0002<" +
-              "\u0000\u0003<\u0000\u0004<\u0000";
+              "\u0000\r\u0001\u0000\u0001\u000e\r\u0000\u0000\u0000\u0001<\u0000\u0003<\u0000\u0004" +
+              "<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000\u000b<" +
+              "\u0000\f<\u0000\r<\u0000\u000e<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrameOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrameOrBuilder.java
@@ -21,17 +21,6 @@
    */
   org.fuchsiaspindle.wire.peer.PeerState getState();
 
-  /**
-   * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
-   * @return Whether the load field is set.
-   */
-  boolean hasLoad();
-  /**
-   * <code>.org.fuchsiaspindle.wire.peer.LoadUpdate load = 2;</code>
-   * @return The load.
-   */
-  org.fuchsiaspindle.wire.peer.LoadUpdate getLoad();
-
   /**
    * <code>.org.fuchsiaspindle.wire.peer.ViewRequest view_request = 3;</code>
    * @return Whether the viewRequest field is set.
@@ -54,5 +43,115 @@
    */
   org.fuchsiaspindle.wire.peer.ViewShare getView();
 
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+   * @return Whether the slotRequest field is set.
+   */
+  boolean hasSlotRequest();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRequestMessage slot_request = 5;</code>
+   * @return The slotRequest.
+   */
+  org.fuchsiaspindle.wire.peer.SlotRequestMessage getSlotRequest();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+   * @return Whether the slotReply field is set.
+   */
+  boolean hasSlotReply();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotReply slot_reply = 6;</code>
+   * @return The slotReply.
+   */
+  org.fuchsiaspindle.wire.peer.SlotReply getSlotReply();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+   * @return Whether the slotRelease field is set.
+   */
+  boolean hasSlotRelease();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRelease slot_release = 7;</code>
+   * @return The slotRelease.
+   */
+  org.fuchsiaspindle.wire.peer.SlotRelease getSlotRelease();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+   * @return Whether the batchDemand field is set.
+   */
+  boolean hasBatchDemand();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchDemandMessage batch_demand = 8;</code>
+   * @return The batchDemand.
+   */
+  org.fuchsiaspindle.wire.peer.BatchDemandMessage getBatchDemand();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+   * @return Whether the batchGrant field is set.
+   */
+  boolean hasBatchGrant();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.BatchGrant batch_grant = 9;</code>
+   * @return The batchGrant.
+   */
+  org.fuchsiaspindle.wire.peer.BatchGrant getBatchGrant();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
+   * @return Whether the slotRevocation field is set.
+   */
+  boolean hasSlotRevocation();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotRevocation slot_revocation = 10;</code>
+   * @return The slotRevocation.
+   */
+  org.fuchsiaspindle.wire.peer.SlotRevocation getSlotRevocation();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
+   * @return Whether the slotHoldings field is set.
+   */
+  boolean hasSlotHoldings();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SlotHoldings slot_holdings = 11;</code>
+   * @return The slotHoldings.
+   */
+  org.fuchsiaspindle.wire.peer.SlotHoldings getSlotHoldings();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
+   * @return Whether the holdingsQuery field is set.
+   */
+  boolean hasHoldingsQuery();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.HoldingsQuery holdings_query = 12;</code>
+   * @return The holdingsQuery.
+   */
+  org.fuchsiaspindle.wire.peer.HoldingsQuery getHoldingsQuery();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
+   * @return Whether the silenceReport field is set.
+   */
+  boolean hasSilenceReport();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SilenceReport silence_report = 13;</code>
+   * @return The silenceReport.
+   */
+  org.fuchsiaspindle.wire.peer.SilenceReport getSilenceReport();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+   * @return Whether the coordinatorCheck field is set.
+   */
+  boolean hasCoordinatorCheck();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.CoordinatorCheck coordinator_check = 14;</code>
+   * @return The coordinatorCheck.
+   */
+  org.fuchsiaspindle.wire.peer.CoordinatorCheck getCoordinatorCheck();
+
   public org.fuchsiaspindle.wire.peer.PeerFrame.BodyCase getBodyCase();
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerState.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerState.java
@@ -23,6 +23,7 @@
     ip_ = "";
     incarnation_ = "";
     knownIps_ = emptyProtobufList();
+    dataCentre_ = "";
   }
   public static final int NODE_FIELD_NUMBER = 1;
   private java.lang.String node_;
@@ -162,7 +163,7 @@
   private java.lang.String incarnation_;
   /**
    * <pre>
-   * Identifies one life of the process.
+   * Identifies one run of the process; changes when it restarts.
    * </pre>
    *
    * <code>string incarnation = 3;</code>
@@ -174,7 +175,7 @@
   }
   /**
    * <pre>
-   * Identifies one life of the process.
+   * Identifies one run of the process; changes when it restarts.
    * </pre>
    *
    * <code>string incarnation = 3;</code>
@@ -187,7 +188,7 @@
   }
   /**
    * <pre>
-   * Identifies one life of the process.
+   * Identifies one run of the process; changes when it restarts.
    * </pre>
    *
    * <code>string incarnation = 3;</code>
@@ -201,7 +202,7 @@
   }
   /**
    * <pre>
-   * Identifies one life of the process.
+   * Identifies one run of the process; changes when it restarts.
    * </pre>
    *
    * <code>string incarnation = 3;</code>
@@ -212,7 +213,7 @@
   }
   /**
    * <pre>
-   * Identifies one life of the process.
+   * Identifies one run of the process; changes when it restarts.
    * </pre>
    *
    * <code>string incarnation = 3;</code>
@@ -267,7 +268,7 @@
   private long directoryVersion_;
   /**
    * <pre>
-   * Version of the store as of which the targets are known.
+   * Version of the store that the sender's view of the targets reflects.
    * </pre>
    *
    * <code>int64 directory_version = 5;</code>
@@ -279,7 +280,7 @@
   }
   /**
    * <pre>
-   * Version of the store as of which the targets are known.
+   * Version of the store that the sender's view of the targets reflects.
    * </pre>
    *
    * <code>int64 directory_version = 5;</code>
@@ -291,7 +292,7 @@
   }
   /**
    * <pre>
-   * Version of the store as of which the targets are known.
+   * Version of the store that the sender's view of the targets reflects.
    * </pre>
    *
    * <code>int64 directory_version = 5;</code>
@@ -491,6 +492,152 @@
     knownIps_.add(value.toStringUtf8());
   }
 
+  public static final int DATA_CENTRE_FIELD_NUMBER = 9;
+  private java.lang.String dataCentre_;
+  /**
+   * <pre>
+   * Data centre of the instance.
+   * </pre>
+   *
+   * <code>string data_centre = 9;</code>
+   * @return The dataCentre.
+   */
+  @java.lang.Override
+  public java.lang.String getDataCentre() {
+    return dataCentre_;
+  }
+  /**
+   * <pre>
+   * Data centre of the instance.
+   * </pre>
+   *
+   * <code>string data_centre = 9;</code>
+   * @return The bytes for dataCentre.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getDataCentreBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(dataCentre_);
+  }
+  /**
+   * <pre>
+   * Data centre of the instance.
+   * </pre>
+   *
+   * <code>string data_centre = 9;</code>
+   * @param value The dataCentre to set.
+   */
+  private void setDataCentre(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    dataCentre_ = value;
+  }
+  /**
+   * <pre>
+   * Data centre of the instance.
+   * </pre>
+   *
+   * <code>string data_centre = 9;</code>
+   */
+  private void clearDataCentre() {
+
+    dataCentre_ = getDefaultInstance().getDataCentre();
+  }
+  /**
+   * <pre>
+   * Data centre of the instance.
+   * </pre>
+   *
+   * <code>string data_centre = 9;</code>
+   * @param value The bytes for dataCentre to set.
+   */
+  private void setDataCentreBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    dataCentre_ = value.toStringUtf8();
+
+  }
+
+  public static final int CAPACITY_MILLICORES_FIELD_NUMBER = 10;
+  private int capacityMillicores_;
+  /**
+   * <pre>
+   * Processor capacity of the instance, in thousandths of a core.
+   * </pre>
+   *
+   * <code>uint32 capacity_millicores = 10;</code>
+   * @return The capacityMillicores.
+   */
+  @java.lang.Override
+  public int getCapacityMillicores() {
+    return capacityMillicores_;
+  }
+  /**
+   * <pre>
+   * Processor capacity of the instance, in thousandths of a core.
+   * </pre>
+   *
+   * <code>uint32 capacity_millicores = 10;</code>
+   * @param value The capacityMillicores to set.
+   */
+  private void setCapacityMillicores(int value) {
+    
+    capacityMillicores_ = value;
+  }
+  /**
+   * <pre>
+   * Processor capacity of the instance, in thousandths of a core.
+   * </pre>
+   *
+   * <code>uint32 capacity_millicores = 10;</code>
+   */
+  private void clearCapacityMillicores() {
+
+    capacityMillicores_ = 0;
+  }
+
+  public static final int INTERVAL_MILLIS_FIELD_NUMBER = 11;
+  private int intervalMillis_;
+  /**
+   * <pre>
+   * Time after which the sender sends the next heartbeat on this connection at the latest, in
+   * milliseconds.
+   * </pre>
+   *
+   * <code>uint32 interval_millis = 11;</code>
+   * @return The intervalMillis.
+   */
+  @java.lang.Override
+  public int getIntervalMillis() {
+    return intervalMillis_;
+  }
+  /**
+   * <pre>
+   * Time after which the sender sends the next heartbeat on this connection at the latest, in
+   * milliseconds.
+   * </pre>
+   *
+   * <code>uint32 interval_millis = 11;</code>
+   * @param value The intervalMillis to set.
+   */
+  private void setIntervalMillis(int value) {
+    
+    intervalMillis_ = value;
+  }
+  /**
+   * <pre>
+   * Time after which the sender sends the next heartbeat on this connection at the latest, in
+   * milliseconds.
+   * </pre>
+   *
+   * <code>uint32 interval_millis = 11;</code>
+   */
+  private void clearIntervalMillis() {
+
+    intervalMillis_ = 0;
+  }
+
   public static org.fuchsiaspindle.wire.peer.PeerState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -732,7 +879,7 @@
 
     /**
      * <pre>
-     * Identifies one life of the process.
+     * Identifies one run of the process; changes when it restarts.
      * </pre>
      *
      * <code>string incarnation = 3;</code>
@@ -744,7 +891,7 @@
     }
     /**
      * <pre>
-     * Identifies one life of the process.
+     * Identifies one run of the process; changes when it restarts.
      * </pre>
      *
      * <code>string incarnation = 3;</code>
@@ -757,7 +904,7 @@
     }
     /**
      * <pre>
-     * Identifies one life of the process.
+     * Identifies one run of the process; changes when it restarts.
      * </pre>
      *
      * <code>string incarnation = 3;</code>
@@ -772,7 +919,7 @@
     }
     /**
      * <pre>
-     * Identifies one life of the process.
+     * Identifies one run of the process; changes when it restarts.
      * </pre>
      *
      * <code>string incarnation = 3;</code>
@@ -785,7 +932,7 @@
     }
     /**
      * <pre>
-     * Identifies one life of the process.
+     * Identifies one run of the process; changes when it restarts.
      * </pre>
      *
      * <code>string incarnation = 3;</code>
@@ -841,7 +988,7 @@
 
     /**
      * <pre>
-     * Version of the store as of which the targets are known.
+     * Version of the store that the sender's view of the targets reflects.
      * </pre>
      *
      * <code>int64 directory_version = 5;</code>
@@ -853,7 +1000,7 @@
     }
     /**
      * <pre>
-     * Version of the store as of which the targets are known.
+     * Version of the store that the sender's view of the targets reflects.
      * </pre>
      *
      * <code>int64 directory_version = 5;</code>
@@ -867,7 +1014,7 @@
     }
     /**
      * <pre>
-     * Version of the store as of which the targets are known.
+     * Version of the store that the sender's view of the targets reflects.
      * </pre>
      *
      * <code>int64 directory_version = 5;</code>
@@ -1072,6 +1219,158 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Data centre of the instance.
+     * </pre>
+     *
+     * <code>string data_centre = 9;</code>
+     * @return The dataCentre.
+     */
+    @java.lang.Override
+    public java.lang.String getDataCentre() {
+      return instance.getDataCentre();
+    }
+    /**
+     * <pre>
+     * Data centre of the instance.
+     * </pre>
+     *
+     * <code>string data_centre = 9;</code>
+     * @return The bytes for dataCentre.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getDataCentreBytes() {
+      return instance.getDataCentreBytes();
+    }
+    /**
+     * <pre>
+     * Data centre of the instance.
+     * </pre>
+     *
+     * <code>string data_centre = 9;</code>
+     * @param value The dataCentre to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentre(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setDataCentre(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Data centre of the instance.
+     * </pre>
+     *
+     * <code>string data_centre = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDataCentre() {
+      copyOnWrite();
+      instance.clearDataCentre();
+      return this;
+    }
+    /**
+     * <pre>
+     * Data centre of the instance.
+     * </pre>
+     *
+     * <code>string data_centre = 9;</code>
+     * @param value The bytes for dataCentre to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDataCentreBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setDataCentreBytes(value);
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Processor capacity of the instance, in thousandths of a core.
+     * </pre>
+     *
+     * <code>uint32 capacity_millicores = 10;</code>
+     * @return The capacityMillicores.
+     */
+    @java.lang.Override
+    public int getCapacityMillicores() {
+      return instance.getCapacityMillicores();
+    }
+    /**
+     * <pre>
+     * Processor capacity of the instance, in thousandths of a core.
+     * </pre>
+     *
+     * <code>uint32 capacity_millicores = 10;</code>
+     * @param value The capacityMillicores to set.
+     * @return This builder for chaining.
+     */
+    public Builder setCapacityMillicores(int value) {
+      copyOnWrite();
+      instance.setCapacityMillicores(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Processor capacity of the instance, in thousandths of a core.
+     * </pre>
+     *
+     * <code>uint32 capacity_millicores = 10;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearCapacityMillicores() {
+      copyOnWrite();
+      instance.clearCapacityMillicores();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Time after which the sender sends the next heartbeat on this connection at the latest, in
+     * milliseconds.
+     * </pre>
+     *
+     * <code>uint32 interval_millis = 11;</code>
+     * @return The intervalMillis.
+     */
+    @java.lang.Override
+    public int getIntervalMillis() {
+      return instance.getIntervalMillis();
+    }
+    /**
+     * <pre>
+     * Time after which the sender sends the next heartbeat on this connection at the latest, in
+     * milliseconds.
+     * </pre>
+     *
+     * <code>uint32 interval_millis = 11;</code>
+     * @param value The intervalMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setIntervalMillis(int value) {
+      copyOnWrite();
+      instance.setIntervalMillis(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Time after which the sender sends the next heartbeat on this connection at the latest, in
+     * milliseconds.
+     * </pre>
+     *
+     * <code>uint32 interval_millis = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearIntervalMillis() {
+      copyOnWrite();
+      instance.clearIntervalMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.PeerState)
   }
   @java.lang.Override
@@ -1096,10 +1395,14 @@
             "storeReachable_",
             "stopping_",
             "knownIps_",
+            "dataCentre_",
+            "capacityMillicores_",
+            "intervalMillis_",
           };
           java.lang.String info =
-              "\u0000\b\u0000\u0000\u0001\b\b\u0000\u0001\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
-              "\u0004\u0002\u0005\u0002\u0006\u0007\u0007\u0007\b\u021a";
+              "\u0000\u000b\u0000\u0000\u0001\u000b\u000b\u0000\u0001\u0000\u0001\u0208\u0002\u0208" +
+              "\u0003\u0208\u0004\u0002\u0005\u0002\u0006\u0007\u0007\u0007\b\u021a\t\u0208\n\u000b" +
+              "\u000b\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerStateOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerStateOrBuilder.java
@@ -52,7 +52,7 @@
 
   /**
    * <pre>
-   * Identifies one life of the process.
+   * Identifies one run of the process; changes when it restarts.
    * </pre>
    *
    * <code>string incarnation = 3;</code>
@@ -61,7 +61,7 @@
   java.lang.String getIncarnation();
   /**
    * <pre>
-   * Identifies one life of the process.
+   * Identifies one run of the process; changes when it restarts.
    * </pre>
    *
    * <code>string incarnation = 3;</code>
@@ -82,7 +82,7 @@
 
   /**
    * <pre>
-   * Version of the store as of which the targets are known.
+   * Version of the store that the sender's view of the targets reflects.
    * </pre>
    *
    * <code>int64 directory_version = 5;</code>
@@ -146,4 +146,45 @@
    */
   com.google.protobuf.ByteString
       getKnownIpsBytes(int index);
+
+  /**
+   * <pre>
+   * Data centre of the instance.
+   * </pre>
+   *
+   * <code>string data_centre = 9;</code>
+   * @return The dataCentre.
+   */
+  java.lang.String getDataCentre();
+  /**
+   * <pre>
+   * Data centre of the instance.
+   * </pre>
+   *
+   * <code>string data_centre = 9;</code>
+   * @return The bytes for dataCentre.
+   */
+  com.google.protobuf.ByteString
+      getDataCentreBytes();
+
+  /**
+   * <pre>
+   * Processor capacity of the instance, in thousandths of a core.
+   * </pre>
+   *
+   * <code>uint32 capacity_millicores = 10;</code>
+   * @return The capacityMillicores.
+   */
+  int getCapacityMillicores();
+
+  /**
+   * <pre>
+   * Time after which the sender sends the next heartbeat on this connection at the latest, in
+   * milliseconds.
+   * </pre>
+   *
+   * <code>uint32 interval_millis = 11;</code>
+   * @return The intervalMillis.
+   */
+  int getIntervalMillis();
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/ViewRequest.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/ViewRequest.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Asks for what is newer than the given versions.
+ * Requests the configuration and the registrations newer than the given versions.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.peer.ViewRequest}
@@ -157,7 +157,7 @@
 
   /**
    * <pre>
-   * Asks for what is newer than the given versions.
+   * Requests the configuration and the registrations newer than the given versions.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.peer.ViewRequest}
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/ViewShare.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/ViewShare.java
@@ -22,7 +22,7 @@
   private com.google.protobuf.ByteString configDocument_;
   /**
    * <pre>
-   * The operator's document, empty if it is not newer than asked for.
+   * The operator's configuration document; empty if it is not newer than the requester's version.
    * </pre>
    *
    * <code>bytes config_document = 1;</code>
@@ -34,7 +34,7 @@
   }
   /**
    * <pre>
-   * The operator's document, empty if it is not newer than asked for.
+   * The operator's configuration document; empty if it is not newer than the requester's version.
    * </pre>
    *
    * <code>bytes config_document = 1;</code>
@@ -47,7 +47,7 @@
   }
   /**
    * <pre>
-   * The operator's document, empty if it is not newer than asked for.
+   * The operator's configuration document; empty if it is not newer than the requester's version.
    * </pre>
    *
    * <code>bytes config_document = 1;</code>
@@ -276,7 +276,7 @@
 
     /**
      * <pre>
-     * The operator's document, empty if it is not newer than asked for.
+     * The operator's configuration document; empty if it is not newer than the requester's version.
      * </pre>
      *
      * <code>bytes config_document = 1;</code>
@@ -288,7 +288,7 @@
     }
     /**
      * <pre>
-     * The operator's document, empty if it is not newer than asked for.
+     * The operator's configuration document; empty if it is not newer than the requester's version.
      * </pre>
      *
      * <code>bytes config_document = 1;</code>
@@ -302,7 +302,7 @@
     }
     /**
      * <pre>
-     * The operator's document, empty if it is not newer than asked for.
+     * The operator's configuration document; empty if it is not newer than the requester's version.
      * </pre>
      *
      * <code>bytes config_document = 1;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/ViewShareOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/ViewShareOrBuilder.java
@@ -12,7 +12,7 @@
 
   /**
    * <pre>
-   * The operator's document, empty if it is not newer than asked for.
+   * The operator's configuration document; empty if it is not newer than the requester's version.
    * </pre>
    *
    * <code>bytes config_document = 1;</code>
