Mend two tests that failed at times

EngineStandInTest: the stand-in completed a response after its handler had thrown, before the crash closed the connection. It now ends the exchange only after the handler has returned. DispatchTest: a configuration update may be sent at any time; the first frame that is none must be CANCEL.

--- a/daemon/src/test/java/org/fuchsiaspindle/daemon/entry/DispatchTest.java
+++ b/daemon/src/test/java/org/fuchsiaspindle/daemon/entry/DispatchTest.java
@@ -27,7 +27,6 @@
 import org.fuchsiaspindle.wire.proto.Executed;
 import org.fuchsiaspindle.wire.proto.Finished;
 import org.fuchsiaspindle.wire.proto.Frame;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -304,7 +303,6 @@
      * times, more often under load; see KNOWN-RED.txt.
      */
     @Test
-    @Tag("known-red")
     void callerThatDisconnects_cancelsTheAttempt() throws Exception {
         CountDownLatch received = new CountDownLatch(1);
         try (FakeAgent agent =
@@ -319,9 +317,7 @@
             try (Socket _ = send(entry, CHAT.formatted(""))) {
                 assertThat(received.await(20, TimeUnit.SECONDS)).isTrue();
             }
-            Frame frame = agent.others().poll(20, TimeUnit.SECONDS);
-            assertThat(frame).isNotNull();
-            assertThat(frame.getBodyCase()).isEqualTo(Frame.BodyCase.CANCEL);
+            assertThat(nextFrameAboutCalls(agent)).isEqualTo(Frame.BodyCase.CANCEL);
         }
     }
 
@@ -348,13 +344,25 @@
             try (Socket _ = send(entry, CHAT.formatted(""))) {
                 assertThat(received.await(20, TimeUnit.SECONDS)).isTrue();
             }
-            Frame frame = agent.others().poll(20, TimeUnit.SECONDS);
+            Frame.BodyCase frame = nextFrameAboutCalls(agent);
             cancelled.set(true);
-            assertThat(frame).isNotNull();
-            assertThat(frame.getBodyCase()).isEqualTo(Frame.BodyCase.CANCEL);
+            assertThat(frame).isEqualTo(Frame.BodyCase.CANCEL);
         }
     }
 
+    /**
+     * Returns the kind of the next frame to an agent that is not a configuration. An entry sends
+     * those from another thread, at any time after the connection was opened.
+     */
+    private static Frame.BodyCase nextFrameAboutCalls(FakeAgent agent) throws InterruptedException {
+        Frame frame;
+        do {
+            frame = agent.others().poll(20, TimeUnit.SECONDS);
+            assertThat(frame).isNotNull();
+        } while (frame.getBodyCase() == Frame.BodyCase.CONFIG_UPDATE);
+        return frame.getBodyCase();
+    }
+
     @Test
     void slowCallers_receiveNoMoreThanTheWindowAndDoNotDelayOthers() throws Exception {
         String chunkText = "x".repeat(1024);
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/http/StandInServer.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/http/StandInServer.java
@@ -98,14 +98,15 @@
         try {
             exchange.startBlocking();
             handler.handle(exchange);
+            // Only here: ending the exchange after a failure could complete its response before the
+            // connection is closed.
+            exchange.endExchange();
         } catch (IOException e) {
             LOG.debug("http: connection to a stand-in failed", e);
             IoUtils.safeClose(connection);
         } catch (RuntimeException e) {
             LOG.error("http: handler of a stand-in failed path={}", exchange.getRequestPath(), e);
             IoUtils.safeClose(connection);
-        } finally {
-            exchange.endExchange();
         }
     }
 }
