Delete closed jobs from the store, and page through ranges

Cause (from reading): nothing ever deleted the rows of a job, so at 15 items a second of 18 KB the store's 400 MB are full after about 25 minutes, and every gateway kept every job in memory. A closed job is now deleted, its row last, at twice the time for which its results must be readable (JobExpiry), by the gateway that rendezvous hashing names. Submissions and progress are read page by page. The counts of failed runs count as stored only after the write; until now a write that was not done forgot them.

Failed first: GatewayBatchTest.closedJob_isDeletedOnlyAfterItsResultsWereReadableForLongEnough.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -14,12 +14,14 @@
 import java.util.OptionalInt;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.fuchsiaspindle.core.error.FuchsiaspindleException;
 import org.fuchsiaspindle.core.error.ResultCode;
 import org.fuchsiaspindle.core.job.JobOwner;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.time.Clock;
 import org.fuchsiaspindle.gateway.batch.JobCallHandler;
+import org.fuchsiaspindle.gateway.batch.JobCleaner;
 import org.fuchsiaspindle.gateway.batch.JobOwnership;
 import org.fuchsiaspindle.gateway.batch.JobRelay;
 import org.fuchsiaspindle.gateway.batch.JobRunner;
@@ -27,6 +29,7 @@
 import org.fuchsiaspindle.gateway.batch.JobSubmissionHandler;
 import org.fuchsiaspindle.gateway.batch.JobTable;
 import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
+import org.fuchsiaspindle.gateway.peer.PeerInfo;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
 import org.fuchsiaspindle.gateway.slot.SlotClient;
 import org.fuchsiaspindle.gateway.target.TargetFleet;
@@ -151,6 +154,14 @@
                         runner,
                         self,
                         owner -> mesh.isServing(owner.ip(), owner.incarnation()));
+        JobCleaner.start(
+                requestLoop,
+                jobStore,
+                jobTable,
+                storeClock,
+                settings.ip(),
+                this::peersWithStore,
+                settings.resultRetention());
         jobTable.start(storeLoop, storeClient, storeHealth);
         mesh.start(settings.peerIps());
         clientServer = ClientServer.create(requestLoop, () -> viewHolder.view().limits(), router());
@@ -165,6 +176,13 @@
                 settings.storeAddress());
     }
 
+    private List<String> peersWithStore() {
+        return mesh.peers().stream()
+                .filter(peer -> peer.storeReachable() && !peer.stopping())
+                .map(PeerInfo::ip)
+                .collect(Collectors.toList());
+    }
+
     private void apply(TargetDirectory directory) {
         if (!directory.targets().equals(appliedTargets)) {
             appliedTargets = directory.targets();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCommitter.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCommitter.java
@@ -87,8 +87,17 @@
         JobRecord updated =
                 job.withResults(results, job.ended() ? 0 : owned.tokensOfUnlistedItems(listed))
                         .withFailures(owned.failures());
-        owned.clearFailuresChanged();
-        update(owned, updated, resultTexts);
+        long failureChanges = owned.failureChanges();
+        owned.setCommitting(true);
+        jobStore.update(updated, owned.stored().version(), resultTexts)
+                .whenCompleteAsync(
+                        (result, failure) -> {
+                            if (result instanceof CommitResult.Committed) {
+                                owned.failuresStored(failureChanges);
+                            }
+                            handleResult(owned, updated, result, failure);
+                        },
+                        loop);
     }
 
     /** Stores the progress of unfinished items, which bounds the work lost if a gateway fails. */
@@ -128,13 +137,6 @@
                         (result, failure) -> handleResult(owned, released, result, failure), loop);
     }
 
-    private void update(OwnedJob owned, JobRecord updated, List<JobStore.ResultText> resultTexts) {
-        owned.setCommitting(true);
-        jobStore.update(updated, owned.stored().version(), resultTexts)
-                .whenCompleteAsync(
-                        (result, failure) -> handleResult(owned, updated, result, failure), loop);
-    }
-
     private void handleResult(
             OwnedJob owned, JobRecord updated, CommitResult result, Throwable failure) {
         if (failure != null) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobOwnership.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobOwnership.java
@@ -172,7 +172,7 @@
         reading = true;
         lastReadNanos = System.nanoTime();
         storeClient
-                .rows(MEMBERS_TABLE, "", "", "")
+                .allRows(MEMBERS_TABLE, "", "", "")
                 .whenCompleteAsync(
                         (page, failure) -> {
                             reading = false;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
@@ -127,7 +127,7 @@
 
     /** Returns the submission of a job, empty if there is none. */
     CompletableFuture<Optional<byte[]>> submission(String jobId) {
-        return store.rows(SUBMISSIONS, partition(jobId), jobId + "/", jobId + "0")
+        return store.allRows(SUBMISSIONS, partition(jobId), jobId + "/", jobId + "0")
                 .thenCompose(
                         page ->
                                 page.rows().isEmpty()
@@ -185,7 +185,7 @@
 
     /** Returns the stored progress of a job by item. */
     CompletableFuture<Map<Integer, ItemProgress>> progress(String jobId) {
-        return store.rows(PROGRESS, partition(jobId), jobId + "/", jobId + "0")
+        return store.allRows(PROGRESS, partition(jobId), jobId + "/", jobId + "0")
                 .thenApply(page -> ItemProgress.decode(jobId, page.rows()));
     }
 
@@ -289,6 +289,58 @@
         return results;
     }
 
+    /**
+     * Deletes everything that is stored of a job, its row last, so that a deletion that fails is
+     * noticed and repeated.
+     */
+    CompletableFuture<Void> delete(JobRecord job) {
+        String partition = partition(job.id());
+        String from = job.id() + "/";
+        String to = job.id() + "0";
+        List<RowKey> keys = new ArrayList<>();
+        for (int position = 0; position < job.listed().size(); position++) {
+            for (int chunk = 0; chunk < job.listed().get(position).chunks(); chunk++) {
+                keys.add(textKey(job.id(), position, chunk));
+            }
+        }
+        return store.allRows(PROGRESS, partition, from, to)
+                .thenCombine(
+                        store.allRows(SUBMISSIONS, partition, from, to),
+                        (progress, submission) -> {
+                            progress.rows().forEach(row -> keys.add(row.key()));
+                            submission.rows().forEach(row -> keys.add(row.key()));
+                            return submission.rows().isEmpty();
+                        })
+                .thenCompose(
+                        isObject ->
+                                isObject
+                                        ? store.deleteObject(objectName(job.id()))
+                                        : CompletableFuture.completedFuture(false))
+                .thenCompose(deleted -> remove(partition, keys))
+                .thenCompose(
+                        done ->
+                                remove(
+                                        partition,
+                                        List.of(new RowKey(JOBS, partition, job.id()))));
+    }
+
+    private CompletableFuture<Void> remove(String partition, List<RowKey> keys) {
+        if (keys.isEmpty()) {
+            return CompletableFuture.completedFuture(null);
+        }
+        List<RowKey> first = keys.subList(0, Math.min(keys.size(), MAX_COMMIT_ROWS));
+        RowTransaction.Builder transaction = RowTransaction.inPartition(partition);
+        first.forEach(transaction::remove);
+        return store.commit(transaction.build())
+                .thenCompose(
+                        result -> {
+                            if (!(result instanceof CommitResult.Committed)) {
+                                throw new StoreUnavailableException("rows not removed: " + result);
+                            }
+                            return remove(partition, keys.subList(first.size(), keys.size()));
+                        });
+    }
+
     private static RowKey textKey(String jobId, int position, int chunk) {
         String key = textPrefix(jobId, position) + String.format(Locale.ROOT, "%03d", chunk);
         return new RowKey(RESULTS, partition(jobId), key);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobTable.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobTable.java
@@ -84,13 +84,25 @@
         }
     }
 
+    /** Removes a job that was deleted from the store. */
+    void remove(String id) {
+        jobs.remove(id);
+    }
+
     private void offerLater(List<StoredRow> rows) {
         List<VersionedJob> decoded = new ArrayList<>();
+        List<String> deletedIds = new ArrayList<>();
         for (StoredRow row : rows) {
-            if (!row.deleted()) {
+            if (row.deleted()) {
+                deletedIds.add(row.key().key());
+            } else {
                 JobStore.decode(row).ifPresent(decoded::add);
             }
         }
-        loop.execute(() -> decoded.forEach(this::offer));
+        loop.execute(
+                () -> {
+                    decoded.forEach(this::offer);
+                    deletedIds.forEach(this::remove);
+                });
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/OwnedJob.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/OwnedJob.java
@@ -19,7 +19,8 @@
     private final List<ItemRun> runs = new ArrayList<>();
     private final Map<Integer, Integer> failures = new HashMap<>();
     private boolean committing;
-    private boolean failuresChanged;
+    private long failureChanges;
+    private long storedFailureChanges;
     private long retryAtNanos;
 
     OwnedJob(
@@ -82,7 +83,7 @@
     }
 
     int addFailure(int item) {
-        failuresChanged = true;
+        failureChanges++;
         return failures.merge(item, 1, Integer::sum);
     }
 
@@ -91,11 +92,17 @@
     }
 
     boolean hasFailuresToStore() {
-        return failuresChanged;
+        return failureChanges > storedFailureChanges;
     }
 
-    void clearFailuresChanged() {
-        failuresChanged = false;
+    /** Returns how often a failure was added, which identifies the counts at this moment. */
+    long failureChanges() {
+        return failureChanges;
+    }
+
+    /** Records that the failures of a moment are stored. */
+    void failuresStored(long changes) {
+        storedFailureChanges = Math.max(storedFailureChanges, changes);
     }
 
     long tokensOfUnlistedItems(Set<Integer> listed) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TableWatch.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TableWatch.java
@@ -144,19 +144,7 @@
     }
 
     private CompletableFuture<RowPage> readPartition(String name) {
-        return readPages(name, "");
-    }
-
-    private CompletableFuture<RowPage> readPages(String partition, String from) {
-        return store.rows(options.table(), partition, from, "")
-                .thenCompose(
-                        page -> {
-                            if (!page.hasMore() || page.rows().isEmpty()) {
-                                return CompletableFuture.completedFuture(page);
-                            }
-                            String next = page.rows().getLast().key().key() + '\0';
-                            return readPages(partition, next).thenApply(page::concat);
-                        });
+        return store.allRows(options.table(), name, "", "");
     }
 
     private void waitForChanges(long version) {
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -41,6 +41,7 @@
     private final int clientPort = freePort();
     private final int statusPort = freePort();
     private final int peerPort = freePort();
+    private Duration resultRetention = Duration.ofSeconds(120);
     private int incarnations;
     private int configVersion;
 
@@ -77,6 +78,11 @@
         store.remove("servers", engine.spec().id());
     }
 
+    /** Sets how long the gateways that start later must keep the results of jobs readable. */
+    public void setResultRetention(Duration time) {
+        resultRetention = time;
+    }
+
     /** Starts a gateway on its own loopback address and returns the address. */
     public String startGateway(int number) {
         String ip = "127.0.0." + (10 + number);
@@ -175,6 +181,7 @@
                 seeds,
                 HostAndPort.fromParts(STORE_IP, store.port()),
                 CPU_CAPACITY,
+                resultRetention,
                 STOP_GRACE);
     }
 
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
@@ -253,6 +253,27 @@
                 .isNotEmpty();
     }
 
+    /** Guards against results that fill the store, and against deleting those still to be read. */
+    @Test
+    void closedJob_isDeletedOnlyAfterItsResultsWereReadableForLongEnough() throws Exception {
+        platform.setResultRetention(Duration.ofSeconds(2));
+        String third = platform.startGateway(3);
+        await("ready", () -> platform.gateway(third).isReady());
+        // The others were started with a longer time.
+        platform.killGateway(first);
+        platform.killGateway(second);
+        submit(third, "job-x", submission("job-x", 3, 5));
+        awaitResults(third, "job-x", 3);
+        long completed = System.nanoTime();
+        await("job deleted", () -> platform.store().values("job", "job-x").isEmpty());
+        assertThat(Duration.ofNanos(System.nanoTime() - completed))
+                .isGreaterThan(Duration.ofMillis(2500));
+        for (String table : List.of("result", "submission", "progress")) {
+            assertThat(platform.store().values(table, "job-x")).isEmpty();
+        }
+        await("not found", () -> call(third, "GET", "/lots/job-x?after=0").status() == 404);
+    }
+
     /** Guards against item bodies that are returned modified, or for a job that does not exist. */
     @Test
     void bodiesOfItems_areReadableAtEveryGateway() throws Exception {
