--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -30,6 +30,8 @@
 import org.fuchsiaspindle.wire.peer.CoordinatorCheck;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
 import org.fuchsiaspindle.wire.peer.SlotReply;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /**
  * Obtains slots of targets from the coordinators of their pools, and returns them.
@@ -40,6 +42,8 @@
  */
 public final class SlotClient implements PeerMesh.PeerListener {
 
+    private static final Logger LOG = LoggerFactory.getLogger(SlotClient.class);
+
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
 
     /** Time between two checks while a coordinator does not answer. */
@@ -223,7 +227,7 @@
                             SlotCodec.expectedWait(reply.getRefusal()));
                 }
             }
-            case OUTCOME_NOT_SET -> {}
+            default -> LOG.debug("slots: reply without an outcome ignored from={}", ip);
         }
     }
 
