--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
@@ -151,6 +151,11 @@
         return active.get();
     }
 
+    /** Returns the number of requests that run or wait for a slot. */
+    public int queuedRequests() {
+        return queued.get();
+    }
+
     /** Sets the fault of the next response; later responses are not affected. */
     public void failNextResponse(ResponseFault next) {
         nextFault = next;
