--- a/core/src/main/java/org/fuchsiaspindle/core/serving/Route.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/Route.java
@@ -36,6 +36,11 @@
         boolean resumable,
         Optional<BatchLimits> batch) {
 
+    private static final Duration MIN_PATIENCE = Duration.ofSeconds(2);
+
+    /** Multiple of the latency target for which clients wait for the first event. */
+    private static final int PATIENCE_FACTOR = 4;
+
     /**
      * Limits of the batch jobs of a route.
      *
@@ -87,6 +92,15 @@
         };
     }
 
+    /**
+     * Returns how long clients wait for the first event of a stream at least; later ones find
+     * nobody.
+     */
+    public Duration firstEventPatience() {
+        Duration byTarget = latencyTarget.multipliedBy(PATIENCE_FACTOR);
+        return byTarget.compareTo(MIN_PATIENCE) > 0 ? byTarget : MIN_PATIENCE;
+    }
+
     /**
      * Returns the service for a request, chosen at random in proportion to the weights.
      *
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -110,7 +110,9 @@
                             request.priority(),
                             request.onTimeUntilNanos(),
                             request.startUntilNanos(),
-                            now));
+                            // In place of the arrival, so that a request that moves to another
+                            // coordinator keeps its turn.
+                            request.onTimeUntilNanos()));
             decisions.add(new SlotDecision.Queued(request.holder(), request.ticket()));
         }
         return decisions;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
@@ -318,10 +318,7 @@
                                         : CompletableFuture.completedFuture(false))
                 .thenCompose(deleted -> remove(partition, keys))
                 .thenCompose(
-                        done ->
-                                remove(
-                                        partition,
-                                        List.of(new RowKey(JOBS, partition, job.id()))));
+                        done -> remove(partition, List.of(new RowKey(JOBS, partition, job.id()))));
     }
 
     private CompletableFuture<Void> remove(String partition, List<RowKey> keys) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -126,8 +126,17 @@
                 : dispatcher.serviceTimes().average(service).toNanos();
     }
 
+    /**
+     * Returns the latest start for a response before the deadline or before the client gives up.
+     */
     private long latestUsefulStartNanos() {
-        return deadlineNanos - dispatcher.serviceTimes().average(service).toNanos();
+        long byDeadline = deadlineNanos - dispatcher.serviceTimes().average(service).toNanos();
+        if (route.kind() != RouteKind.STREAM || exchange.isResponseStarted()) {
+            return byDeadline;
+        }
+        long byPatience =
+                arrivedNanos + route.firstEventPatience().toNanos() - FIRST_EVENT_LATENCY.toNanos();
+        return byDeadline - byPatience < 0 ? byDeadline : byPatience;
     }
 
     private void sendTo(TargetInstance target, SlotLease lease) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotAcquisition.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotAcquisition.java
@@ -115,6 +115,7 @@
     /** Starts from the first pool again, because the coordinator that was asked has changed. */
     void restart() {
         withdraw();
+        rounds = 0;
         startRound();
     }
 
