--- a/core/src/main/java/org/fuchsiaspindle/core/membership/AddressAnnouncement.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/membership/AddressAnnouncement.java
@@ -16,9 +16,15 @@
  */
 public final class AddressAnnouncement {
 
-    /** The interval at which unchanged addresses are sent again. */
+    /** The interval at which unchanged addresses are sent again in a small fleet. */
     static final Duration REPEAT_INTERVAL = Duration.ofSeconds(5);
 
+    /**
+     * Number of addresses above which the interval grows with their square, because a process sends
+     * all addresses to all of them.
+     */
+    static final int SMALL_FLEET = 40;
+
     private ImmutableSet<String> sent = ImmutableSet.of();
     private long sentNanos;
 
@@ -33,10 +39,16 @@
      */
     public Set<String> addressesToSend(Set<String> known, long nowNanos) {
         checkNotNull(known, "known");
-        boolean repeat = nowNanos - sentNanos >= REPEAT_INTERVAL.toNanos();
+        boolean repeat = nowNanos - sentNanos >= repeatInterval(known.size()).toNanos();
         return known.equals(sent) && !repeat ? ImmutableSet.of() : known;
     }
 
+    /** Returns the interval at which a number of unchanged addresses is sent again. */
+    static Duration repeatInterval(int addresses) {
+        double size = Math.max(1, (double) addresses / SMALL_FLEET);
+        return Duration.ofMillis(Math.round(REPEAT_INTERVAL.toMillis() * size * size));
+    }
+
     /** Records that a heartbeat with the given addresses was sent; an empty set has no effect. */
     public void recordSent(Set<String> addresses, long nowNanos) {
         if (!addresses.isEmpty()) {
--- a/core/src/test/java/org/fuchsiaspindle/core/membership/AddressAnnouncementTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/membership/AddressAnnouncementTest.java
@@ -11,6 +11,19 @@
  */
 final class AddressAnnouncementTest {
 
+    /** Guards against addresses that take more than their part of the traffic in a large fleet. */
+    @Test
+    void bytesOfRepeatedAddresses_doNotGrowWithTheFleet() {
+        int bytesPerAddress = 14;
+        // The goal for all control traffic of a process.
+        int maxBytesPerSecond = 21_000;
+        for (int size : new int[] {7, 43, 100, 400, 1000}) {
+            double bytesPerInterval = (double) size * size * bytesPerAddress;
+            double seconds = AddressAnnouncement.repeatInterval(size).toMillis() / 1000.0;
+            assertThat(bytesPerInterval / seconds).isLessThan(maxBytesPerSecond);
+        }
+    }
+
     private static final Set<String> TWO = Set.of("10.0.0.1", "10.0.0.2");
     private static final Set<String> THREE = Set.of("10.0.0.1", "10.0.0.2", "10.0.0.3");
 
