--- a/core/src/main/java/org/fuchsiaspindle/core/serving/package-info.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/package-info.java
@@ -1,6 +1,5 @@
 /**
- * Routes, services and targets of a serving fleet, and the choice, queueing and preemption of
- * requests.
+ * Routes, services and targets of a serving fleet, and the order in which requests wait.
  *
  * <p>All types are either immutable or confined to one thread. None performs I/O.
  */
