Log the crash of a target with the prompt parts of the requests it had not answered

The log could not tell the hypotheses of the incident apart: it named neither a crash nor what the lost requests had in common. The header with the parts of a prompt is now decoded at the boundary. After a call has lost its connection, the gateway connects to the target once; a refused connection means that the process is gone, and the calls that it had barely started to answer are logged with their prompt parts. A target that went on for 250 ms after the start of a response has proved that the request does not crash it.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -1,5 +1,6 @@
 package org.fuchsiaspindle.gateway.batch;
 
+import com.google.common.collect.ImmutableList;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.Optional;
@@ -9,6 +10,7 @@
 import org.fuchsiaspindle.gateway.target.TargetCall;
 import org.fuchsiaspindle.platform.job.BatchItem;
 import org.fuchsiaspindle.platform.target.EventSplitter;
+import org.fuchsiaspindle.platform.target.PromptHeader;
 
 /**
  * The state of one item without a stored result: pending, running on a target, or finished.
@@ -27,6 +29,7 @@
     private final OwnedJob job;
     private final int index;
     private final BatchItem item;
+    private final ImmutableList<String> promptParts;
     private final StringBuilder text = new StringBuilder();
     private final double serviceFraction = ThreadLocalRandom.current().nextDouble();
     private State state = State.PENDING;
@@ -43,6 +46,7 @@
         this.job = job;
         this.index = index;
         this.item = item;
+        this.promptParts = PromptHeader.sharedParts(item.headers());
     }
 
     OwnedJob job() {
@@ -57,6 +61,11 @@
         return item;
     }
 
+    /** Returns the parts of the prompt that other requests may share, in order. */
+    ImmutableList<String> promptParts() {
+        return promptParts;
+    }
+
     TargetCall call() {
         return call;
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -24,6 +24,7 @@
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
 import org.fuchsiaspindle.gateway.slot.BatchDemands;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
+import org.fuchsiaspindle.gateway.target.CallDescription;
 import org.fuchsiaspindle.gateway.target.CallFailure;
 import org.fuchsiaspindle.gateway.target.CallListener;
 import org.fuchsiaspindle.gateway.target.TargetFleet;
@@ -375,8 +376,7 @@
                 fleet.call(
                         target,
                         lease,
-                        true,
-                        item.id(),
+                        new CallDescription(item.id(), true, run.promptParts()),
                         () ->
                                 TargetProtocol.itemRequest(
                                         item.id(),
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -1,5 +1,6 @@
 package org.fuchsiaspindle.gateway.online;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import io.netty.buffer.ByteBuf;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -15,12 +16,14 @@
 import org.fuchsiaspindle.core.slot.SlotDecision;
 import org.fuchsiaspindle.gateway.slot.SlotAcquisition;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
+import org.fuchsiaspindle.gateway.target.CallDescription;
 import org.fuchsiaspindle.gateway.target.CallFailure;
 import org.fuchsiaspindle.gateway.target.CallListener;
 import org.fuchsiaspindle.gateway.target.TargetCall;
 import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
 import org.fuchsiaspindle.platform.ingress.ClientExchange;
 import org.fuchsiaspindle.platform.ingress.Refusal;
+import org.fuchsiaspindle.platform.target.PromptHeader;
 import org.fuchsiaspindle.platform.target.TargetProtocol;
 import org.fuchsiaspindle.platform.target.TargetResponse;
 
@@ -58,6 +61,7 @@
     private final ClientExchange exchange;
     private final Route route;
     private final String service;
+    private final ImmutableList<String> promptParts;
     private final long arrivedNanos;
     private final long deadlineNanos;
     private final boolean clientDeadlineFirst;
@@ -78,6 +82,7 @@
         this.exchange = exchange;
         this.route = route;
         this.service = service;
+        this.promptParts = PromptHeader.sharedParts(exchange.request().headers());
         this.arrivedNanos = exchange.request().arrivedNanos();
         Duration deadline = exchange.request().deadline().orElse(route.timeout());
         this.clientDeadlineFirst = deadline.compareTo(route.timeout()) < 0;
@@ -149,8 +154,10 @@
                         .call(
                                 target,
                                 lease,
-                                route.kind() == RouteKind.STREAM,
-                                exchange.request().id(),
+                                new CallDescription(
+                                        exchange.request().id(),
+                                        route.kind() == RouteKind.STREAM,
+                                        promptParts),
                                 () ->
                                         TargetProtocol.forwardRequest(
                                                 exchange.request(),
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/CallDescription.java
@@ -0,0 +1,22 @@
+package org.fuchsiaspindle.gateway.target;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+
+/**
+ * What is known of a call before it is sent.
+ *
+ * @param requestId the identifier that the response must carry, not null
+ * @param isStream whether the response is a stream of events
+ * @param promptParts the parts of its prompt that other requests may share, in order; not null
+ */
+public record CallDescription(
+        String requestId, boolean isStream, ImmutableList<String> promptParts) {
+
+    /** Validates the components. */
+    public CallDescription {
+        checkNotNull(requestId, "requestId");
+        checkNotNull(promptParts, "promptParts");
+    }
+}
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
 import java.util.function.Supplier;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
@@ -22,11 +23,16 @@
  */
 public final class TargetCall {
 
+    /**
+     * Time for which a target must go on after the start of a response to prove that the request
+     * does not crash it.
+     */
+    private static final Duration PROOF_TIME = Duration.ofMillis(250);
+
     private final TargetFleet fleet;
     private final TargetState target;
     private final SlotLease lease;
-    private final boolean isStream;
-    private final String requestId;
+    private final CallDescription description;
     private final CallListener listener;
     private final long createdNanos = System.nanoTime();
     private Supplier<FullHttpRequest> request;
@@ -34,20 +40,21 @@
     private TargetResponse response;
     private boolean sent;
     private boolean ended;
+    private boolean answering;
+    private long firstDataNanos;
+    private boolean proved;
 
     TargetCall(
             TargetFleet fleet,
             TargetState target,
             SlotLease lease,
-            boolean isStream,
-            String requestId,
+            CallDescription description,
             Supplier<FullHttpRequest> request,
             CallListener listener) {
         this.fleet = fleet;
         this.target = target;
         this.lease = checkNotNull(lease, "lease");
-        this.isStream = isStream;
-        this.requestId = requestId;
+        this.description = checkNotNull(description, "description");
         this.request = checkNotNull(request, "request");
         this.listener = checkNotNull(listener, "listener");
     }
@@ -95,7 +102,16 @@
     }
 
     boolean isStream() {
-        return isStream;
+        return description.isStream();
+    }
+
+    CallDescription description() {
+        return description;
+    }
+
+    /** Returns whether the target went on running after it had started the response. */
+    boolean isProved() {
+        return proved;
     }
 
     long createdNanos() {
@@ -147,7 +163,7 @@
         @Override
         public boolean onHead(HttpResponse head) {
             fleet.dataReceived(target);
-            if (!TargetProtocol.belongsTo(head, requestId)) {
+            if (!TargetProtocol.belongsTo(head, description.requestId())) {
                 return false;
             }
             response = TargetProtocol.decode(head);
@@ -159,11 +175,22 @@
         @Override
         public void onData(ByteBuf data) {
             fleet.dataReceived(target);
+            recordAnswering();
             if (!ended) {
                 listener.onData(data);
             }
         }
 
+        private void recordAnswering() {
+            long now = System.nanoTime();
+            if (!answering) {
+                answering = true;
+                firstDataNanos = now;
+            } else if (!proved && now - firstDataNanos > PROOF_TIME.toNanos()) {
+                proved = true;
+            }
+        }
+
         @Override
         public void onComplete() {
             if (connection.isIdle()) {
@@ -182,6 +209,9 @@
                 target.health().protocolViolated(System.nanoTime());
             }
             if (end(LeaseOutcome.FAILED)) {
+                if (failure != ExchangeFailure.MALFORMED_ANSWER) {
+                    fleet.connectionLost(TargetCall.this);
+                }
                 listener.onFailure(
                         failure == ExchangeFailure.MALFORMED_ANSWER
                                 ? CallFailure.MALFORMED
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -42,10 +42,12 @@
 
     private final EventLoop loop;
     private final Map<String, TargetState> targets = new HashMap<>();
+    private final CrashDetector crashDetector;
     private Consumer<TargetInstance> silenceListener = target -> {};
 
     private TargetFleet(EventLoop loop) {
         this.loop = loop;
+        this.crashDetector = new CrashDetector(loop, crash -> {});
     }
 
     /** Creates an empty fleet. */
@@ -114,21 +116,18 @@
      *
      * @param instance the target, usable in the same event
      * @param lease the slot that the request occupies; released when the call ends
-     * @param isStream whether the response is a stream of events
-     * @param requestId the identifier that the response must carry
+     * @param description what the request is
      * @param request creates the request at the moment it is sent
      * @param listener receives the response
      */
     public TargetCall call(
             TargetInstance instance,
             SlotLease lease,
-            boolean isStream,
-            String requestId,
+            CallDescription description,
             Supplier<FullHttpRequest> request,
             CallListener listener) {
         TargetState state = targets.get(instance.id());
-        TargetCall call =
-                new TargetCall(this, state, lease, isStream, requestId, request, listener);
+        TargetCall call = new TargetCall(this, state, lease, description, request, listener);
         long now = System.nanoTime();
         state.add(call);
         state.health().callStarted(now);
@@ -160,6 +159,13 @@
         }
     }
 
+    /** Handles the loss of the connection of a call whose response was not complete. */
+    void connectionLost(TargetCall call) {
+        if (!call.isProved()) {
+            crashDetector.connectionLost(call.instance(), call.description());
+        }
+    }
+
     void dataReceived(TargetState state) {
         state.dataReceived(System.nanoTime());
     }
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/LayeringTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/LayeringTest.java
@@ -25,6 +25,7 @@
         "\"Server-Stamp\"",
         "\"Last-Event-Id\"",
         "\"Wait-Ms\"",
+        "\"Prompt-Prefix\"",
         "\"expectRev\"",
         "\"dead_letter\"",
         "\"/lots/\"",
