Reproduce the crashes by a prompt part in a test, listed as known red

PromptPartCrashTest sends requests with one part that crashes every engine, among sound ones that share their other parts, over three gateways.

--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/BlockingHttpServer.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/BlockingHttpServer.java
@@ -26,7 +26,7 @@
 
     private static final int MAX_LINE_BYTES = 64 * 1024;
 
-    private final ServerSocket listener;
+    private volatile ServerSocket listener;
     private final Handler handler;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private volatile boolean paused;
@@ -141,10 +141,7 @@
     /** Starts a server on an address; port 0 selects a free port. */
     static BlockingHttpServer start(String ip, int port, Handler handler) {
         try {
-            ServerSocket listener = new ServerSocket();
-            listener.setReuseAddress(true);
-            listener.bind(new InetSocketAddress(InetAddress.getByName(ip), port));
-            BlockingHttpServer server = new BlockingHttpServer(listener, handler);
+            BlockingHttpServer server = new BlockingHttpServer(listen(ip, port), handler);
             Thread.startVirtualThread(server::accept);
             return server;
         } catch (IOException failure) {
@@ -152,6 +149,23 @@
         }
     }
 
+    private static ServerSocket listen(String ip, int port) throws IOException {
+        ServerSocket listener = new ServerSocket();
+        listener.setReuseAddress(true);
+        listener.bind(new InetSocketAddress(InetAddress.getByName(ip), port));
+        return listener;
+    }
+
+    /** Listens again at the same address after {@link #close}. */
+    void reopen() {
+        try {
+            listener = listen(listener.getInetAddress().getHostAddress(), listener.getLocalPort());
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+        Thread.startVirtualThread(this::accept);
+    }
+
     int port() {
         return listener.getLocalPort();
     }
@@ -192,9 +206,10 @@
     }
 
     private void accept() {
-        while (!listener.isClosed()) {
+        ServerSocket openListener = listener;
+        while (!openListener.isClosed()) {
             try {
-                Socket socket = listener.accept();
+                Socket socket = openListener.accept();
                 socket.setTcpNoDelay(true);
                 connections.add(socket);
                 Thread.startVirtualThread(() -> serve(socket));
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
@@ -107,6 +107,9 @@
     private final List<Run> ledger = new CopyOnWriteArrayList<>();
     private volatile ResponseFault nextFault = ResponseFault.NONE;
     private volatile boolean unresponsive;
+    private volatile String crashingPart = "";
+    private volatile Duration crashTime = Duration.ZERO;
+    private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
 
     private EngineEmulator(Spec spec, String ip) {
         this.spec = spec;
@@ -167,6 +170,33 @@
         server.setPaused(newUnresponsive);
     }
 
+    /**
+     * Makes the engine crash when it starts to answer a request whose prompt has a part.
+     *
+     * @param part the identifier of the part, empty for none
+     * @param time how long the engine is down after a crash
+     */
+    public void crashOnPart(String part, Duration time) {
+        crashingPart = part;
+        crashTime = time;
+    }
+
+    /** Resets all connections and refuses new ones for some time. */
+    public void crash(Duration time) {
+        crashNanos.add(System.nanoTime());
+        server.close();
+        Thread.startVirtualThread(
+                () -> {
+                    pause(time);
+                    server.reopen();
+                });
+    }
+
+    /** Returns when the engine crashed, from {@link System#nanoTime()}. */
+    public List<Long> crashes() {
+        return List.copyOf(crashNanos);
+    }
+
     @Override
     public void close() {
         server.close();
@@ -219,6 +249,11 @@
     private boolean run(Request request, Connection connection, Run run) throws IOException {
         ResponseFault fault = nextFault;
         nextFault = ResponseFault.NONE;
+        if (hasCrashingPart(request)) {
+            pause(spec.eventTime());
+            crash(crashTime);
+            return false;
+        }
         String headers =
                 "Attempt-Id: " + request.header("Attempt-Id") + "\r\nServer-Stamp: stamp\r\n";
         if (!request.header("X-Fail").isEmpty()) {
@@ -245,6 +280,11 @@
                 : respondStream(request, connection, run, headers, fault);
     }
 
+    private boolean hasCrashingPart(Request request) {
+        return !crashingPart.isEmpty()
+                && request.header("Prompt-Prefix").contains(crashingPart + ":");
+    }
+
     private boolean respondPlain(
             Request request, Connection connection, Run run, String headers, ResponseFault fault)
             throws IOException {
--- /dev/null
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/PromptPartCrashTest.java
@@ -0,0 +1,121 @@
+package org.fuchsiaspindle.testbed.emulator;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.STREAM;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitReady;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import org.fuchsiaspindle.testbed.emulator.EmulatorClient.Response;
+import org.fuchsiaspindle.testbed.emulator.EngineEmulator.Run;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Tag;
+import org.junit.jupiter.api.Test;
+
+/** Tests requests whose prompts share a part that crashes every target. */
+final class PromptPartCrashTest {
+
+    private static final String CRASHING_PART = "dead01";
+    private static final int GATEWAYS = 3;
+    private static final int ENGINES = 4;
+    private static final Duration DOWN_TIME = Duration.ofSeconds(2);
+
+    /** Number of crashes after which the part must be known, and the time that may then pass. */
+    private static final int CRASHES_TO_LEARN = 5;
+
+    private static final Duration TIME_TO_LEARN = Duration.ofSeconds(3);
+
+    /** Number of requests with the part that may reach targets after that. */
+    private static final int MAX_LATER_REQUESTS = 3;
+
+    private final PlatformEmulator platform = PlatformEmulator.start();
+    private final List<EngineEmulator> engines = new ArrayList<>();
+    private final List<String> gateways = new ArrayList<>();
+
+    @BeforeEach
+    void startPlatform() throws Exception {
+        configureAll(platform);
+        platform.addEngine("plain-1", "plain", 4, Duration.ofMillis(5));
+        for (int number = 1; number <= ENGINES; number++) {
+            EngineEmulator engine =
+                    platform.addEngine("engine-" + number, "model", 4, Duration.ofMillis(20));
+            engine.crashOnPart(CRASHING_PART, DOWN_TIME);
+            engines.add(engine);
+        }
+        for (int number = 1; number <= GATEWAYS; number++) {
+            gateways.add(platform.startGateway(number));
+        }
+        awaitReady(platform, gateways.toArray(String[]::new));
+    }
+
+    @AfterEach
+    void stopPlatform() {
+        platform.close();
+    }
+
+    /** Guards against one target after the other that is crashed by requests with one part. */
+    @Test
+    @Tag("known-red")
+    void requestsWithAPartThatCrashesTargets_areKeptFromTargets() throws Exception {
+        try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            List<Future<Response>> sound = new ArrayList<>();
+            List<Future<Response>> crashing = new ArrayList<>();
+            for (int i = 0; i < 240; i++) {
+                String ip = gateways.get(i % GATEWAYS);
+                String id = "sound-" + i;
+                String middlePart = "b" + i % 5;
+                sound.add(threads.submit(() -> stream(ip, id, middlePart)));
+                if (i % 4 == 0) {
+                    String crashingId = "crashing-" + i;
+                    String other = gateways.get(i / 4 % GATEWAYS);
+                    crashing.add(threads.submit(() -> stream(other, crashingId, CRASHING_PART)));
+                }
+                Thread.sleep(50);
+            }
+            assertThat(requestsAfterLearning()).isLessThanOrEqualTo(MAX_LATER_REQUESTS);
+            Response last = crashing.getLast().get();
+            assertThat(last.status()).isEqualTo(503);
+            assertThat(last.headers()).containsKey("Retry-After");
+            for (Future<Response> response : sound.subList(180, 240)) {
+                assertThat(response.get().status()).isEqualTo(200);
+                assertThat(response.get().complete()).isTrue();
+            }
+        }
+    }
+
+    private long requestsAfterLearning() {
+        List<Long> crashes =
+                engines.stream().flatMap(engine -> engine.crashes().stream()).sorted().toList();
+        if (crashes.size() < CRASHES_TO_LEARN) {
+            return 0;
+        }
+        long learned = crashes.get(CRASHES_TO_LEARN - 1) + TIME_TO_LEARN.toNanos();
+        return engines.stream()
+                .flatMap(engine -> engine.ledger().stream())
+                .filter(run -> run.requestId().startsWith("crashing"))
+                .mapToLong(Run::startNanos)
+                .filter(start -> start - learned > 0)
+                .count();
+    }
+
+    private Response stream(String ip, String id, String middlePart) throws Exception {
+        Map<String, String> headers =
+                Map.of(
+                        "Attempt-Id",
+                        id,
+                        "Deadline-Ms",
+                        "4000",
+                        "X-Events",
+                        "10",
+                        "Prompt-Prefix",
+                        "a0:200," + middlePart + ":100," + id.hashCode() + ":50");
+        return platform.client(ip).call("POST", STREAM + "h", headers, "");
+    }
+}
