--- a/core/src/main/java/org/fuchsiaspindle/core/error/ResultCode.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/error/ResultCode.java
@@ -52,6 +52,9 @@
     DRAINING(3009, 503, Executed.NO, "This process is shutting down."),
     STREAM_INTERRUPTED(3010, 502, Executed.UNKNOWN, "The stream ended before its last token."),
 
+    PROMPT_QUARANTINED(
+            3011, 503, Executed.NO, "A part of the prompt crashes the targets of the service."),
+
     TABLE_UNAVAILABLE(4001, 503, Executed.NO, "The table service is not available."),
     OBJECT_STORE_UNAVAILABLE(4002, 503, Executed.NO, "The object store is not available."),
     WRITE_OUTCOME_UNKNOWN(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
 import org.fuchsiaspindle.gateway.peer.PeerInfo;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
+import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.SlotClient;
 import org.fuchsiaspindle.gateway.target.TargetFleet;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
@@ -72,6 +73,7 @@
     private final StoreHealth storeHealth = StoreHealth.create(Clock.system());
     private final StoreClock storeClock = StoreClock.create(Clock.system());
     private final StoreClient storeClient;
+    private final PromptGuard promptGuard;
     private final TargetFleet fleet;
     private final SlotClient slots;
     private final PeerMesh mesh;
@@ -96,10 +98,12 @@
                         incarnation,
                         settings.dataCentre(),
                         settings.cpuCapacity());
-        this.fleet = TargetFleet.create(requestLoop);
+        this.promptGuard = PromptGuard.create(requestLoop, metrics);
+        this.fleet = TargetFleet.create(requestLoop, promptGuard);
         this.slots = SlotClient.create(requestLoop, peerSelf, metrics);
         this.mesh = PeerMesh.create(requestLoop, peerSelf, viewHolder, storeHealth, slots, metrics);
-        this.onlineDispatcher = OnlineDispatcher.create(requestLoop, fleet, slots, metrics);
+        this.onlineDispatcher =
+                OnlineDispatcher.create(requestLoop, fleet, slots, promptGuard, metrics);
         this.jobTable = JobTable.create(requestLoop);
         this.jobStore = JobStore.on(storeClient);
         this.self = new JobOwner(settings.ip(), incarnation);
@@ -129,6 +133,7 @@
         HostAndPort clientAddress = required(settings.clientAddress(), "listen.front");
         HostAndPort statusAddress = required(settings.readinessAddress(), "listen.readiness");
         slots.start(mesh, fleet);
+        promptGuard.start(mesh);
         fleet.start(slots::reportSilence);
         viewHolder.addListener(view -> requestLoop.execute(() -> apply(view.directory())));
         ConfigWatch.start(storeLoop, storeClient, storeHealth, viewHolder);
@@ -140,6 +145,7 @@
                                 viewHolder,
                                 fleet,
                                 slots.batchDemands(),
+                                promptGuard,
                                 jobStore,
                                 jobTable,
                                 storeClock,
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -22,6 +22,7 @@
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
+import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.BatchDemands;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
 import org.fuchsiaspindle.gateway.target.CallDescription;
@@ -75,6 +76,7 @@
     private final FleetViewHolder viewHolder;
     private final TargetFleet fleet;
     private final BatchDemands batchDemands;
+    private final PromptGuard promptGuard;
     private final JobStore jobStore;
     private final JobTable jobTable;
     private final StoreClock storeClock;
@@ -94,6 +96,7 @@
         this.viewHolder = dependencies.viewHolder();
         this.fleet = dependencies.fleet();
         this.batchDemands = dependencies.batchDemands();
+        this.promptGuard = dependencies.promptGuard();
         this.jobStore = dependencies.jobStore();
         this.jobTable = dependencies.jobTable();
         this.storeClock = dependencies.storeClock();
@@ -110,6 +113,7 @@
      * @param viewHolder the configuration in force
      * @param fleet the targets
      * @param batchDemands requests slots for the items
+     * @param promptGuard knows the prompts that crash targets
      * @param jobStore the stored jobs
      * @param jobTable the known jobs
      * @param storeClock the clock that measures the age of jobs
@@ -121,6 +125,7 @@
             FleetViewHolder viewHolder,
             TargetFleet fleet,
             BatchDemands batchDemands,
+            PromptGuard promptGuard,
             JobStore jobStore,
             JobTable jobTable,
             StoreClock storeClock,
@@ -338,8 +343,9 @@
                     .ifPresent(
                             route -> {
                                 for (ItemRun run : job.runs()) {
-                                    if (run.mayStart(now)) {
-                                        startable.put(run, run.service(route));
+                                    String service = run.service(route);
+                                    if (run.mayStart(now) && !isQuarantined(run, service)) {
+                                        startable.put(run, service);
                                     }
                                 }
                             });
@@ -347,6 +353,11 @@
         return startable;
     }
 
+    /** Returns whether a prompt part keeps an item from targets; it then waits. */
+    private boolean isQuarantined(ItemRun run, String service) {
+        return promptGuard.quarantine(service, run.promptParts()).isPresent();
+    }
+
     /** Starts the most urgent item of a service in a granted slot, if there is one. */
     private boolean onSlot(SlotLease lease, TargetInstance target) {
         if (stopping) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -6,6 +6,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -13,6 +14,7 @@
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.RouteKind;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.slot.LeaseOutcome;
 import org.fuchsiaspindle.core.slot.SlotDecision;
 import org.fuchsiaspindle.gateway.slot.SlotAcquisition;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
@@ -105,6 +107,11 @@
 
     /** Obtains a slot of a target, waiting for one if necessary, and sends the request there. */
     private void dispatch() {
+        Optional<Duration> quarantine = promptQuarantine();
+        if (quarantine.isPresent()) {
+            refuse(ResultCode.PROMPT_QUARANTINED, quarantine.get());
+            return;
+        }
         long latestOnTimeStartNanos =
                 arrivedNanos + route.latencyTarget().toNanos() - timeToResultNanos();
         long retryUntilNanos =
@@ -123,6 +130,11 @@
                                 new SlotListener());
     }
 
+    /** Returns how long the prompt of this request is kept from targets, empty if it is not. */
+    private Optional<Duration> promptQuarantine() {
+        return dispatcher.promptGuard().quarantine(service, promptParts);
+    }
+
     private long timeToResultNanos() {
         // The latency target of a stream applies to its first event, that of other responses to the
         // complete response.
@@ -240,7 +252,12 @@
             exchange.refuse(Refusal.mayHaveRun(code));
         } else {
             dispatcher.metrics().countRefusal(code);
-            exchange.refuse(Refusal.notRun(code, clampRetryAfter(retryAfter)));
+            // Before a quarantine ends, no retry can succeed.
+            Duration retryTime =
+                    code == ResultCode.PROMPT_QUARANTINED
+                            ? retryAfter
+                            : clampRetryAfter(retryAfter);
+            exchange.refuse(Refusal.notRun(code, retryTime));
         }
     }
 
@@ -324,7 +341,14 @@
         @Override
         public void onGranted(SlotLease lease, TargetInstance target) {
             acquisition = null;
-            sendTo(target, lease);
+            // The prompt may have been quarantined while the request waited.
+            Optional<Duration> quarantine = promptQuarantine();
+            if (quarantine.isPresent()) {
+                lease.release(LeaseOutcome.CANCELLED);
+                refuse(ResultCode.PROMPT_QUARANTINED, quarantine.get());
+            } else {
+                sendTo(target, lease);
+            }
         }
 
         @Override
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.EventLoop;
 import org.fuchsiaspindle.core.serving.Route;
+import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.SlotClient;
 import org.fuchsiaspindle.gateway.target.TargetFleet;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
@@ -19,24 +20,35 @@
     private final EventLoop loop;
     private final TargetFleet fleet;
     private final SlotClient slots;
+    private final PromptGuard promptGuard;
     private final GatewayMetrics metrics;
     private final ServiceTimes serviceTimes = new ServiceTimes();
 
     private OnlineDispatcher(
-            EventLoop loop, TargetFleet fleet, SlotClient slots, GatewayMetrics metrics) {
+            EventLoop loop,
+            TargetFleet fleet,
+            SlotClient slots,
+            PromptGuard promptGuard,
+            GatewayMetrics metrics) {
         this.loop = loop;
         this.fleet = fleet;
         this.slots = slots;
+        this.promptGuard = promptGuard;
         this.metrics = metrics;
     }
 
     /** Creates a dispatcher. */
     public static OnlineDispatcher create(
-            EventLoop loop, TargetFleet fleet, SlotClient slots, GatewayMetrics metrics) {
+            EventLoop loop,
+            TargetFleet fleet,
+            SlotClient slots,
+            PromptGuard promptGuard,
+            GatewayMetrics metrics) {
         return new OnlineDispatcher(
                 checkNotNull(loop, "loop"),
                 checkNotNull(fleet, "fleet"),
                 checkNotNull(slots, "slots"),
+                checkNotNull(promptGuard, "promptGuard"),
                 checkNotNull(metrics, "metrics"));
     }
 
@@ -57,6 +69,10 @@
         return slots;
     }
 
+    PromptGuard promptGuard() {
+        return promptGuard;
+    }
+
     GatewayMetrics metrics() {
         return metrics;
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
@@ -86,6 +86,16 @@
         void onMembersChanged();
     }
 
+    /** Receives what peers send about prompts that crash targets. */
+    public interface PromptListener {
+
+        /** Called with each frame about prompts. */
+        void onPromptFrame(PeerFrame frame);
+
+        /** Called after a connection to a peer was opened. */
+        void onConnected(String peerIp);
+    }
+
     /**
      * The identity of this gateway.
      *
@@ -114,6 +124,7 @@
     private final Map<Channel, String> ipsByChannel = new HashMap<>();
     private final Map<String, PeerHeartbeat> heartbeats = new HashMap<>();
     private Supplier<Set<String>> closePeers = Set::of;
+    private PromptListener promptListener;
     private AnnouncedState announcedState;
     private boolean stopping;
 
@@ -197,6 +208,16 @@
         closePeers = checkNotNull(newClosePeers, "newClosePeers");
     }
 
+    /** Sets the receiver of what peers send about prompts; must be called before the start. */
+    public void setPromptListener(PromptListener newListener) {
+        promptListener = checkNotNull(newListener, "newListener");
+    }
+
+    /** Sends a frame to all peers to which a connection is open. */
+    public void broadcast(PeerFrame frame) {
+        connectedIps().forEach(ip -> send(ip, frame));
+    }
+
     /**
      * Starts to listen, and connects to the given addresses and to all that are discovered later.
      */
@@ -318,6 +339,7 @@
                         link.announcement = new AddressAnnouncement();
                         sendHeartbeat(ip, link, knownIps(), HEARTBEAT_INTERVAL);
                         peerListener.onConnected(ip);
+                        promptListener.onConnected(ip);
                     }
                 });
     }
@@ -539,6 +561,8 @@
                 case STATE -> handleHeartbeat(channel, frame.getState());
                 case VIEW_REQUEST -> handleViewRequest(channel, frame.getViewRequest());
                 case VIEW -> applyView(frame.getView());
+                case PROMPT_CRASH, SOUND_PROMPT_PARTS, PROMPT_QUARANTINES ->
+                        promptListener.onPromptFrame(frame);
                 // A newer version may send frames that this one does not know.
                 case BODY_NOT_SET -> LOG.debug("peer: frame of an unknown type ignored");
                 default -> {
--- /dev/null
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/prompt/PromptGuard.java
@@ -0,0 +1,216 @@
+package org.fuchsiaspindle.gateway.prompt;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import com.google.common.util.concurrent.RateLimiter;
+import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.prompt.PromptPart;
+import org.fuchsiaspindle.core.prompt.PromptQuarantine;
+import org.fuchsiaspindle.core.prompt.Quarantine;
+import org.fuchsiaspindle.core.prompt.TargetCrash;
+import org.fuchsiaspindle.gateway.peer.PeerMesh;
+import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
+import org.fuchsiaspindle.wire.peer.PeerFrame;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * Keeps requests with prompt parts that crash targets from all targets.
+ *
+ * <p>Gateways tell each other of crashes, and of suspected parts that they know to be sound. A
+ * gateway that starts learns the quarantines in force from its peers. Confined to the event loop of
+ * the request path.
+ */
+public final class PromptGuard implements PeerMesh.PromptListener {
+
+    private static final Logger LOG = LoggerFactory.getLogger(PromptGuard.class);
+
+    /** Bounds what one gateway sends to all others while many targets crash. */
+    private static final double MAX_REPORTS_PER_SECOND = 20;
+
+    /**
+     * An objection is sent after a random part of this time, unless another gateway sent the same
+     * one before.
+     */
+    private static final Duration MAX_OBJECTION_DELAY = Duration.ofMillis(100);
+
+    /** Time for which one objection to the suspicion of a part is enough. */
+    private static final Duration OBJECTION_VALIDITY = Duration.ofMillis(500);
+
+    /** Margin between the time in which other gateways may object and the decision. */
+    private static final Duration DECISION_MARGIN = Duration.ofMillis(10);
+
+    private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofMinutes(1);
+
+    private final EventLoop loop;
+    private final GatewayMetrics metrics;
+    private final PromptQuarantine quarantine = new PromptQuarantine();
+    private final RateLimiter reportLimiter = RateLimiter.create(MAX_REPORTS_PER_SECOND);
+    private final Map<PromptPart, Long> objectedNanos = new HashMap<>();
+    private PeerMesh mesh;
+
+    private PromptGuard(EventLoop loop, GatewayMetrics metrics) {
+        this.loop = loop;
+        this.metrics = metrics;
+    }
+
+    /** Creates a guard that knows nothing of any prompt. */
+    public static PromptGuard create(EventLoop loop, GatewayMetrics metrics) {
+        return new PromptGuard(checkNotNull(loop, "loop"), checkNotNull(metrics, "metrics"));
+    }
+
+    /** Starts the exchange with other gateways. */
+    public void start(PeerMesh newMesh) {
+        mesh = checkNotNull(newMesh, "newMesh");
+        newMesh.setPromptListener(this);
+        loop.scheduleAtFixedRate(
+                this::removeExpired,
+                EXPIRY_CHECK_INTERVAL.toMillis(),
+                EXPIRY_CHECK_INTERVAL.toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Returns how long a request must be kept from targets because of its prompt, empty if it may
+     * be sent.
+     *
+     * @param service the service that would run it
+     * @param promptParts the parts of its prompt that other requests may share
+     */
+    public Optional<Duration> quarantine(String service, ImmutableList<String> promptParts) {
+        return quarantine.remainingTime(service, promptParts, System.nanoTime());
+    }
+
+    /** Handles a crash of a target that this gateway observed. */
+    public void onCrash(TargetCrash crash) {
+        long now = System.nanoTime();
+        metrics.countPromptEvent("crash");
+        TargetCrash report = quarantine.withoutSoundParts(crash, now);
+        if (report.suspects().isEmpty()) {
+            return;
+        }
+        if (reportLimiter.tryAcquire()) {
+            mesh.broadcast(PromptCodec.crash(report));
+        } else {
+            LOG.info("prompt: crash not reported to peers target={}", crash.target());
+        }
+        recordCrash(report, now);
+    }
+
+    private void recordCrash(TargetCrash report, long now) {
+        quarantine.recordCrash(report, now);
+        Duration delay = PromptQuarantine.OBJECTION_TIME.plus(DECISION_MARGIN);
+        loop.schedule(this::decide, delay.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void decide() {
+        ImmutableList<Quarantine> added = quarantine.evaluate(System.nanoTime());
+        if (added.isEmpty()) {
+            return;
+        }
+        added.forEach(
+                newQuarantine -> {
+                    metrics.countPromptEvent("quarantined");
+                    LOG.warn(
+                            "prompt: quarantined service={} part={} source=self time={}s",
+                            newQuarantine.part().service(),
+                            newQuarantine.part().id(),
+                            newQuarantine.duration().toSeconds());
+                });
+        mesh.broadcast(PromptCodec.quarantines(added, System.nanoTime()));
+    }
+
+    /** Handles that a target answered a request of this gateway. */
+    public void onAnswer(String service, ImmutableList<String> promptParts) {
+        if (promptParts.isEmpty()) {
+            return;
+        }
+        ImmutableSet<PromptPart> exonerated =
+                quarantine.recordAnswer(service, promptParts, System.nanoTime());
+        if (!exonerated.isEmpty()) {
+            object(exonerated);
+        }
+    }
+
+    @Override
+    public void onPromptFrame(PeerFrame frame) {
+        long now = System.nanoTime();
+        switch (frame.getBodyCase()) {
+            case PROMPT_CRASH -> {
+                TargetCrash report = PromptCodec.decode(frame.getPromptCrash());
+                ImmutableSet<PromptPart> sound = quarantine.soundParts(report, now);
+                if (!sound.isEmpty()) {
+                    scheduleObjection(sound);
+                }
+                recordCrash(report, now);
+            }
+            case SOUND_PROMPT_PARTS ->
+                    PromptCodec.decode(frame.getSoundPromptParts())
+                            .forEach(part -> recordSound(part, now));
+            case PROMPT_QUARANTINES ->
+                    PromptCodec.decode(frame.getPromptQuarantines(), now)
+                            .forEach(other -> adopt(other, now));
+            default -> throw new AssertionError(frame.getBodyCase());
+        }
+    }
+
+    private void recordSound(PromptPart part, long now) {
+        objectedNanos.put(part, now);
+        quarantine.recordSound(part, now);
+    }
+
+    private void adopt(Quarantine other, long now) {
+        switch (quarantine.adopt(other, now)) {
+            case ADOPTED -> {
+                metrics.countPromptEvent("quarantined");
+                LOG.warn(
+                        "prompt: quarantined service={} part={} source=peer time={}s",
+                        other.part().service(),
+                        other.part().id(),
+                        other.duration().toSeconds());
+            }
+            case REJECTED -> scheduleObjection(ImmutableSet.of(other.part()));
+            case KNOWN -> {}
+            default -> throw new AssertionError(other);
+        }
+    }
+
+    @Override
+    public void onConnected(String peerIp) {
+        long now = System.nanoTime();
+        ImmutableList<Quarantine> active = quarantine.active(now);
+        if (!active.isEmpty()) {
+            mesh.send(peerIp, PromptCodec.quarantines(active, now));
+        }
+    }
+
+    private void scheduleObjection(ImmutableSet<PromptPart> parts) {
+        long delayMillis = ThreadLocalRandom.current().nextLong(MAX_OBJECTION_DELAY.toMillis());
+        loop.schedule(() -> object(parts), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /** Tells all peers that parts are sound, unless another gateway has just done so. */
+    private void object(Collection<PromptPart> parts) {
+        long now = System.nanoTime();
+        objectedNanos.values().removeIf(nanos -> now - nanos > OBJECTION_VALIDITY.toNanos());
+        for (PromptPart part : parts) {
+            if (objectedNanos.putIfAbsent(part, now) == null) {
+                metrics.countPromptEvent("exonerated");
+                mesh.broadcast(PromptCodec.sound(part));
+            }
+        }
+    }
+
+    private void removeExpired() {
+        quarantine.removeExpired(System.nanoTime());
+    }
+}
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
@@ -185,7 +185,7 @@
             LOG.info("slots: coordinating pool={} targets={}", id, plan.targets(id).size());
             send(id, pool.slots.setTargets(plan.targets(id), now));
             PeerFrame query = SlotCodec.holdingsQuery(id);
-            mesh.connectedIps().forEach(peerIp -> mesh.send(peerIp, query));
+            mesh.broadcast(query);
         }
         pool.lastFrameNanos = now;
         return pool.slots;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -188,6 +188,7 @@
                 firstDataNanos = now;
             } else if (!proved && now - firstDataNanos > PROOF_TIME.toNanos()) {
                 proved = true;
+                fleet.answered(TargetCall.this);
             }
         }
 
@@ -198,6 +199,9 @@
                 target.returnToPool(connection);
             }
             target.health().responseCompleted();
+            if (!proved && response.meaning() == TargetResponse.Meaning.SUCCESS) {
+                fleet.answered(TargetCall.this);
+            }
             if (end(outcome(response.meaning()))) {
                 listener.onComplete();
             }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -15,6 +15,7 @@
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.SlotClient;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
 import org.fuchsiaspindle.gateway.view.TargetDirectory;
@@ -43,16 +44,24 @@
     private final EventLoop loop;
     private final Map<String, TargetState> targets = new HashMap<>();
     private final CrashDetector crashDetector;
+    private final PromptGuard promptGuard;
     private Consumer<TargetInstance> silenceListener = target -> {};
 
-    private TargetFleet(EventLoop loop) {
+    private TargetFleet(EventLoop loop, PromptGuard promptGuard) {
         this.loop = loop;
-        this.crashDetector = new CrashDetector(loop, crash -> {});
+        this.promptGuard = promptGuard;
+        this.crashDetector = new CrashDetector(loop, promptGuard::onCrash);
     }
 
-    /** Creates an empty fleet. */
-    public static TargetFleet create(EventLoop loop) {
-        return new TargetFleet(checkNotNull(loop, "loop"));
+    /**
+     * Creates an empty fleet.
+     *
+     * @param loop its event loop
+     * @param promptGuard learns which prompts crash targets and which are answered
+     */
+    public static TargetFleet create(EventLoop loop, PromptGuard promptGuard) {
+        return new TargetFleet(
+                checkNotNull(loop, "loop"), checkNotNull(promptGuard, "promptGuard"));
     }
 
     /**
@@ -166,6 +175,11 @@
         }
     }
 
+    /** Handles that a target answered a call, or goes on after the start of its response. */
+    void answered(TargetCall call) {
+        promptGuard.onAnswer(call.instance().service(), call.description().promptParts());
+    }
+
     void dataReceived(TargetState state) {
         state.dataReceived(System.nanoTime());
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
@@ -55,6 +55,13 @@
                     .labelNames("event")
                     .register(registry);
 
+    private final Counter prompts =
+            Counter.builder()
+                    .name("fuchsiaspindle_prompt_events_total")
+                    .help("Events about prompt parts that crash targets.")
+                    .labelNames("event")
+                    .register(registry);
+
     /** Creates metrics in a new registry. */
     public GatewayMetrics() {}
 
@@ -84,6 +91,11 @@
         slots.labelValues(event).inc();
     }
 
+    /** Counts an event about prompt parts that crash targets. */
+    public void countPromptEvent(String event) {
+        prompts.labelValues(event).inc();
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public byte[] text() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EmulatorJobs.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EmulatorJobs.java
@@ -1,5 +1,6 @@
 package org.fuchsiaspindle.testbed.emulator;
 
+import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 
@@ -29,9 +30,18 @@
 
     /** Returns an item as JSON, with one header that selects the behaviour of the engine. */
     public static String item(String id, String header, String value) {
-        return ("{\"id\":\"%s\",\"path\":\"/batch/x\",\"headers\":{\"%s\":\"%s\"},"
+        return item(id, Map.of(header, value));
+    }
+
+    /** Returns an item as JSON. */
+    public static String item(String id, Map<String, String> headers) {
+        String headerFields =
+                headers.entrySet().stream()
+                        .map(header -> "\"" + header.getKey() + "\":\"" + header.getValue() + "\"")
+                        .collect(Collectors.joining(","));
+        return ("{\"id\":\"%s\",\"path\":\"/batch/x\",\"headers\":{%s},"
                         + "\"body\":\"aGFsbG8=\",\"tokens\":100}")
-                .formatted(id, header, value);
+                .formatted(id, headerFields);
     }
 
     /** Returns the result text of an item that produces a number of events. */
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/PromptPartCrashTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/PromptPartCrashTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.STREAM;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.await;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitReady;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
 
@@ -12,11 +13,11 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.fuchsiaspindle.testbed.emulator.EmulatorClient.Response;
 import org.fuchsiaspindle.testbed.emulator.EngineEmulator.Run;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests requests whose prompts share a part that crashes every target. */
@@ -62,7 +63,6 @@
 
     /** Guards against one target after the other that is crashed by requests with one part. */
     @Test
-    @Tag("known-red")
     void requestsWithAPartThatCrashesTargets_areKeptFromTargets() throws Exception {
         try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
             List<Future<Response>> sound = new ArrayList<>();
@@ -90,6 +90,94 @@
         }
     }
 
+    /** Guards against a gateway that starts later and lets the part crash targets again. */
+    @Test
+    void gatewayThatStartsLater_knowsTheQuarantinedParts() throws Exception {
+        crashUntilRefused();
+        platform.killGateway(gateways.getFirst());
+        platform.startGateway(1);
+        awaitReady(platform, gateways.getFirst());
+        int crashes = crashCount();
+        await(
+                "refused by the new gateway",
+                () -> stream(gateways.getFirst(), "later", CRASHING_PART).status() == 503);
+        assertThat(crashCount() - crashes).isLessThanOrEqualTo(1);
+    }
+
+    /** Guards against prompts that are refused because targets crashed for another reason. */
+    @Test
+    void crashesOfAllTargetsAtOnce_quarantineNoPrompt() throws Exception {
+        try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
+            for (int round = 0; round < 3; round++) {
+                List<Future<Response>> running = new ArrayList<>();
+                for (int i = 0; i < 2 * ENGINES; i++) {
+                    String ip = gateways.get(i % GATEWAYS);
+                    String id = "round-" + round + "-" + i;
+                    running.add(threads.submit(() -> stream(ip, id, "b1")));
+                }
+                Thread.sleep(30);
+                engines.forEach(engine -> engine.crash(Duration.ofMillis(300)));
+                for (Future<Response> response : running) {
+                    response.get();
+                }
+                Thread.sleep(1200);
+                for (int i = 0; i < GATEWAYS; i++) {
+                    String id = "after-" + round + "-" + i;
+                    assertThat(stream(gateways.get(i), id, "b1").status()).isEqualTo(200);
+                }
+            }
+        }
+    }
+
+    /** Guards against batch items that crash targets one after the other until they are done. */
+    @Test
+    void batchItemsWithThePart_waitWhileOthersComplete() throws Exception {
+        crashUntilRefused();
+        int crashes = crashCount();
+        String submission =
+                EmulatorJobs.submission(item("item-1", "b1"), item("item-2", CRASHING_PART));
+        assertThat(
+                        platform.client(gateways.getFirst())
+                                .call(
+                                        "POST",
+                                        GatewayFixture.BATCH + "x",
+                                        GatewayFixture.headers("job-1"),
+                                        submission)
+                                .status())
+                .isEqualTo(202);
+        await("the other item completed", () -> results("job-1").contains("completed"));
+        Thread.sleep(1000);
+        assertThat(results("job-1")).contains("item-1").doesNotContain("dead_letter");
+        assertThat(crashCount()).isEqualTo(crashes);
+    }
+
+    private static String item(String id, String middlePart) {
+        return EmulatorJobs.item(
+                id, Map.of("X-Events", "3", "Prompt-Prefix", prompt(id, middlePart)));
+    }
+
+    private String results(String job) throws Exception {
+        return platform.client(gateways.getFirst())
+                .call("GET", "/lots/" + job, GatewayFixture.headers("read"), "")
+                .body();
+    }
+
+    private void crashUntilRefused() throws Exception {
+        AtomicInteger count = new AtomicInteger();
+        await(
+                "the part is refused",
+                () -> {
+                    String id = "crashing-" + count.incrementAndGet();
+                    String ip = gateways.get(count.get() % GATEWAYS);
+                    stream(ip, "sound-" + id, "b1");
+                    return stream(ip, id, CRASHING_PART).status() == 503;
+                });
+    }
+
+    private int crashCount() {
+        return engines.stream().mapToInt(engine -> engine.crashes().size()).sum();
+    }
+
     private long requestsAfterLearning() {
         List<Long> crashes =
                 engines.stream().flatMap(engine -> engine.crashes().stream()).sorted().toList();
@@ -105,6 +193,10 @@
                 .count();
     }
 
+    private static String prompt(String id, String middlePart) {
+        return "a0:200," + middlePart + ":100," + Integer.toHexString(id.hashCode()) + ":50";
+    }
+
     private Response stream(String ip, String id, String middlePart) throws Exception {
         Map<String, String> headers =
                 Map.of(
@@ -115,7 +207,7 @@
                         "X-Events",
                         "10",
                         "Prompt-Prefix",
-                        "a0:200," + middlePart + ":100," + id.hashCode() + ":50");
+                        prompt(id, middlePart));
         return platform.client(ip).call("POST", STREAM + "h", headers, "");
     }
 }
