Log the request limits that targets announce

The header is decoded at the boundary, and each change of what a target announced to this gateway is logged. The emulated engines can announce a limit and record all arrivals.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -192,6 +192,15 @@
                     "target: address belongs to another target now target={}",
                     state.instance().id());
             state.health().connectFailed(System.nanoTime());
+            return;
+        }
+        if (state.recordRequestLimit(response.requestLimit())) {
+            LOG.info(
+                    "target: announced request limit target={} limit={}",
+                    state.instance().id(),
+                    response.requestLimit().isPresent()
+                            ? response.requestLimit().getAsDouble() + "/s"
+                            : "none");
         }
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.LinkedHashSet;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.platform.channel.HttpConnection;
@@ -29,6 +30,7 @@
     private final Set<TargetCall> calls = new LinkedHashSet<>();
     private long lastDataNanos;
     private long silenceReportedNanos;
+    private OptionalDouble requestLimit = OptionalDouble.empty();
 
     TargetState(TargetInstance instance) {
         this.instance = instance;
@@ -107,6 +109,18 @@
         return earliestStartNanos - lastDataNanos > 0 ? earliestStartNanos : lastDataNanos;
     }
 
+    /** Returns how many requests a second the target accepted according to its last response. */
+    OptionalDouble requestLimit() {
+        return requestLimit;
+    }
+
+    /** Records the limit of a response; returns whether it has changed. */
+    boolean recordRequestLimit(OptionalDouble newLimit) {
+        boolean changed = !newLimit.equals(requestLimit);
+        requestLimit = newLimit;
+        return changed;
+    }
+
     HttpConnection pollIdleConnection(long now) {
         HttpConnection connection;
         while ((connection = idleConnections.pollFirst()) != null) {
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.OptionalDouble;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
@@ -71,6 +72,14 @@
         }
     }
 
+    /**
+     * A request that arrived.
+     *
+     * @param requestId its identifier
+     * @param nanos when it arrived, from {@link System#nanoTime()}
+     */
+    public record Arrival(String requestId, long nanos) {}
+
     /** A fault of the next response. */
     public enum ResponseFault {
         /** No fault. */
@@ -109,6 +118,8 @@
     private volatile boolean unresponsive;
     private volatile String crashingPart = "";
     private volatile Duration crashTime = Duration.ZERO;
+    private volatile String limitHeader = "";
+    private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
     private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
 
     private EngineEmulator(Spec spec, String ip) {
@@ -181,6 +192,19 @@
         crashTime = time;
     }
 
+    /** Announces in all answers how many requests a second the engine accepts; empty for none. */
+    public void announceLimit(OptionalDouble requestsPerSecond) {
+        limitHeader =
+                requestsPerSecond.isPresent()
+                        ? "Server-Limit: " + requestsPerSecond.getAsDouble() + "\r\n"
+                        : "";
+    }
+
+    /** Returns all requests that arrived for this engine, also those that it refused. */
+    public List<Arrival> arrivals() {
+        return List.copyOf(arrivals);
+    }
+
     /** Resets all connections and refuses new ones for some time. */
     public void crash(Duration time) {
         crashNanos.add(System.nanoTime());
@@ -208,9 +232,10 @@
             connection.respond(421, "Instance-Id: " + spec.id() + "\r\n", new byte[0]);
             return true;
         }
+        arrivals.add(new Arrival(request.header("Attempt-Id"), System.nanoTime()));
         if (queued.incrementAndGet() > spec.slots() + MAX_QUEUED) {
             queued.decrementAndGet();
-            connection.respond(503, "Not-Run: 1\r\n", new byte[0]);
+            connection.respond(503, "Not-Run: 1\r\n" + limitHeader, new byte[0]);
             return true;
         }
         try {
@@ -255,7 +280,10 @@
             return false;
         }
         String headers =
-                "Attempt-Id: " + request.header("Attempt-Id") + "\r\nServer-Stamp: stamp\r\n";
+                "Attempt-Id: "
+                        + request.header("Attempt-Id")
+                        + "\r\nServer-Stamp: stamp\r\n"
+                        + limitHeader;
         if (!request.header("X-Fail").isEmpty()) {
             pause(spec.eventTime());
             run.complete = true;
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/LayeringTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/LayeringTest.java
@@ -26,6 +26,7 @@
         "\"Last-Event-Id\"",
         "\"Wait-Ms\"",
         "\"Prompt-Prefix\"",
+        "\"Server-Limit\"",
         "\"expectRev\"",
         "\"dead_letter\"",
         "\"/lots/\"",
