Give targets no more requests than they announce to accept (LIMIT)

What callers saw: nothing; targets in need got up to 35 requests in 4 s at an announced limit of 3.8 a second.

Cause: the limit was forwarded to the client with the other headers and nobody read it. What a target gets was bounded by its slots only. Class of fault: a limit that holds for all callers together, learned by each one alone.

Change: a gateway reports each change of what a target announces to the coordinator of the target's pool, which assigns its slots, and the coordinator grants requests by a token bucket at the announced rate. Batch items start only while the bucket is full. Grants for limited targets say so, and their holders report every answer, so that the first answer without a limit lifts it. A gateway that turns to another coordinator tells it the limits that it knows; a new bucket starts empty. Requests wait for a token as for a slot, and the expected wait counts what a limited target can take. At least one request in 4 s is granted, because only an answer shows that the limit is over.

--- a/core/src/main/java/org/fuchsiaspindle/core/serving/RequestQueue.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/RequestQueue.java
@@ -45,6 +45,8 @@
         }
     }
 
+    private static final Duration MAX_WAIT = Duration.ofDays(1);
+
     private final List<Entry<T>> entries = new ArrayList<>();
 
     /** Creates an empty queue. */
@@ -118,14 +120,15 @@
      * Estimates the waiting time of a new request; returns one day if the service has no slot.
      *
      * @param ahead the requests that start before it
-     * @param slots the number of slots of all targets of the service
+     * @param slots how many slots of the targets of the service the requests can occupy on average
      * @param serviceTime how long one request occupies a slot
      */
-    public static Duration estimateWait(int ahead, int slots, Duration serviceTime) {
+    public static Duration estimateWait(int ahead, double slots, Duration serviceTime) {
         if (slots <= 0) {
-            return Duration.ofDays(1);
+            return MAX_WAIT;
         }
-        return serviceTime.multipliedBy(ahead + 1L).dividedBy(slots);
+        double nanos = serviceTime.toNanos() * (ahead + 1.0) / slots;
+        return nanos > MAX_WAIT.toNanos() ? MAX_WAIT : Duration.ofNanos((long) nanos);
     }
 
     private Comparator<Entry<T>> startOrder(long nowNanos) {
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotDecision.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotDecision.java
@@ -25,8 +25,14 @@
         EXPIRED
     }
 
-    /** An online request may run on a target. */
-    record Granted(String holder, long ticket, String target) implements SlotDecision {
+    /**
+     * An online request may run on a target.
+     *
+     * @param targetLimited whether the coordinator limits the requests to the target, so that it
+     *     must be told when the target announces no limit any more
+     */
+    record Granted(String holder, long ticket, String target, boolean targetLimited)
+            implements SlotDecision {
 
         /** Validates the components. */
         public Granted {
@@ -64,8 +70,10 @@
      * A waiting batch item of the holder may run on a target.
      *
      * @param ticket a new ticket for the slot
+     * @param targetLimited as for an online request
      */
-    record BatchGranted(String holder, long ticket, String target, long dueMillis)
+    record BatchGranted(
+            String holder, long ticket, String target, long dueMillis, boolean targetLimited)
             implements SlotDecision {
 
         /** Validates the components. */
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.fuchsiaspindle.core.serving.RequestQueue;
 import org.fuchsiaspindle.core.serving.TargetInstance;
@@ -204,6 +205,24 @@
         }
     }
 
+    /**
+     * Records how many requests a second a target accepts from all gateways together.
+     *
+     * @param target the target, not null
+     * @param requestsPerSecond its limit, empty if it announces none any more
+     * @param now the time
+     */
+    public List<SlotDecision> limitRequests(
+            String target, OptionalDouble requestsPerSecond, long now) {
+        checkNotNull(requestsPerSecond, "requestsPerSecond");
+        TargetSlots slots = targets.get(target);
+        if (slots == null) {
+            return List.of();
+        }
+        slots.limitRequests(requestsPerSecond, now);
+        return assignFreeSlots(now);
+    }
+
     /** Refuses the waiting requests whose latest useful start has passed, and fills free slots. */
     public List<SlotDecision> checkTimes(long now) {
         List<SlotDecision> decisions = new ArrayList<>();
@@ -327,7 +346,10 @@
                         0,
                         0,
                         now));
-        decisions.add(new SlotDecision.Granted(request.holder(), request.ticket(), target.id()));
+        target.requestGranted(now);
+        decisions.add(
+                new SlotDecision.Granted(
+                        request.holder(), request.ticket(), target.id(), target.hasRequestLimit()));
     }
 
     private void startBatchItems(long now, List<SlotDecision> decisions) {
@@ -366,7 +388,7 @@
         List<TargetSlots> free = new ArrayList<>();
         Set<TargetSlots> ejected = null;
         for (TargetSlots target : targets.values()) {
-            if (!target.isOpen() || !target.hasFreeSlot() || target.isUnavailable(now)) {
+            if (!target.isOpen() || !target.hasSlotForBatch(now) || target.isUnavailable(now)) {
                 continue;
             }
             ejected = ejected == null ? ejectedTargets(now) : ejected;
@@ -387,7 +409,7 @@
             List<SlotDecision> decisions) {
         Optional<TargetSlots> chosen =
                 free.stream()
-                        .filter(TargetSlots::hasFreeSlot)
+                        .filter(target -> target.hasSlotForBatch(now))
                         .filter(target -> !holder.demand.avoided().contains(target.id()))
                         .min(Comparator.comparingDouble(target -> target.batchCost(now)));
         if (chosen.isEmpty()) {
@@ -406,7 +428,10 @@
                         dueMillis,
                         holder.batchGrants,
                         now));
-        decisions.add(new SlotDecision.BatchGranted(ip, ticket, chosen.get().id(), dueMillis));
+        chosen.get().requestGranted(now);
+        decisions.add(
+                new SlotDecision.BatchGranted(
+                        ip, ticket, chosen.get().id(), dueMillis, chosen.get().hasRequestLimit()));
         return true;
     }
 
@@ -419,7 +444,7 @@
         for (TargetSlots target : targets.values()) {
             boolean acceptable =
                     target.isOpen()
-                            && target.hasSlotForOnline()
+                            && target.hasSlotForOnline(now)
                             && (request.lastResort()
                                     || !ejected.contains(target)
                                             && !request.avoided().contains(target.id())
@@ -484,10 +509,10 @@
     }
 
     private Duration expectedWait(int priority, long now) {
-        int slots =
+        double slots =
                 targets.values().stream()
                         .filter(TargetSlots::isOpen)
-                        .mapToInt(TargetSlots::slots)
+                        .mapToDouble(target -> target.slotsForOnline(holdNanos))
                         .sum();
         return RequestQueue.estimateWait(
                 waiting.ahead(priority, now), slots, Duration.ofNanos((long) holdNanos));
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
@@ -5,6 +5,7 @@
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 
 /** The slots of one target with what occupies them; not thread-safe. */
@@ -49,6 +50,7 @@
     private boolean open;
     private int online;
     private long lastGrantNanos;
+    private RequestLimit requestLimit;
 
     TargetSlots(String id) {
         this.id = checkNotNull(id, "id");
@@ -86,8 +88,42 @@
         return freeSlots() > 0;
     }
 
-    boolean hasSlotForOnline() {
-        return online < slots;
+    boolean hasSlotForOnline(long now) {
+        return online < slots && (requestLimit == null || requestLimit.allowsOnline(now));
+    }
+
+    boolean hasSlotForBatch(long now) {
+        return hasFreeSlot() && (requestLimit == null || requestLimit.allowsBatch(now));
+    }
+
+    /** Returns how many slots online requests can occupy if each takes some time on average. */
+    double slotsForOnline(double holdNanos) {
+        return requestLimit == null
+                ? slots
+                : Math.min(slots, requestLimit.occupiedSlots(holdNanos));
+    }
+
+    /** Returns whether the target announced how many requests it accepts. */
+    boolean hasRequestLimit() {
+        return requestLimit != null;
+    }
+
+    /** Replaces the requests a second that the target accepts; empty for no limit. */
+    void limitRequests(OptionalDouble requestsPerSecond, long now) {
+        if (requestsPerSecond.isEmpty()) {
+            requestLimit = null;
+        } else if (requestLimit == null) {
+            requestLimit = new RequestLimit(requestsPerSecond.getAsDouble(), now);
+        } else {
+            requestLimit.setRate(requestsPerSecond.getAsDouble(), now);
+        }
+    }
+
+    /** Records that a request is about to be sent to the target. */
+    void requestGranted(long now) {
+        if (requestLimit != null) {
+            requestLimit.take(now);
+        }
     }
 
     long lastGrantNanos() {
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.IntStream;
 import org.fuchsiaspindle.core.serving.TargetInstance;
@@ -39,6 +40,55 @@
         assertThat(granted).containsEntry("a", SLOTS).containsEntry("b", SLOTS);
     }
 
+    /** Guards against a target that gets as many requests as it has slots, whatever its limit. */
+    @Test
+    void limitedTarget_getsNoMoreThanItAccepts() {
+        targets("a", "b");
+        pool.limitRequests("a", OptionalDouble.of(2), now);
+        Map<String, Integer> granted = new HashMap<>();
+        for (int i = 0; i < 100; i++) {
+            now += Duration.ofMillis(100).toNanos();
+            Granted grant = granted(request("g1", false));
+            assertThat(grant.targetLimited()).isEqualTo(grant.target().equals("a"));
+            granted.merge(grant.target(), 1, Integer::sum);
+            pool.release("g1", grant.ticket(), LeaseOutcome.DONE, now);
+        }
+        assertThat(granted.get("a")).isBetween(15, 20);
+    }
+
+    /** Guards against requests that are refused although a limited target starts them in time. */
+    @Test
+    void requestForALimitedTarget_waitsForItsTurn() {
+        targets("a");
+        pool.limitRequests("a", OptionalDouble.of(2), now);
+        assertThat(request("g1", true)).hasOnlyElementsOfType(Queued.class);
+        assertThat(pool.checkTimes(now)).isEmpty();
+        now += Duration.ofMillis(600).toNanos();
+        assertThat(pool.checkTimes(now)).hasOnlyElementsOfType(Granted.class);
+    }
+
+    /** Guards against batch items that use up what a target accepts. */
+    @Test
+    void limitedTarget_startsBatchItemsOnlyWithWhatOnlineRequestsLeave() {
+        targets("a");
+        pool.limitRequests("a", OptionalDouble.of(2), now);
+        demand("late", SLOTS, 2000);
+        now += Duration.ofSeconds(5).toNanos();
+        assertThat(pool.checkTimes(now)).hasSize(1);
+        assertThat(granted(request("g1", false)).target()).isEqualTo("a");
+    }
+
+    @Test
+    void limitThatIsLifted_restrictsNothing() {
+        targets("a");
+        pool.limitRequests("a", OptionalDouble.of(0), now);
+        assertThat(request("g1", false)).hasOnlyElementsOfType(Refused.class);
+        pool.limitRequests("a", OptionalDouble.empty(), now);
+        for (int i = 0; i < SLOTS; i++) {
+            assertThat(granted(request("g1", false)).targetLimited()).isFalse();
+        }
+    }
+
     /** Batch items are preempted, so they must not make a target unavailable to online requests. */
     @Test
     void online_takesTheSlotOfTheBatchItemThatIsDueLast() {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotAcquisition.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotAcquisition.java
@@ -11,6 +11,7 @@
 import java.util.Map;
 import java.util.Optional;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.slot.HeldSlot;
 import org.fuchsiaspindle.core.slot.PoolId;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
 import org.fuchsiaspindle.core.slot.SlotRequest;
@@ -127,9 +128,11 @@
         return asking && ip.equals(coordinator);
     }
 
-    void onGranted(String target) {
+    void onGranted(String target, boolean targetLimited) {
         endAsking();
-        SlotLease lease = client.addLease(pool, ticket, target, TrafficClass.ONLINE, 0);
+        SlotLease lease =
+                client.addLease(
+                        pool, new HeldSlot(ticket, target, TrafficClass.ONLINE, 0), targetLimited);
         Optional<TargetInstance> instance = client.usableTarget(target);
         if (instance.isEmpty()) {
             client.releaseUnusable(lease);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -63,6 +64,12 @@
 
         /** Returns the targets of a service that this gateway cannot use at the moment. */
         Set<String> avoidedTargets(String service);
+
+        /**
+         * Returns how many requests a second a target accepts from all gateways together, as it
+         * announced to this one; empty if it announced no limit.
+         */
+        OptionalDouble requestLimit(String id);
     }
 
     private final EventLoop loop;
@@ -142,11 +149,45 @@
 
     /** Reports to the coordinator that a target sends no data although requests run there. */
     public void reportSilence(TargetInstance target) {
-        for (PoolId pool : plan.preferred(target.service())) {
-            if (plan.targets(pool).stream().anyMatch(other -> other.id().equals(target.id()))) {
-                send(holdings(pool).coordinator(), SlotCodec.silence(pool, target.id()));
-            }
+        poolOf(target)
+                .ifPresent(
+                        pool ->
+                                send(
+                                        holdings(pool).coordinator(),
+                                        SlotCodec.silence(pool, target.id())));
+    }
+
+    /**
+     * Reports to the coordinator how many requests a second a target accepts, empty if it announces
+     * no limit.
+     */
+    public void reportRequestLimit(TargetInstance target, OptionalDouble requestsPerSecond) {
+        poolOf(target)
+                .ifPresent(
+                        pool ->
+                                send(
+                                        holdings(pool).coordinator(),
+                                        SlotCodec.requestLimit(
+                                                pool, target.id(), requestsPerSecond)));
+    }
+
+    /** Returns the pool of a target among those that this gateway uses. */
+    private Optional<PoolId> poolOf(TargetInstance target) {
+        return plan.preferred(target.service()).stream()
+                .filter(
+                        pool ->
+                                plan.targets(pool).stream()
+                                        .anyMatch(other -> other.id().equals(target.id())))
+                .findFirst();
+    }
+
+    /** Returns the limits that the targets of a pool announced to this gateway, by target. */
+    private Map<String, Double> requestLimits(PoolId pool) {
+        Map<String, Double> limits = new HashMap<>();
+        for (TargetInstance target : plan.targets(pool)) {
+            targets.requestLimit(target.id()).ifPresent(limit -> limits.put(target.id(), limit));
         }
+        return limits;
     }
 
     @Override
@@ -207,7 +248,7 @@
             case GRANTED_TARGET -> {
                 if (expected) {
                     metrics.countSlotEvent("granted");
-                    acquisition.onGranted(reply.getGrantedTarget());
+                    acquisition.onGranted(reply.getGrantedTarget(), reply.getTargetLimited());
                 } else {
                     send(ip, SlotCodec.release(pool, reply.getTicket(), LeaseOutcome.CANCELLED));
                 }
@@ -243,10 +284,12 @@
         SlotLease lease =
                 addLease(
                         pool,
-                        grant.getTicket(),
-                        grant.getTarget(),
-                        TrafficClass.BATCH,
-                        grant.getDueMillis());
+                        new HeldSlot(
+                                grant.getTicket(),
+                                grant.getTarget(),
+                                TrafficClass.BATCH,
+                                grant.getDueMillis()),
+                        grant.getTargetLimited());
         usableTarget(grant.getTarget())
                 .ifPresentOrElse(
                         target -> batchDemands.onGranted(lease, target),
@@ -267,7 +310,7 @@
      */
     private void onHoldingsQuery(String ip, PoolId pool) {
         PoolHoldings holdings = pools.get(pool);
-        if (holdings == null || !holdings.isInUse()) {
+        if (holdings == null || !holdings.isInUse() && requestLimits(pool).isEmpty()) {
             return;
         }
         refreshCoordinator(pool, holdings);
@@ -319,7 +362,7 @@
         if (!chosen.equals(holdings.coordinator())) {
             send(
                     holdings.coordinator(),
-                    SlotCodec.holdings(pool, List.of(), holdings.batchGrants()));
+                    SlotCodec.holdings(pool, List.of(), Map.of(), holdings.batchGrants()));
             holdings.setCoordinator(chosen);
             startExchange(pool, holdings);
         }
@@ -330,7 +373,8 @@
         holdings.setSentDemand(BatchDemand.NONE);
         send(
                 holdings.coordinator(),
-                SlotCodec.holdings(pool, holdings.heldSlots(), holdings.batchGrants()));
+                SlotCodec.holdings(
+                        pool, holdings.heldSlots(), requestLimits(pool), holdings.batchGrants()));
         List.copyOf(holdings.acquisitions().values()).forEach(SlotAcquisition::restart);
         batchDemands.changed();
     }
@@ -431,13 +475,8 @@
         holdings(pool).acquisitions().remove(ticket);
     }
 
-    SlotLease addLease(
-            PoolId pool, long ticket, String target, TrafficClass trafficClass, long dueMillis) {
-        SlotLease lease =
-                new SlotLease(
-                        pool,
-                        new HeldSlot(ticket, target, trafficClass, dueMillis),
-                        this::leaseReleased);
+    SlotLease addLease(PoolId pool, HeldSlot slot, boolean targetLimited) {
+        SlotLease lease = new SlotLease(pool, slot, targetLimited, this::leaseReleased);
         holdings(pool).add(lease);
         return lease;
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
@@ -3,6 +3,8 @@
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.slot.BatchDemand;
 import org.fuchsiaspindle.core.slot.HeldSlot;
@@ -17,6 +19,8 @@
 import org.fuchsiaspindle.wire.peer.HoldingsQuery;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
 import org.fuchsiaspindle.wire.peer.Pool;
+import org.fuchsiaspindle.wire.peer.RequestLimit;
+import org.fuchsiaspindle.wire.peer.RequestLimitReport;
 import org.fuchsiaspindle.wire.peer.SilenceReport;
 import org.fuchsiaspindle.wire.peer.SlotHoldings;
 import org.fuchsiaspindle.wire.peer.SlotRefusal;
@@ -24,10 +28,14 @@
 import org.fuchsiaspindle.wire.peer.SlotReply;
 import org.fuchsiaspindle.wire.peer.SlotRequestMessage;
 import org.fuchsiaspindle.wire.peer.SlotRevocation;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
 /** Encodes what gateways tell each other about slots, and decodes it. */
 final class SlotCodec {
 
+    private static final Logger LOG = LoggerFactory.getLogger(SlotCodec.class);
+
     private SlotCodec() {}
 
     static Pool encode(PoolId pool) {
@@ -120,9 +128,19 @@
                 ImmutableSet.copyOf(message.getAvoidedTargetsList()));
     }
 
-    static PeerFrame holdings(PoolId pool, List<HeldSlot> slots, long grantsReceived) {
+    static PeerFrame holdings(
+            PoolId pool,
+            List<HeldSlot> slots,
+            Map<String, Double> requestLimits,
+            long grantsReceived) {
         SlotHoldings.Builder holdings =
                 SlotHoldings.newBuilder().setPool(encode(pool)).setGrantsReceived(grantsReceived);
+        requestLimits.forEach(
+                (target, limit) ->
+                        holdings.addRequestLimits(
+                                RequestLimit.newBuilder()
+                                        .setTarget(target)
+                                        .setRequestsPerSecond(limit)));
         for (HeldSlot slot : slots) {
             holdings.addSlots(
                     HeldSlotMessage.newBuilder()
@@ -146,6 +164,31 @@
                 .toList();
     }
 
+    static PeerFrame requestLimit(PoolId pool, String target, OptionalDouble limit) {
+        RequestLimitReport.Builder report =
+                RequestLimitReport.newBuilder().setPool(encode(pool)).setTarget(target);
+        limit.ifPresent(report::setRequestsPerSecond);
+        return PeerFrame.newBuilder().setRequestLimitReport(report).build();
+    }
+
+    static OptionalDouble decode(RequestLimitReport report) {
+        return report.hasRequestsPerSecond()
+                ? validLimit(report.getRequestsPerSecond())
+                : OptionalDouble.empty();
+    }
+
+    static OptionalDouble decode(RequestLimit limit) {
+        return validLimit(limit.getRequestsPerSecond());
+    }
+
+    private static OptionalDouble validLimit(double requestsPerSecond) {
+        if (Double.isFinite(requestsPerSecond) && requestsPerSecond >= 0) {
+            return OptionalDouble.of(requestsPerSecond);
+        }
+        LOG.info("slots: invalid request limit ignored limit={}", requestsPerSecond);
+        return OptionalDouble.empty();
+    }
+
     static PeerFrame holdingsQuery(PoolId pool) {
         return PeerFrame.newBuilder()
                 .setHoldingsQuery(HoldingsQuery.newBuilder().setPool(encode(pool)))
@@ -166,7 +209,9 @@
         switch (decision) {
             case SlotDecision.Granted granted ->
                     frame.setSlotReply(
-                            reply(encodedPool, granted).setGrantedTarget(granted.target()));
+                            reply(encodedPool, granted)
+                                    .setGrantedTarget(granted.target())
+                                    .setTargetLimited(granted.targetLimited()));
             case SlotDecision.Queued queued ->
                     frame.setSlotReply(reply(encodedPool, queued).setQueued(true));
             case SlotDecision.Refused refused ->
@@ -177,7 +222,8 @@
                                     .setPool(encodedPool)
                                     .setTicket(granted.ticket())
                                     .setTarget(granted.target())
-                                    .setDueMillis(granted.dueMillis()));
+                                    .setDueMillis(granted.dueMillis())
+                                    .setTargetLimited(granted.targetLimited()));
             case SlotDecision.Preempted preempted ->
                     frame.setSlotRevocation(
                             SlotRevocation.newBuilder()
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
@@ -17,6 +17,7 @@
 import org.fuchsiaspindle.core.slot.SlotPool;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
+import org.fuchsiaspindle.wire.peer.RequestLimit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -129,13 +130,24 @@
                                     now));
             case BATCH_DEMAND ->
                     send(id, pool.demand(holder, SlotCodec.decode(frame.getBatchDemand()), now));
-            case SLOT_HOLDINGS ->
+            case SLOT_HOLDINGS -> {
+                for (RequestLimit limit : frame.getSlotHoldings().getRequestLimitsList()) {
+                    send(id, pool.limitRequests(limit.getTarget(), SlotCodec.decode(limit), now));
+                }
+                send(
+                        id,
+                        pool.replaceHoldings(
+                                holder,
+                                SlotCodec.decode(frame.getSlotHoldings()),
+                                frame.getSlotHoldings().getGrantsReceived(),
+                                now));
+            }
+            case REQUEST_LIMIT_REPORT ->
                     send(
                             id,
-                            pool.replaceHoldings(
-                                    holder,
-                                    SlotCodec.decode(frame.getSlotHoldings()),
-                                    frame.getSlotHoldings().getGrantsReceived(),
+                            pool.limitRequests(
+                                    frame.getRequestLimitReport().getTarget(),
+                                    SlotCodec.decode(frame.getRequestLimitReport()),
                                     now));
             case SILENCE_REPORT ->
                     pool.recordSilence(holder, frame.getSilenceReport().getTarget(), now);
@@ -152,6 +164,7 @@
                     case BATCH_DEMAND -> frame.getBatchDemand().getPool();
                     case SLOT_HOLDINGS -> frame.getSlotHoldings().getPool();
                     case SILENCE_REPORT -> frame.getSilenceReport().getPool();
+                    case REQUEST_LIMIT_REPORT -> frame.getRequestLimitReport().getPool();
                     default -> throw new AssertionError(frame.getBodyCase());
                 });
     }
@@ -161,7 +174,10 @@
         return switch (frame.getBodyCase()) {
             case SLOT_REQUEST -> true;
             case BATCH_DEMAND -> frame.getBatchDemand().getWaiting() > 0;
-            case SLOT_HOLDINGS -> frame.getSlotHoldings().getSlotsCount() > 0;
+            case SLOT_HOLDINGS ->
+                    frame.getSlotHoldings().getSlotsCount() > 0
+                            || frame.getSlotHoldings().getRequestLimitsCount() > 0;
+            case REQUEST_LIMIT_REPORT -> true;
             default -> false;
         };
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotLease.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotLease.java
@@ -24,11 +24,13 @@
 
     private final PoolId pool;
     private final HeldSlot slot;
+    private final boolean targetLimited;
     private final ReleaseListener releaseListener;
     private Runnable revocationListener = () -> {};
     private boolean ended;
 
-    SlotLease(PoolId pool, HeldSlot slot, ReleaseListener releaseListener) {
+    SlotLease(PoolId pool, HeldSlot slot, boolean targetLimited, ReleaseListener releaseListener) {
+        this.targetLimited = targetLimited;
         this.pool = checkNotNull(pool, "pool");
         this.slot = checkNotNull(slot, "slot");
         this.releaseListener = checkNotNull(releaseListener, "releaseListener");
@@ -39,6 +41,14 @@
         return slot.target();
     }
 
+    /**
+     * Returns whether the coordinator limits the requests to the target, so that it must be told
+     * when the target announces no limit any more.
+     */
+    public boolean isTargetLimited() {
+        return targetLimited;
+    }
+
     /** Returns what the slot was granted for. */
     public TrafficClass trafficClass() {
         return slot.trafficClass();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -105,6 +105,11 @@
         return description.isStream();
     }
 
+    /** Returns whether the coordinator limited the requests to the target when it granted this. */
+    boolean isTargetLimited() {
+        return lease.isTargetLimited();
+    }
+
     CallDescription description() {
         return description;
     }
@@ -167,7 +172,7 @@
                 return false;
             }
             response = TargetProtocol.decode(head);
-            fleet.responseReceived(target, response);
+            fleet.responseReceived(TargetCall.this, response);
             listener.onResponse(response);
             return true;
         }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -46,6 +47,7 @@
     private final CrashDetector crashDetector;
     private final PromptGuard promptGuard;
     private Consumer<TargetInstance> silenceListener = target -> {};
+    private RequestLimitListener requestLimitListener = (target, limit) -> {};
 
     private TargetFleet(EventLoop loop, PromptGuard promptGuard) {
         this.loop = loop;
@@ -64,13 +66,29 @@
                 checkNotNull(loop, "loop"), checkNotNull(promptGuard, "promptGuard"));
     }
 
+    /** Receives the limits that targets announce. */
+    @FunctionalInterface
+    public interface RequestLimitListener {
+
+        /**
+         * Called when a target announces another limit, or none any more.
+         *
+         * @param target the target
+         * @param requestsPerSecond how many requests a second it accepts from all gateways together
+         */
+        void onRequestLimit(TargetInstance target, OptionalDouble requestsPerSecond);
+    }
+
     /**
      * Starts the periodic checks.
      *
-     * @param listener called for each silent target, repeatedly while it is silent
+     * @param newSilenceListener called for each silent target, repeatedly while it is silent
+     * @param newLimitListener called for each target that announces a limit
      */
-    public void start(Consumer<TargetInstance> listener) {
-        silenceListener = checkNotNull(listener, "listener");
+    public void start(
+            Consumer<TargetInstance> newSilenceListener, RequestLimitListener newLimitListener) {
+        silenceListener = checkNotNull(newSilenceListener, "newSilenceListener");
+        requestLimitListener = checkNotNull(newLimitListener, "newLimitListener");
         checkTargets();
     }
 
@@ -108,6 +126,12 @@
                 .map(TargetState::instance);
     }
 
+    @Override
+    public OptionalDouble requestLimit(String id) {
+        TargetState state = targets.get(id);
+        return state == null ? OptionalDouble.empty() : state.requestLimit();
+    }
+
     @Override
     public Set<String> avoidedTargets(String service) {
         long now = System.nanoTime();
@@ -184,7 +208,8 @@
         state.dataReceived(System.nanoTime());
     }
 
-    void responseReceived(TargetState state, TargetResponse response) {
+    void responseReceived(TargetCall call, TargetResponse response) {
+        TargetState state = call.target();
         if (response.meaning() == Meaning.NOT_RUN) {
             state.health().refusedAsFull(System.nanoTime());
         } else if (response.meaning() == Meaning.OTHER_TARGET) {
@@ -194,7 +219,8 @@
             state.health().connectFailed(System.nanoTime());
             return;
         }
-        if (state.recordRequestLimit(response.requestLimit())) {
+        boolean changed = state.recordRequestLimit(response.requestLimit());
+        if (changed) {
             LOG.info(
                     "target: announced request limit target={} limit={}",
                     state.instance().id(),
@@ -202,6 +228,9 @@
                             ? response.requestLimit().getAsDouble() + "/s"
                             : "none");
         }
+        if (changed || call.isTargetLimited()) {
+            requestLimitListener.onRequestLimit(state.instance(), response.requestLimit());
+        }
     }
 
     private void checkTargets() {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/RequestLimitTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/RequestLimitTest.java
@@ -17,7 +17,6 @@
 import org.fuchsiaspindle.testbed.emulator.EngineEmulator.Arrival;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Tests targets that announce how many requests a second they accept from all gateways. */
@@ -60,7 +59,6 @@
 
     /** Guards against a target that gets as many requests as it has slots, whatever its limit. */
     @Test
-    @Tag("known-red")
     void targetThatAnnouncesALimit_getsNoMoreFromAllGatewaysTogether() throws Exception {
         limited.announceLimit(OptionalDouble.of(LIMIT));
         long start = System.nanoTime();
@@ -69,6 +67,54 @@
         assertThat(arrivalsSince(limited, start)).isGreaterThan((long) (LIMIT * 4));
     }
 
+    /** Guards against a limit that is forgotten with the gateway that assigned the slots. */
+    @Test
+    void limitHolds_whenGatewaysAreLostAndReturn() throws Exception {
+        limited.announceLimit(OptionalDouble.of(LIMIT));
+        long start = System.nanoTime();
+        load(Duration.ofSeconds(3), gateways);
+        for (int number = 1; number <= 2; number++) {
+            platform.killGateway(gateways.get(number - 1));
+            List<String> left = new ArrayList<>(gateways);
+            left.remove(number - 1);
+            load(Duration.ofSeconds(2), left);
+            platform.startGateway(number);
+            awaitReady(platform, gateways.get(number - 1));
+        }
+        load(Duration.ofSeconds(3), gateways);
+        assertThat(mostInOneWindow(start)).isLessThanOrEqualTo((long) MAX_REQUESTS);
+    }
+
+    /** Guards against a target that stays limited after it has stopped to announce a limit. */
+    @Test
+    void limitThatIsNoLongerAnnounced_isLifted() throws Exception {
+        limited.announceLimit(OptionalDouble.of(LIMIT));
+        load(Duration.ofSeconds(2), gateways);
+        limited.announceLimit(OptionalDouble.empty());
+        load(Duration.ofSeconds(2), gateways);
+        long start = System.nanoTime();
+        assertAllServed(load(Duration.ofSeconds(2), gateways));
+        assertThat(arrivalsSince(limited, start)).isGreaterThan(2 * (long) (2 * LIMIT));
+    }
+
+    /** Guards against batch items that take what a limit leaves to online requests. */
+    @Test
+    void limitHolds_whileBatchItemsWait() throws Exception {
+        limited.announceLimit(OptionalDouble.of(LIMIT));
+        long start = System.nanoTime();
+        assertThat(
+                        platform.client(gateways.getFirst())
+                                .call(
+                                        "POST",
+                                        GatewayFixture.BATCH + "x",
+                                        GatewayFixture.headers("job-1"),
+                                        EmulatorJobs.submission("job-1", 150, 10))
+                                .status())
+                .isEqualTo(202);
+        assertAllServed(load(Duration.ofSeconds(9), gateways));
+        assertThat(mostInOneWindow(start)).isLessThanOrEqualTo((long) MAX_REQUESTS);
+    }
+
     private List<Future<Response>> load(Duration time, List<String> over) throws Exception {
         List<Future<Response>> responses = new ArrayList<>();
         try (ExecutorService threads = Executors.newVirtualThreadPerTaskExecutor()) {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrame.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrame.java
@@ -40,6 +40,7 @@
     PROMPT_CRASH(15),
     SOUND_PROMPT_PARTS(16),
     PROMPT_QUARANTINES(17),
+    REQUEST_LIMIT_REPORT(18),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -71,6 +72,7 @@
         case 15: return PROMPT_CRASH;
         case 16: return SOUND_PROMPT_PARTS;
         case 17: return PROMPT_QUARANTINES;
+        case 18: return REQUEST_LIMIT_REPORT;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -892,6 +894,56 @@
     }
   }
 
+  public static final int REQUEST_LIMIT_REPORT_FIELD_NUMBER = 18;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+   */
+  @java.lang.Override
+  public boolean hasRequestLimitReport() {
+    return bodyCase_ == 18;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.RequestLimitReport getRequestLimitReport() {
+    if (bodyCase_ == 18) {
+       return (org.fuchsiaspindle.wire.peer.RequestLimitReport) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.RequestLimitReport.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+   */
+  private void setRequestLimitReport(org.fuchsiaspindle.wire.peer.RequestLimitReport value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 18;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+   */
+  private void mergeRequestLimitReport(org.fuchsiaspindle.wire.peer.RequestLimitReport value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 18 &&
+        body_ != org.fuchsiaspindle.wire.peer.RequestLimitReport.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.RequestLimitReport.newBuilder((org.fuchsiaspindle.wire.peer.RequestLimitReport) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 18;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+   */
+  private void clearRequestLimitReport() {
+    if (bodyCase_ == 18) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.fuchsiaspindle.wire.peer.PeerFrame parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1773,6 +1825,54 @@
       return this;
     }
 
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+     */
+    @java.lang.Override
+    public boolean hasRequestLimitReport() {
+      return instance.hasRequestLimitReport();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.RequestLimitReport getRequestLimitReport() {
+      return instance.getRequestLimitReport();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+     */
+    public Builder setRequestLimitReport(org.fuchsiaspindle.wire.peer.RequestLimitReport value) {
+      copyOnWrite();
+      instance.setRequestLimitReport(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+     */
+    public Builder setRequestLimitReport(
+        org.fuchsiaspindle.wire.peer.RequestLimitReport.Builder builderForValue) {
+      copyOnWrite();
+      instance.setRequestLimitReport(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+     */
+    public Builder mergeRequestLimitReport(org.fuchsiaspindle.wire.peer.RequestLimitReport value) {
+      copyOnWrite();
+      instance.mergeRequestLimitReport(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+     */
+    public Builder clearRequestLimitReport() {
+      copyOnWrite();
+      instance.clearRequestLimitReport();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.PeerFrame)
   }
   @java.lang.Override
@@ -1807,12 +1907,13 @@
             org.fuchsiaspindle.wire.peer.PromptCrash.class,
             org.fuchsiaspindle.wire.peer.SoundPromptParts.class,
             org.fuchsiaspindle.wire.peer.PromptQuarantines.class,
+            org.fuchsiaspindle.wire.peer.RequestLimitReport.class,
           };
           java.lang.String info =
-              "\u0000\u0010\u0001\u0000\u0001\u0011\u0010\u0000\u0000\u0000\u0001<\u0000\u0003<" +
+              "\u0000\u0011\u0001\u0000\u0001\u0012\u0011\u0000\u0000\u0000\u0001<\u0000\u0003<" +
               "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000" +
               "\u000b<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000" +
-              "";
+              "\u0012<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrameOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrameOrBuilder.java
@@ -186,5 +186,16 @@
    */
   org.fuchsiaspindle.wire.peer.PromptQuarantines getPromptQuarantines();
 
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+   * @return Whether the requestLimitReport field is set.
+   */
+  boolean hasRequestLimitReport();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestLimitReport request_limit_report = 18;</code>
+   * @return The requestLimitReport.
+   */
+  org.fuchsiaspindle.wire.peer.RequestLimitReport getRequestLimitReport();
+
   public org.fuchsiaspindle.wire.peer.PeerFrame.BodyCase getBodyCase();
 }
