Close the connection to a target after a refusal

Report of other operators: a faulty engine wrote an earlier refusal once more on a kept connection, and requests that ran were answered as not run (REFUSED) or ran at a second engine (TWICE). It could happen here: refusals carry no identifier, so the repeated one was taken for the answer to the next request on the connection, while its target ran it.

A connection is now closed after a refusal, so that a repeated one meets nobody. Ruled out: comparing the identifier, which refusals on the users' platform do not carry. The cost is one new connection for each refused arrival.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -172,6 +172,11 @@
                 return false;
             }
             response = TargetProtocol.decode(head);
+            if (response.isRefusal()) {
+                // Refusals carry no identifier, so one that a faulty target writes again could not
+                // be told from the refusal of the next request.
+                connection.closeAfterExchange();
+            }
             fleet.responseReceived(TargetCall.this, response);
             listener.onResponse(response);
             return true;
