Cut a resumed stream that continues with another kind of answer

It could happen here in one case: the next target answers the resumed request with a success that is no event stream. A small body ended the stream as complete, a large one was forwarded into it. FaultyAnswersTest.streamThatBreaksAndContinuesWithAnotherKindOfAnswer_isCut failed before. Errors and refusals of the next target were handled (streamThatBreaksAndFailsElsewhere..., passed before).

Such an answer now counts as a lost attempt: another target resumes the stream if attempts are left, otherwise the client's connection is reset.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -372,6 +372,15 @@
         @Override
         public void onResponse(TargetResponse newResponse) {
             response = newResponse;
+            boolean cannotContinue =
+                    exchange.isResponseStarted()
+                            && newResponse.meaning() == TargetResponse.Meaning.SUCCESS
+                            && !newResponse.isEventStream();
+            if (cannotContinue) {
+                call.fail();
+                attemptLost("resumed stream without events");
+                return;
+            }
             forwarder = new ResponseForwarder(exchange, newResponse, lastEvent);
         }
 
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/FaultyAnswersTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/FaultyAnswersTest.java
@@ -91,6 +91,12 @@
         assertStreamIsCut("HTTP/1.1 422 No\r\nAttempt-Id: b\r\nServer-Stamp: s\r\n", "never");
     }
 
+    @Test
+    void streamThatBreaksAndContinuesWithAnotherKindOfAnswer_isCut() throws Exception {
+        assertStreamIsCut(HEAD.formatted("b"), "no stream");
+        assertStreamIsCut(HEAD.formatted("b"), "no stream ".repeat(50_000));
+    }
+
     /** Lets the first target of a request break its stream; the next ones answer otherwise. */
     private void assertStreamIsCut(String otherHead, String otherBody) throws Exception {
         AtomicInteger requests = new AtomicInteger();
