Ignore the body of an answer to a batch item that is no event stream

FaultyAnswersTest.itemThatIsResumedByAnotherKindOfAnswer... failed before (the result held the foreign text).

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -445,7 +445,7 @@
 
         @Override
         public void onData(ByteBuf data) {
-            if (response.meaning() != TargetResponse.Meaning.SUCCESS) {
+            if (response.meaning() != TargetResponse.Meaning.SUCCESS || !response.isEventStream()) {
                 ignoredBytes += data.readableBytes();
                 if (ignoredBytes > MAX_IGNORED_BYTES) {
                     run.call().fail();
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/FaultyAnswersTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/FaultyAnswersTest.java
@@ -204,16 +204,38 @@
                             requests.incrementAndGet() == 1 ? "id: 2\ndata: tw" : SECOND_EVENT);
                     return false;
                 });
-        String body = EmulatorJobs.submission("job-1", 1, 2);
-        assertThat(
-                        platform.client(ip)
-                                .call("POST", GatewayFixture.BATCH + "x", headers("job-1"), body)
-                                .status())
-                .isEqualTo(202);
+        assertThat(submit("job-1")).isEqualTo(202);
         await("item completed", () -> results("job-1").contains("completed"));
         assertThat(results("job-1")).contains("one\\ntwo\"");
     }
 
+    /** Guards against a result with text that belongs to no event of its item. */
+    @Test
+    void itemThatIsResumedByAnotherKindOfAnswer_takesNothingOfIt() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        startServer(
+                "model",
+                (request, connection) -> {
+                    String head = HEAD.formatted(request.header("Attempt-Id"));
+                    switch (requests.incrementAndGet()) {
+                        case 1 -> connection.write(head + EVENTS + "\r\n" + FIRST_EVENT + "id: 2");
+                        case 2 -> connection.write(head + "\r\ndata: other\n\n");
+                        default -> connection.write(head + EVENTS + "\r\n" + SECOND_EVENT);
+                    }
+                    return false;
+                });
+        assertThat(submit("job-2")).isEqualTo(202);
+        await("item completed", () -> results("job-2").contains("completed"));
+        assertThat(results("job-2")).contains("\"one\\ntwo\"");
+    }
+
+    private int submit(String job) throws IOException {
+        String body = EmulatorJobs.submission(job, 1, 2);
+        return platform.client(ip)
+                .call("POST", GatewayFixture.BATCH + "x", headers(job), body)
+                .status();
+    }
+
     /** Writes the body of an answer that has neither a length nor chunks. */
     @FunctionalInterface
     private interface BodyWriter {
