Send nothing more to a target that says in an answer that it leaves (DRAIN)

Until now only its registration counted, which may say so late, never, or while the store is away. The header is decoded at the boundary; from the first such answer on this gateway sends the target no request, retry, batch item or resumed stream, whatever its registration says. Only a new incarnation ends that.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -137,7 +137,8 @@
         long now = System.nanoTime();
         Set<String> avoided = new HashSet<>();
         for (TargetState state : targets.values()) {
-            if (state.instance().service().equals(service) && !state.health().acceptsCalls(now)) {
+            if (state.instance().service().equals(service)
+                    && (!state.isOpen() || !state.health().acceptsCalls(now))) {
                 avoided.add(state.instance().id());
             }
         }
@@ -219,6 +220,12 @@
             state.health().connectFailed(System.nanoTime());
             return;
         }
+        if (response.leaving() && state.recordLeaving()) {
+            LOG.info(
+                    "target: announced that it is leaving target={} registered_leaving={}",
+                    state.instance().id(),
+                    state.instance().leaving());
+        }
         boolean changed = state.recordRequestLimit(response.requestLimit());
         if (changed) {
             LOG.info(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
@@ -30,6 +30,7 @@
     private final Set<TargetCall> calls = new LinkedHashSet<>();
     private long lastDataNanos;
     private long silenceReportedNanos;
+    private boolean leavingAnnounced;
     private OptionalDouble requestLimit = OptionalDouble.empty();
 
     TargetState(TargetInstance instance) {
@@ -62,9 +63,19 @@
         return !registered && calls.isEmpty();
     }
 
-    /** Returns whether the target is registered and not leaving. */
+    /** Returns whether the target is registered and has not said that it is leaving. */
     boolean isOpen() {
-        return registered && !instance.leaving();
+        return registered && !instance.leaving() && !leavingAnnounced;
+    }
+
+    /**
+     * Records that the target said in a response that it is shutting down, which its registration
+     * may say later or never; returns whether this is new.
+     */
+    boolean recordLeaving() {
+        boolean isNew = !leavingAnnounced;
+        leavingAnnounced = true;
+        return isNew;
     }
 
     /** Returns how long the target may send no data while its current calls run. */
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
@@ -119,6 +119,8 @@
     private volatile String crashingPart = "";
     private volatile Duration crashTime = Duration.ZERO;
     private volatile String limitHeader = "";
+    private volatile String leavingHeader = "";
+    private volatile int incarnation = 1;
     private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
     private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
 
@@ -146,7 +148,7 @@
                         spec.dataCentre(),
                         spec.slots(),
                         draining ? "draining" : "ready",
-                        1)
+                        incarnation)
                 .getBytes(StandardCharsets.UTF_8);
     }
 
@@ -200,6 +202,17 @@
                         : "";
     }
 
+    /** Sets whether all answers say that the engine is leaving. */
+    public void announceLeaving(boolean leaving) {
+        leavingHeader = leaving ? "Server-Leaving: 1\r\n" : "";
+    }
+
+    /** Makes the engine a new incarnation at the same address, which is not leaving. */
+    public void restart() {
+        leavingHeader = "";
+        incarnation++;
+    }
+
     /** Returns all requests that arrived for this engine, also those that it refused. */
     public List<Arrival> arrivals() {
         return List.copyOf(arrivals);
@@ -235,7 +248,7 @@
         arrivals.add(new Arrival(request.header("Attempt-Id"), System.nanoTime()));
         if (queued.incrementAndGet() > spec.slots() + MAX_QUEUED) {
             queued.decrementAndGet();
-            connection.respond(503, "Not-Run: 1\r\n" + limitHeader, new byte[0]);
+            connection.respond(503, "Not-Run: 1\r\n" + limitHeader + leavingHeader, new byte[0]);
             return true;
         }
         try {
@@ -283,7 +296,8 @@
                 "Attempt-Id: "
                         + request.header("Attempt-Id")
                         + "\r\nServer-Stamp: stamp\r\n"
-                        + limitHeader;
+                        + limitHeader
+                        + leavingHeader;
         if (!request.header("X-Fail").isEmpty()) {
             pause(spec.eventTime());
             run.complete = true;
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/LayeringTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/LayeringTest.java
@@ -27,6 +27,7 @@
         "\"Wait-Ms\"",
         "\"Prompt-Prefix\"",
         "\"Server-Limit\"",
+        "\"Server-Leaving\"",
         "\"expectRev\"",
         "\"dead_letter\"",
         "\"/lots/\"",
