--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayFixture.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayFixture.java
@@ -1,6 +1,8 @@
 package org.fuchsiaspindle.testbed.emulator;
 
 import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 
@@ -44,6 +46,16 @@
         return Map.of("Attempt-Id", id, "Deadline-Ms", "4000", "X-Events", String.valueOf(events));
     }
 
+    /** Starts gateways, and returns their addresses when all of them serve requests. */
+    static List<String> startGateways(PlatformEmulator platform, int count) throws Exception {
+        List<String> ips = new ArrayList<>();
+        for (int number = 1; number <= count; number++) {
+            ips.add(platform.startGateway(number));
+        }
+        awaitReady(platform, ips.toArray(String[]::new));
+        return ips;
+    }
+
     /** Waits until a condition is met; the failure message contains the description. */
     static void await(String description, Callable<Boolean> condition) throws Exception {
         await(description, Duration.ofSeconds(15), condition);
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewaySlotsTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewaySlotsTest.java
@@ -6,6 +6,7 @@
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitReady;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.headers;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.startGateways;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.streamHeaders;
 
 import java.io.IOException;
@@ -30,17 +31,14 @@
 
     private final PlatformEmulator platform = PlatformEmulator.start();
     private EngineEmulator engine;
-    private final List<String> gateways = new ArrayList<>();
+    private List<String> gateways;
 
     @BeforeEach
     void startPlatform() throws Exception {
         configureAll(platform);
         engine = platform.addEngine("engine-1", "model", SLOTS, Duration.ofMillis(10));
         platform.addEngine("plain-1", "plain", SLOTS, Duration.ofMillis(5));
-        for (int number = 1; number <= 3; number++) {
-            gateways.add(platform.startGateway(number));
-        }
-        awaitReady(platform, gateways.toArray(String[]::new));
+        gateways = startGateways(platform, 3);
     }
 
     @AfterEach
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/PromptPartCrashTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/PromptPartCrashTest.java
@@ -5,6 +5,7 @@
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.await;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitReady;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.startGateways;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -38,7 +39,7 @@
 
     private final PlatformEmulator platform = PlatformEmulator.start();
     private final List<EngineEmulator> engines = new ArrayList<>();
-    private final List<String> gateways = new ArrayList<>();
+    private List<String> gateways;
 
     @BeforeEach
     void startPlatform() throws Exception {
@@ -50,10 +51,7 @@
             engine.crashOnPart(CRASHING_PART, DOWN_TIME);
             engines.add(engine);
         }
-        for (int number = 1; number <= GATEWAYS; number++) {
-            gateways.add(platform.startGateway(number));
-        }
-        awaitReady(platform, gateways.toArray(String[]::new));
+        gateways = startGateways(platform, GATEWAYS);
     }
 
     @AfterEach
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/RequestLimitTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/RequestLimitTest.java
@@ -4,6 +4,7 @@
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.STREAM;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitReady;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.startGateways;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.streamHeaders;
 
 import java.time.Duration;
@@ -35,7 +36,7 @@
     private static final Duration REQUEST_INTERVAL = Duration.ofMillis(40);
 
     private final PlatformEmulator platform = PlatformEmulator.start();
-    private final List<String> gateways = new ArrayList<>();
+    private List<String> gateways;
     private EngineEmulator limited;
 
     private int requests;
@@ -46,10 +47,7 @@
         platform.addEngine("plain-1", "plain", 4, Duration.ofMillis(5));
         limited = platform.addEngine("engine-1", "model", 8, Duration.ofMillis(10));
         platform.addEngine("engine-2", "model", 8, Duration.ofMillis(10));
-        for (int number = 1; number <= GATEWAYS; number++) {
-            gateways.add(platform.startGateway(number));
-        }
-        awaitReady(platform, gateways.toArray(String[]::new));
+        gateways = startGateways(platform, GATEWAYS);
     }
 
     @AfterEach
