Report the limit of a target with every answer that announces one

Suspected, not reproduced: a coordinator forgets the limit of a target that it does not see registered for a moment, or misses a report on a connection that accepts no more data, while the gateways' knowledge does not change, so that nobody tells it again. The new test (registration lapses for all and returns) passed before, too, because the gateways forget then as well. A report is now sent for each answer with a limit, at most as many a second as the limit allows.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -71,7 +71,7 @@
     public interface RequestLimitListener {
 
         /**
-         * Called when a target announces another limit, or none any more.
+         * Called when a target announces a limit, or none any more.
          *
          * @param target the target
          * @param requestsPerSecond how many requests a second it accepts from all gateways together
@@ -235,7 +235,8 @@
                             ? response.requestLimit().getAsDouble() + "/s"
                             : "none");
         }
-        if (changed || call.isTargetLimited()) {
+        // Also without a change, because the coordinator may have lost the limit or missed its end.
+        if (changed || call.isTargetLimited() || response.requestLimit().isPresent()) {
             requestLimitListener.onRequestLimit(state.instance(), response.requestLimit());
         }
     }
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/RequestLimitTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/RequestLimitTest.java
@@ -95,6 +95,19 @@
         assertThat(arrivalsSince(limited, start)).isGreaterThan(2 * (long) (2 * LIMIT));
     }
 
+    /** Guards against a limit that is forgotten while the target is not registered. */
+    @Test
+    void limitHolds_whenTheRegistrationLapsesAndReturns() throws Exception {
+        limited.announceLimit(OptionalDouble.of(LIMIT));
+        long start = System.nanoTime();
+        load(Duration.ofSeconds(3), gateways);
+        platform.unregister(limited);
+        load(Duration.ofSeconds(2), gateways);
+        platform.register(limited, false);
+        load(Duration.ofSeconds(6), gateways);
+        assertThat(mostInOneWindow(start)).isLessThanOrEqualTo((long) MAX_REQUESTS);
+    }
+
     /** Guards against batch items that take what a limit leaves to online requests. */
     @Test
     void limitHolds_whileBatchItemsWait() throws Exception {
