--- a/core/src/main/java/org/fuchsiaspindle/core/prompt/PromptQuarantine.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/prompt/PromptQuarantine.java
@@ -23,9 +23,10 @@
  *
  * <p>A part is quarantined when several targets have crashed while they started to answer requests
  * with it, and none has answered such a request meanwhile. Requests that happened to start on a
- * crashing target share parts as well; answers elsewhere exonerate those parts. If several parts
+ * crashing target share parts as well; answers elsewhere clear those parts. If several parts
  * explain crashes, the one deepest in the prompts is chosen, because it is part of the fewest
- * requests. All gateways receive the same crashes, and exonerate parts for each other.
+ * requests. All gateways receive the same crashes, and tell each other of suspected parts that they
+ * know to be sound.
  *
  * <p>A quarantine ends after some time, so that requests are served again after the targets were
  * repaired; a single crash then renews it for twice the time. Not thread-safe; times are monotonic
@@ -48,17 +49,17 @@
     /** Reports of several gateways within this time are about the same crash of a target. */
     static final Duration SAME_CRASH_TIME = Duration.ofSeconds(1);
 
-    /** Time for which other gateways may exonerate the parts of a crash before it counts. */
-    public static final Duration OBJECTION_TIME = Duration.ofMillis(250);
+    /** Time in which other gateways can report parts of a crash as sound before it counts. */
+    public static final Duration DECISION_DELAY = Duration.ofMillis(250);
 
-    /** An answer exonerates a part from the crashes that follow within this time. */
-    static final Duration EXONERATION_TIME = Duration.ofSeconds(1);
+    /** An answer also clears a part of the crashes that follow within this time. */
+    static final Duration CLEARING_TIME = Duration.ofSeconds(1);
 
     static final Duration INITIAL_QUARANTINE = Duration.ofMinutes(2);
     static final Duration MAX_QUARANTINE = Duration.ofMinutes(30);
 
     /** Time after the end of a quarantine during which a single crash renews it. */
-    static final Duration PROBATION = Duration.ofMinutes(30);
+    static final Duration RENEWAL_TIME = Duration.ofMinutes(30);
 
     private static final int MAX_CRASHES = 256;
 
@@ -165,7 +166,7 @@
     private ImmutableList<String> unansweredParts(
             String service, ImmutableList<String> parts, long now) {
         return parts.stream()
-                .filter(id -> !isExonerated(new PromptPart(service, id), now))
+                .filter(id -> !isCleared(new PromptPart(service, id), now))
                 .collect(ImmutableList.toImmutableList());
     }
 
@@ -174,7 +175,7 @@
         return report.suspects().stream()
                 .flatMap(Collection::stream)
                 .map(id -> new PromptPart(report.service(), id))
-                .filter(part -> isExonerated(part, now))
+                .filter(part -> isCleared(part, now))
                 .collect(ImmutableSet.toImmutableSet());
     }
 
@@ -185,15 +186,15 @@
      */
     public ImmutableSet<PromptPart> recordAnswer(
             String service, ImmutableList<String> parts, long now) {
-        ImmutableSet.Builder<PromptPart> exonerated = ImmutableSet.builder();
+        ImmutableSet.Builder<PromptPart> cleared = ImmutableSet.builder();
         for (String id : parts) {
             PromptPart part = new PromptPart(service, id);
             if (isSuspected(part)) {
-                exonerated.add(part);
+                cleared.add(part);
             }
             recordSound(part, now);
         }
-        return exonerated.build();
+        return cleared.build();
     }
 
     /** Records that some gateway knows a part to be sound. */
@@ -215,10 +216,10 @@
         return false;
     }
 
-    /** Returns whether an answer exonerates a part from a crash at a time. */
-    private boolean isExonerated(PromptPart part, long crashNanos) {
+    /** Returns whether an answer clears a part of the suspicion of a crash at a time. */
+    private boolean isCleared(PromptPart part, long crashNanos) {
         Long answered = answeredNanos.get(part);
-        return answered != null && crashNanos - answered <= EXONERATION_TIME.toNanos();
+        return answered != null && crashNanos - answered <= CLEARING_TIME.toNanos();
     }
 
     /** Quarantines the parts that explain enough crashes; returns the new quarantines. */
@@ -244,9 +245,9 @@
 
     private int neededCrashes(PromptPart part, long now) {
         Quarantine previous = quarantines.get(part);
-        boolean onProbation =
-                previous != null && now - previous.untilNanos() <= PROBATION.toNanos();
-        if (onProbation) {
+        boolean isRenewable =
+                previous != null && now - previous.untilNanos() <= RENEWAL_TIME.toNanos();
+        if (isRenewable) {
             return 1;
         }
         return answeredNanos.containsKey(part) ? MIN_CRASHES_AFTER_ANSWERS : MIN_CRASHES;
@@ -256,14 +257,14 @@
     private Collection<Explanation> explanations(long now) {
         Map<PromptPart, Explanation> found = new HashMap<>();
         for (Crash crash : crashes) {
-            if (now - crash.nanos < OBJECTION_TIME.toNanos() || isExplained(crash)) {
+            if (now - crash.nanos < DECISION_DELAY.toNanos() || isExplained(crash)) {
                 continue;
             }
             Set<PromptPart> counted = new HashSet<>();
             for (ImmutableList<String> parts : crash.suspects) {
                 for (int depth = 0; depth < parts.size(); depth++) {
                     PromptPart part = new PromptPart(crash.service, parts.get(depth));
-                    if (!isExonerated(part, crash.nanos) && counted.add(part)) {
+                    if (!isCleared(part, crash.nanos) && counted.add(part)) {
                         Explanation known = found.get(part);
                         found.put(
                                 part,
@@ -309,7 +310,7 @@
     /** Takes over a quarantine of another gateway, unless this one knows the part to be sound. */
     public Adoption adopt(Quarantine quarantine, long now) {
         checkNotNull(quarantine, "quarantine");
-        if (isExonerated(quarantine.part(), now)) {
+        if (isCleared(quarantine.part(), now)) {
             return Adoption.REJECTED;
         }
         Quarantine known = quarantines.get(quarantine.part());
@@ -344,10 +345,10 @@
                 .max(Comparator.naturalOrder());
     }
 
-    /** Forgets quarantines whose probation is over. */
+    /** Forgets quarantines that ended too long ago to be renewed. */
     public void removeExpired(long now) {
         quarantines
                 .values()
-                .removeIf(quarantine -> now - quarantine.untilNanos() > PROBATION.toNanos());
+                .removeIf(quarantine -> now - quarantine.untilNanos() > RENEWAL_TIME.toNanos());
     }
 }
--- a/core/src/test/java/org/fuchsiaspindle/core/prompt/PromptQuarantineTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/prompt/PromptQuarantineTest.java
@@ -43,7 +43,7 @@
         for (int gateway = 0; gateway < 5; gateway++) {
             quarantine.recordCrash(report("t1", "deadly"), now);
         }
-        passObjectionTime();
+        passDecisionDelay();
         assertThat(quarantine.evaluate(now)).isEmpty();
     }
 
@@ -54,7 +54,7 @@
         for (int i = 0; i < 8; i++) {
             quarantine.recordCrash(report("t" + i, "caller+sound"), now);
         }
-        passObjectionTime();
+        passDecisionDelay();
         assertThat(quarantine.evaluate(now)).isEmpty();
     }
 
@@ -64,19 +64,19 @@
         for (int i = 0; i < 8; i++) {
             quarantine.recordCrash(report("t" + i, "caller+sound"), now);
         }
-        passObjectionTime();
+        passDecisionDelay();
         assertThat(quarantine.evaluate(now)).isEmpty();
     }
 
     /** Another gateway knows what this one has not seen. */
     @Test
-    void objectionOfAnotherGateway_isHeardBeforeTheDecision() {
+    void soundReportOfAnotherGateway_arrivesBeforeTheDecision() {
         crash("t1", "sound");
         crash("t2", "sound");
         quarantine.recordCrash(report("t3", "sound"), now);
         assertThat(quarantine.evaluate(now)).isEmpty();
         quarantine.recordSound(new PromptPart(SERVICE, "sound"), now + 1);
-        passObjectionTime();
+        passDecisionDelay();
         assertThat(quarantine.evaluate(now)).isEmpty();
     }
 
@@ -177,11 +177,11 @@
 
     private void crash(String target, String... suspects) {
         quarantine.recordCrash(report(target, suspects), now);
-        passObjectionTime();
+        passDecisionDelay();
         quarantine.evaluate(now);
     }
 
-    private void passObjectionTime() {
+    private void passDecisionDelay() {
         now += STEP.toNanos();
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.protobuf.ByteString;
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
@@ -21,7 +20,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.fuchsiaspindle.core.membership.AddressAnnouncement;
@@ -31,8 +29,6 @@
 import org.fuchsiaspindle.gateway.watch.StoreHealth;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
 import org.fuchsiaspindle.wire.peer.PeerState;
-import org.fuchsiaspindle.wire.peer.ViewRequest;
-import org.fuchsiaspindle.wire.peer.ViewShare;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -67,9 +63,6 @@
 
     private static final double MILLICORES_PER_CORE = 1000;
 
-    /** A store that has not served a call for longer is treated as unreachable. */
-    private static final Duration STORE_SILENCE_LIMIT = Duration.ofMillis(1500);
-
     /** Receives what peers send about slots, and the changes of the membership. */
     public interface PeerListener {
 
@@ -118,6 +111,7 @@
     private final Self self;
     private final FleetViewHolder viewHolder;
     private final StoreHealth storeHealth;
+    private final ViewExchange viewExchange;
     private final PeerListener peerListener;
     private final GatewayMetrics metrics;
     private final Map<String, Link> links = new HashMap<>();
@@ -139,6 +133,7 @@
         this.self = self;
         this.viewHolder = viewHolder;
         this.storeHealth = storeHealth;
+        this.viewExchange = new ViewExchange(viewHolder, storeHealth);
         this.peerListener = peerListener;
         this.metrics = metrics;
     }
@@ -309,6 +304,10 @@
         return heartbeats.values().stream().map(PeerHeartbeat::info).toList();
     }
 
+    private List<PeerInfo> connectedPeers() {
+        return peers().stream().filter(peer -> isConnected(peer.ip())).toList();
+    }
+
     private ChannelInitializer<Channel> initializer() {
         return new ChannelInitializer<>() {
             @Override
@@ -365,7 +364,9 @@
                 expireOrReconnect(entry.getKey(), link, now);
             }
         }
-        requestNewerView();
+        viewExchange
+                .request(connectedPeers())
+                .ifPresent(request -> send(request.peerIp(), request.frame()));
     }
 
     private AnnouncedState state() {
@@ -453,40 +454,6 @@
         return PeerFrame.newBuilder().setState(state).build();
     }
 
-    /**
-     * Requests a newer configuration from a peer, and also newer targets while this gateway cannot
-     * reach the store.
-     */
-    private void requestNewerView() {
-        FleetView view = viewHolder.view();
-        boolean storeUnreachable =
-                storeHealth.sinceLastSuccess().compareTo(STORE_SILENCE_LIMIT) > 0;
-        List<PeerInfo> sources =
-                peers().stream()
-                        .filter(peer -> isConnected(peer.ip()))
-                        .filter(
-                                peer ->
-                                        peer.configVersion() > view.configVersion()
-                                                || storeUnreachable
-                                                        && mayHaveNewerTargets(peer, view))
-                        .toList();
-        if (sources.isEmpty()) {
-            return;
-        }
-        PeerInfo source = sources.get(ThreadLocalRandom.current().nextInt(sources.size()));
-        ViewRequest request =
-                ViewRequest.newBuilder()
-                        .setConfigVersion(view.configVersion())
-                        .setDirectoryVersion(
-                                storeUnreachable ? view.directory().version() : Long.MAX_VALUE)
-                        .build();
-        send(source.ip(), PeerFrame.newBuilder().setViewRequest(request).build());
-    }
-
-    private static boolean mayHaveNewerTargets(PeerInfo peer, FleetView view) {
-        return peer.storeReachable() || peer.directoryVersion() > view.directory().version();
-    }
-
     private void handleHeartbeat(Channel channel, PeerState state) {
         String ip = state.getIp();
         ipsByChannel.put(channel, ip);
@@ -526,41 +493,15 @@
         addPeers(ips);
     }
 
-    private void handleViewRequest(Channel channel, ViewRequest request) {
-        FleetView view = viewHolder.view();
-        ViewShare.Builder share =
-                ViewShare.newBuilder().setDirectoryVersion(view.directory().version());
-        if (view.configVersion() > request.getConfigVersion()) {
-            share.setConfigDocument(ByteString.copyFrom(view.configDocument()));
-        }
-        if (view.directory().version() > request.getDirectoryVersion()) {
-            view.directory()
-                    .targets()
-                    .values()
-                    .forEach(target -> share.addRegistrations(RegistrationCodec.encode(target)));
-        }
-        PeerChannels.send(channel, PeerFrame.newBuilder().setView(share).build());
-    }
-
-    private void applyView(ViewShare share) {
-        if (!share.getConfigDocument().isEmpty()) {
-            viewHolder.offerConfig(share.getConfigDocument().toByteArray(), "peer");
-        }
-        if (share.getRegistrationsCount() > 0) {
-            viewHolder.offerDirectory(
-                    RegistrationCodec.decode(
-                            share.getDirectoryVersion(), share.getRegistrationsList()));
-        }
-    }
-
     private final class FrameListener implements PeerChannels.Listener {
 
         @Override
         public void onFrame(Channel channel, PeerFrame frame) {
             switch (frame.getBodyCase()) {
                 case STATE -> handleHeartbeat(channel, frame.getState());
-                case VIEW_REQUEST -> handleViewRequest(channel, frame.getViewRequest());
-                case VIEW -> applyView(frame.getView());
+                case VIEW_REQUEST ->
+                        PeerChannels.send(channel, viewExchange.answer(frame.getViewRequest()));
+                case VIEW -> viewExchange.apply(frame.getView());
                 case PROMPT_CRASH, SOUND_PROMPT_PARTS, PROMPT_QUARANTINES ->
                         promptListener.onPromptFrame(frame);
                 // A newer version may send frames that this one does not know.
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/prompt/PromptGuard.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/prompt/PromptGuard.java
@@ -38,15 +38,15 @@
     private static final double MAX_REPORTS_PER_SECOND = 20;
 
     /**
-     * An objection is sent after a random part of this time, unless another gateway sent the same
-     * one before.
+     * A part is reported as sound after a random part of this time, unless another gateway did so
+     * before.
      */
-    private static final Duration MAX_OBJECTION_DELAY = Duration.ofMillis(100);
+    private static final Duration MAX_SOUND_REPORT_DELAY = Duration.ofMillis(100);
 
-    /** Time for which one objection to the suspicion of a part is enough. */
-    private static final Duration OBJECTION_VALIDITY = Duration.ofMillis(500);
+    /** Time for which one report that a part is sound is enough. */
+    private static final Duration SOUND_REPORT_VALIDITY = Duration.ofMillis(500);
 
-    /** Margin between the time in which other gateways may object and the decision. */
+    /** Margin between the last possible report of other gateways and the decision. */
     private static final Duration DECISION_MARGIN = Duration.ofMillis(10);
 
     private static final Duration EXPIRY_CHECK_INTERVAL = Duration.ofMinutes(1);
@@ -55,7 +55,7 @@
     private final GatewayMetrics metrics;
     private final PromptQuarantine quarantine = new PromptQuarantine();
     private final RateLimiter reportLimiter = RateLimiter.create(MAX_REPORTS_PER_SECOND);
-    private final Map<PromptPart, Long> objectedNanos = new HashMap<>();
+    private final Map<PromptPart, Long> soundReportedNanos = new HashMap<>();
     private PeerMesh mesh;
 
     private PromptGuard(EventLoop loop, GatewayMetrics metrics) {
@@ -108,7 +108,7 @@
 
     private void recordCrash(TargetCrash report, long now) {
         quarantine.recordCrash(report, now);
-        Duration delay = PromptQuarantine.OBJECTION_TIME.plus(DECISION_MARGIN);
+        Duration delay = PromptQuarantine.DECISION_DELAY.plus(DECISION_MARGIN);
         loop.schedule(this::decide, delay.toMillis(), TimeUnit.MILLISECONDS);
     }
 
@@ -134,10 +134,10 @@
         if (promptParts.isEmpty()) {
             return;
         }
-        ImmutableSet<PromptPart> exonerated =
+        ImmutableSet<PromptPart> cleared =
                 quarantine.recordAnswer(service, promptParts, System.nanoTime());
-        if (!exonerated.isEmpty()) {
-            object(exonerated);
+        if (!cleared.isEmpty()) {
+            reportSound(cleared);
         }
     }
 
@@ -149,7 +149,7 @@
                 TargetCrash report = PromptCodec.decode(frame.getPromptCrash());
                 ImmutableSet<PromptPart> sound = quarantine.soundParts(report, now);
                 if (!sound.isEmpty()) {
-                    scheduleObjection(sound);
+                    scheduleSoundReport(sound);
                 }
                 recordCrash(report, now);
             }
@@ -164,7 +164,7 @@
     }
 
     private void recordSound(PromptPart part, long now) {
-        objectedNanos.put(part, now);
+        soundReportedNanos.put(part, now);
         quarantine.recordSound(part, now);
     }
 
@@ -178,7 +178,7 @@
                         other.part().id(),
                         other.duration().toSeconds());
             }
-            case REJECTED -> scheduleObjection(ImmutableSet.of(other.part()));
+            case REJECTED -> scheduleSoundReport(ImmutableSet.of(other.part()));
             case KNOWN -> {}
             default -> throw new AssertionError(other);
         }
@@ -193,18 +193,20 @@
         }
     }
 
-    private void scheduleObjection(ImmutableSet<PromptPart> parts) {
-        long delayMillis = ThreadLocalRandom.current().nextLong(MAX_OBJECTION_DELAY.toMillis());
-        loop.schedule(() -> object(parts), delayMillis, TimeUnit.MILLISECONDS);
+    private void scheduleSoundReport(ImmutableSet<PromptPart> parts) {
+        long delayMillis = ThreadLocalRandom.current().nextLong(MAX_SOUND_REPORT_DELAY.toMillis());
+        loop.schedule(() -> reportSound(parts), delayMillis, TimeUnit.MILLISECONDS);
     }
 
     /** Tells all peers that parts are sound, unless another gateway has just done so. */
-    private void object(Collection<PromptPart> parts) {
+    private void reportSound(Collection<PromptPart> parts) {
         long now = System.nanoTime();
-        objectedNanos.values().removeIf(nanos -> now - nanos > OBJECTION_VALIDITY.toNanos());
+        soundReportedNanos
+                .values()
+                .removeIf(nanos -> now - nanos > SOUND_REPORT_VALIDITY.toNanos());
         for (PromptPart part : parts) {
-            if (objectedNanos.putIfAbsent(part, now) == null) {
-                metrics.countPromptEvent("exonerated");
+            if (soundReportedNanos.putIfAbsent(part, now) == null) {
+                metrics.countPromptEvent("sound_reported");
                 mesh.broadcast(PromptCodec.sound(part));
             }
         }
