--- a/cli/src/main/java/org/fuchsiaspindle/cli/LogExplanation.java
+++ b/cli/src/main/java/org/fuchsiaspindle/cli/LogExplanation.java
@@ -16,7 +16,8 @@
  *
  * <p>Besides the lines that mention the identifier, it selects those that show the state of the
  * processes that made the decisions: the configuration in force, failures of the store or of a
- * target that was used, and notices of omitted log lines. Immutable.
+ * target that was used, quarantines of prompts if one was the reason, and notices of omitted log
+ * lines. Immutable.
  */
 final class LogExplanation {
 
@@ -25,12 +26,15 @@
      */
     private static final Duration CONTEXT_MARGIN = Duration.ofSeconds(3);
 
+    private static final String PROMPT_QUARANTINED = "PROMPT_QUARANTINED";
+
     /** Why a line is part of the explanation. */
     enum Reason {
         DECISION,
         CONFIGURATION,
         STORE,
         TARGET,
+        PROMPT,
         PROCESS,
         LEFT_OUT
     }
@@ -97,6 +101,7 @@
                 .filter(line -> !line.time().isAfter(first.time()))
                 .reduce((earlier, later) -> later)
                 .ifPresent(line -> steps.add(new Step(Reason.CONFIGURATION, line)));
+        addQuarantines(steps, sorted, processDecisions, process);
         ofProcess(sorted, process)
                 .filter(line -> !decisions.contains(line))
                 .filter(line -> !line.time().isBefore(first.time().minus(CONTEXT_MARGIN)))
@@ -107,6 +112,20 @@
                                         .ifPresent(reason -> steps.add(new Step(reason, line))));
     }
 
+    /** Adds the quarantines of prompts that the process knew when it refused a request for one. */
+    private static void addQuarantines(
+            List<Step> steps, List<LogLine> sorted, List<LogLine> decisions, String process) {
+        for (LogLine decision : decisions) {
+            if (decision.field("reason").equals(Optional.of(PROMPT_QUARANTINED))) {
+                ofProcess(sorted, process)
+                        .filter(line -> line.part().equals("prompt"))
+                        .filter(line -> line.field("service").equals(decision.field("service")))
+                        .filter(line -> !line.time().isAfter(decision.time()))
+                        .forEach(line -> steps.add(new Step(Reason.PROMPT, line)));
+            }
+        }
+    }
+
     private static Optional<Reason> contextReason(LogLine line, Set<String> targets) {
         return switch (line.part()) {
             case "store" -> Optional.of(Reason.STORE);
--- a/cli/src/main/java/org/fuchsiaspindle/cli/OutcomeDescriptions.java
+++ b/cli/src/main/java/org/fuchsiaspindle/cli/OutcomeDescriptions.java
@@ -47,6 +47,8 @@
             case "OVERLOADED" -> "the requests ahead of it would have taken too long.";
             case "DEADLINE_UNREACHABLE" -> "it waited, and no target became free in time.";
             case "NO_TARGET" -> "every target refused it or could not be reached.";
+            case "PROMPT_QUARANTINED" ->
+                    "a part of its prompt crashed targets and is kept from them for some time.";
             case "JOB_LIMITED" -> "the route's limit of waiting tokens was reached.";
             case "TABLE_UNAVAILABLE" -> "the store was unavailable.";
             default -> reason + ".";
--- a/cli/src/test/java/org/fuchsiaspindle/cli/LogExplanationTest.java
+++ b/cli/src/test/java/org/fuchsiaspindle/cli/LogExplanationTest.java
@@ -74,6 +74,26 @@
         assertThat(explanation.steps()).hasSize(2);
     }
 
+    /** Guards against a refusal for a prompt whose cause lies long before. */
+    @Test
+    void refusalForAPrompt_isExplainedByTheQuarantinesOfItsService() {
+        String log =
+                """
+                2026-04-20T10:57:00.000Z WARN  prompt: quarantined service=s part=57dc source=self \
+                time=120s
+                2026-04-20T10:57:10.000Z WARN  prompt: quarantined service=other part=11aa \
+                source=peer time=120s
+                2026-04-20T10:58:43.000Z INFO  online: request=bb22 route=r-1 service=s target=- \
+                outcome=refused reason=PROMPT_QUARANTINED attempts=0 elapsed=0ms
+                """;
+        LogExplanation explanation = explain(log, "bb22");
+        assertThat(explanation.steps())
+                .extracting(LogExplanation.Step::reason)
+                .containsExactly(Reason.PROMPT, Reason.DECISION);
+        assertThat(explanation.steps().getFirst().line().field("part")).contains("57dc");
+        assertThat(explanation.verdict().orElseThrow()).contains("part of its prompt");
+    }
+
     @Test
     void lineWithoutProcess_isParsed() {
         Optional<LogLine> line =
