Start batch items at limited targets while part of their burst is left

Cause: batch items started at a target with a limit only while its bucket was full, which it hardly ever is while online requests use part of the limit.

Half of the bucket and two tokens are enough now, so that one is left to the next online request. SlotPoolTest. limitedTarget_startsBatchItemsBesideOnlineRequests failed before.

--- a/core/src/main/java/org/fuchsiaspindle/core/limit/TokenBucket.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/TokenBucket.java
@@ -71,6 +71,12 @@
         return nanos >= atMost.toNanos() ? atMost : Duration.ofNanos((long) Math.ceil(nanos));
     }
 
+    /** Returns whether the bucket holds at least the given number of tokens. */
+    public boolean holds(double count, long nowNanos) {
+        refill(nowNanos);
+        return tokens >= count;
+    }
+
     /** Returns true if the bucket is full. */
     public boolean isFull(long nowNanos) {
         refill(nowNanos);
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/RequestLimit.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/RequestLimit.java
@@ -20,10 +20,14 @@
     /** A burst may use what the target accepted and did not get in this time. */
     private static final Duration BURST_TIME = Duration.ofSeconds(1);
 
+    /** A batch item leaves one token to the next online request. */
+    private static final double MIN_TOKENS_FOR_BATCH = 2;
+
     private static final double NANOS_PER_SECOND = Duration.ofSeconds(1).toNanos();
 
     private final TokenBucket tokens;
     private double rate;
+    private double capacity;
 
     RequestLimit(double requestsPerSecond, long now) {
         this.tokens = TokenBucket.full(0, 0, now);
@@ -32,7 +36,8 @@
 
     void setRate(double requestsPerSecond, long now) {
         rate = Math.max(MIN_RATE, requestsPerSecond);
-        tokens.configure(rate, Math.max(1, rate * BURST_TIME.toSeconds()), now);
+        capacity = Math.max(1, rate * BURST_TIME.toSeconds());
+        tokens.configure(rate, capacity, now);
     }
 
     boolean allowsOnline(long now) {
@@ -41,7 +46,7 @@
 
     /** Returns whether the target has capacity that online requests have not used for a while. */
     boolean allowsBatch(long now) {
-        return tokens.isFull(now);
+        return tokens.holds(Math.min(capacity, Math.max(MIN_TOKENS_FOR_BATCH, capacity / 2)), now);
     }
 
     /** Takes the token of a request, which may be missing after a change of the rate. */
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -78,6 +78,21 @@
         assertThat(granted(request("g1", false)).target()).isEqualTo("a");
     }
 
+    /** Guards against batch items that get nothing while online requests use part of a limit. */
+    @Test
+    void limitedTarget_startsBatchItemsBesideOnlineRequests() {
+        targets("a");
+        pool.limitRequests("a", OptionalDouble.of(4), now);
+        demand("late", 1, 2000);
+        int started = 0;
+        for (int i = 0; i < 20; i++) {
+            now += Duration.ofMillis(500).toNanos();
+            Granted grant = granted(request("g1", false));
+            started += pool.release("g1", grant.ticket(), LeaseOutcome.DONE, now).size();
+        }
+        assertThat(started).isEqualTo(1);
+    }
+
     @Test
     void limitThatIsLifted_restrictsNothing() {
         targets("a");
