Leave a connection to a target unused for 5 ms after a response

Cause: a target that sends bytes behind a complete response spoils the request that follows on the connection, if that request is sent before the bytes are read.

A connection is now reused only after it was idle for 5 ms; bytes that follow in that time close it, and another idle connection or a new one is used meanwhile. The decision moved to core.serving.ConnectionReuse, with that on keep-alive times. Bytes that come later than 5 ms can still spoil a request.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
@@ -3,26 +3,20 @@
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.OptionalDouble;
 import java.util.Set;
+import org.fuchsiaspindle.core.serving.ConnectionReuse;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.platform.channel.HttpConnection;
 
 /** The connections, calls and health of one incarnation of a target; not thread-safe. */
 final class TargetState {
 
-    /**
-     * Idle time after which a connection is not reused if the target announces no keep-alive time.
-     */
-    private static final Duration DEFAULT_KEEP_ALIVE = Duration.ofSeconds(4);
-
     /** Time between two reports that the target is silent. */
     private static final Duration SILENCE_REPORT_INTERVAL = Duration.ofSeconds(1);
 
-    /** How long before the end of the announced keep-alive time an idle connection is closed. */
-    private static final Duration KEEP_ALIVE_MARGIN = Duration.ofMillis(700);
-
     private TargetInstance instance;
     private boolean registered = true;
     private final TargetHealth health = new TargetHealth();
@@ -132,13 +126,19 @@
         return changed;
     }
 
+    /** Removes and returns a connection that may carry another request, null if there is none. */
     HttpConnection pollIdleConnection(long now) {
-        HttpConnection connection;
-        while ((connection = idleConnections.pollFirst()) != null) {
-            if (connection.isIdle() && !isStale(connection, now)) {
+        Iterator<HttpConnection> connections = idleConnections.iterator();
+        while (connections.hasNext()) {
+            HttpConnection connection = connections.next();
+            Duration idle = idleTime(connection, now);
+            if (!connection.isIdle() || ConnectionReuse.isTooLate(idle, connection.keepAlive())) {
+                connections.remove();
+                connection.close();
+            } else if (!ConnectionReuse.isTooEarly(idle)) {
+                connections.remove();
                 return connection;
             }
-            connection.close();
         }
         return null;
     }
@@ -162,12 +162,11 @@
     }
 
     private static boolean isStale(HttpConnection connection, long now) {
-        Duration maxIdleTime =
-                connection
-                        .keepAlive()
-                        .map(announced -> announced.minus(KEEP_ALIVE_MARGIN))
-                        .orElse(DEFAULT_KEEP_ALIVE);
-        return now - connection.idleSinceNanos() > maxIdleTime.toNanos();
+        return ConnectionReuse.isTooLate(idleTime(connection, now), connection.keepAlive());
+    }
+
+    private static Duration idleTime(HttpConnection connection, long now) {
+        return Duration.ofNanos(now - connection.idleSinceNanos());
     }
 
     private void closeIdleConnections() {
