Look at the targets of one pool for each request instead of at all targets

No other behaviour changes; GatewaySlotsTest, LeavingTargetTest, EndlessBytesTest and GatewayOnlineTest pass.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
@@ -137,8 +137,6 @@
         waitingByService.forEach(
                 (service, waiting) -> {
                     boolean askRemote = now - waiting.sinceNanos() > REMOTE_DELAY.toNanos();
-                    ImmutableSet<String> avoided =
-                            ImmutableSet.copyOf(client.avoidedTargets(service));
                     boolean hasLocalPool = false;
                     for (PoolId pool : client.pools(service)) {
                         boolean local = client.isLocal(pool);
@@ -148,7 +146,7 @@
                             boolean ask = askRemote || !hasLocalPool;
                             items = ask ? Math.min(items, MAX_REMOTE_ITEMS) : 0;
                         }
-                        send(pool, items, waiting.dueMillis(), avoided);
+                        send(pool, items, waiting.dueMillis(), client.avoidedTargets(pool));
                     }
                 });
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotAcquisition.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotAcquisition.java
@@ -228,7 +228,7 @@
         ImmutableSet<String> avoided =
                 ImmutableSet.<String>builder()
                         .addAll(need.avoided())
-                        .addAll(client.avoidedTargets(need.service()))
+                        .addAll(client.avoidedTargets(askedPool))
                         .build();
         SlotRequest request =
                 new SlotRequest(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -62,8 +62,8 @@
         /** Returns a target that is registered and accepts new requests, empty otherwise. */
         Optional<TargetInstance> usableTarget(String id);
 
-        /** Returns the targets of a service that this gateway cannot use at the moment. */
-        Set<String> avoidedTargets(String service);
+        /** Returns whether this gateway cannot use a target at the moment. */
+        boolean isAvoided(String id);
 
         /**
          * Returns how many requests a second a target accepts from all gateways together, as it
@@ -405,15 +405,19 @@
         return targets.usableTarget(id);
     }
 
-    Set<String> avoidedTargets(String service) {
-        Set<String> avoided = targets.avoidedTargets(service);
-        if (unusableUntilNanos.isEmpty()) {
-            return avoided;
+    /**
+     * Returns the targets of a pool that this gateway cannot use at the moment, and those that were
+     * granted to it although it does not know them. Only one pool is looked at, so that the cost of
+     * a request does not grow with the fleet.
+     */
+    ImmutableSet<String> avoidedTargets(PoolId pool) {
+        ImmutableSet.Builder<String> avoided = ImmutableSet.builder();
+        for (TargetInstance target : plan.targets(pool)) {
+            if (targets.isAvoided(target.id())) {
+                avoided.add(target.id());
+            }
         }
-        return ImmutableSet.<String>builder()
-                .addAll(avoided)
-                .addAll(unusableUntilNanos.keySet())
-                .build();
+        return avoided.addAll(unusableUntilNanos.keySet()).build();
     }
 
     /**
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -6,12 +6,10 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -133,16 +131,10 @@
     }
 
     @Override
-    public Set<String> avoidedTargets(String service) {
-        long now = System.nanoTime();
-        Set<String> avoided = new HashSet<>();
-        for (TargetState state : targets.values()) {
-            if (state.instance().service().equals(service)
-                    && (!state.isOpen() || !state.health().acceptsCalls(now))) {
-                avoided.add(state.instance().id());
-            }
-        }
-        return avoided;
+    public boolean isAvoided(String id) {
+        TargetState state = targets.get(id);
+        return state != null
+                && (!state.isOpen() || !state.health().acceptsCalls(System.nanoTime()));
     }
 
     /**
