Encode the shared instance list with the codec of its rows

It carries the rows now. Not yet landed, so no old process knows the other form. MembershipTest and ConfigurationTest pass.

--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/InstanceListShare.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/InstanceListShare.java
@@ -20,100 +20,100 @@
     // @@protoc_insertion_point(message_implements:org.fuchsiaspindle.wire.InstanceListShare)
     InstanceListShareOrBuilder {
   private InstanceListShare() {
-    instances_ = emptyProtobufList();
+    rows_ = emptyProtobufList();
   }
-  public static final int INSTANCES_FIELD_NUMBER = 1;
-  private com.google.protobuf.Internal.ProtobufList<org.fuchsiaspindle.wire.proto.SharedInstance> instances_;
+  public static final int ROWS_FIELD_NUMBER = 1;
+  private com.google.protobuf.Internal.ProtobufList<org.fuchsiaspindle.wire.proto.InstanceRow> rows_;
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
   @java.lang.Override
-  public java.util.List<org.fuchsiaspindle.wire.proto.SharedInstance> getInstancesList() {
-    return instances_;
+  public java.util.List<org.fuchsiaspindle.wire.proto.InstanceRow> getRowsList() {
+    return rows_;
   }
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
-  public java.util.List<? extends org.fuchsiaspindle.wire.proto.SharedInstanceOrBuilder> 
-      getInstancesOrBuilderList() {
-    return instances_;
+  public java.util.List<? extends org.fuchsiaspindle.wire.proto.InstanceRowOrBuilder> 
+      getRowsOrBuilderList() {
+    return rows_;
   }
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
   @java.lang.Override
-  public int getInstancesCount() {
-    return instances_.size();
+  public int getRowsCount() {
+    return rows_.size();
   }
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
   @java.lang.Override
-  public org.fuchsiaspindle.wire.proto.SharedInstance getInstances(int index) {
-    return instances_.get(index);
+  public org.fuchsiaspindle.wire.proto.InstanceRow getRows(int index) {
+    return rows_.get(index);
   }
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
-  public org.fuchsiaspindle.wire.proto.SharedInstanceOrBuilder getInstancesOrBuilder(
+  public org.fuchsiaspindle.wire.proto.InstanceRowOrBuilder getRowsOrBuilder(
       int index) {
-    return instances_.get(index);
+    return rows_.get(index);
   }
-  private void ensureInstancesIsMutable() {
-    com.google.protobuf.Internal.ProtobufList<org.fuchsiaspindle.wire.proto.SharedInstance> tmp = instances_;
+  private void ensureRowsIsMutable() {
+    com.google.protobuf.Internal.ProtobufList<org.fuchsiaspindle.wire.proto.InstanceRow> tmp = rows_;
     if (!tmp.isModifiable()) {
-      instances_ =
+      rows_ =
           com.google.protobuf.GeneratedMessageLite.mutableCopy(tmp);
      }
   }
 
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
-  private void setInstances(
-      int index, org.fuchsiaspindle.wire.proto.SharedInstance value) {
+  private void setRows(
+      int index, org.fuchsiaspindle.wire.proto.InstanceRow value) {
     java.util.Objects.requireNonNull(value);
-    ensureInstancesIsMutable();
-    instances_.set(index, value);
+    ensureRowsIsMutable();
+    rows_.set(index, value);
   }
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
-  private void addInstances(org.fuchsiaspindle.wire.proto.SharedInstance value) {
+  private void addRows(org.fuchsiaspindle.wire.proto.InstanceRow value) {
     java.util.Objects.requireNonNull(value);
-    ensureInstancesIsMutable();
-    instances_.add(value);
+    ensureRowsIsMutable();
+    rows_.add(value);
   }
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
-  private void addInstances(
-      int index, org.fuchsiaspindle.wire.proto.SharedInstance value) {
+  private void addRows(
+      int index, org.fuchsiaspindle.wire.proto.InstanceRow value) {
     java.util.Objects.requireNonNull(value);
-    ensureInstancesIsMutable();
-    instances_.add(index, value);
+    ensureRowsIsMutable();
+    rows_.add(index, value);
   }
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
-  private void addAllInstances(
-      java.lang.Iterable<? extends org.fuchsiaspindle.wire.proto.SharedInstance> values) {
-    ensureInstancesIsMutable();
+  private void addAllRows(
+      java.lang.Iterable<? extends org.fuchsiaspindle.wire.proto.InstanceRow> values) {
+    ensureRowsIsMutable();
     com.google.protobuf.AbstractMessageLite.addAll(
-        values, instances_);
+        values, rows_);
   }
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
-  private void clearInstances() {
-    instances_ = emptyProtobufList();
+  private void clearRows() {
+    rows_ = emptyProtobufList();
   }
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
-  private void removeInstances(int index) {
-    ensureInstancesIsMutable();
-    instances_.remove(index);
+  private void removeRows(int index) {
+    ensureRowsIsMutable();
+    rows_.remove(index);
   }
 
   public static org.fuchsiaspindle.wire.proto.InstanceListShare parseFrom(
@@ -219,104 +219,104 @@
 
 
     /**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
     @java.lang.Override
-    public java.util.List<org.fuchsiaspindle.wire.proto.SharedInstance> getInstancesList() {
+    public java.util.List<org.fuchsiaspindle.wire.proto.InstanceRow> getRowsList() {
       return java.util.Collections.unmodifiableList(
-          instance.getInstancesList());
+          instance.getRowsList());
     }
     /**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
     @java.lang.Override
-    public int getInstancesCount() {
-      return instance.getInstancesCount();
+    public int getRowsCount() {
+      return instance.getRowsCount();
     }/**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
     @java.lang.Override
-    public org.fuchsiaspindle.wire.proto.SharedInstance getInstances(int index) {
-      return instance.getInstances(index);
+    public org.fuchsiaspindle.wire.proto.InstanceRow getRows(int index) {
+      return instance.getRows(index);
     }
     /**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
-    public Builder setInstances(
-        int index, org.fuchsiaspindle.wire.proto.SharedInstance value) {
+    public Builder setRows(
+        int index, org.fuchsiaspindle.wire.proto.InstanceRow value) {
       copyOnWrite();
-      instance.setInstances(index, value);
+      instance.setRows(index, value);
       return this;
     }
     /**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
-    public Builder setInstances(
-        int index, org.fuchsiaspindle.wire.proto.SharedInstance.Builder builderForValue) {
+    public Builder setRows(
+        int index, org.fuchsiaspindle.wire.proto.InstanceRow.Builder builderForValue) {
       copyOnWrite();
-      instance.setInstances(index,
+      instance.setRows(index,
           builderForValue.build());
       return this;
     }
     /**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
-    public Builder addInstances(org.fuchsiaspindle.wire.proto.SharedInstance value) {
+    public Builder addRows(org.fuchsiaspindle.wire.proto.InstanceRow value) {
       copyOnWrite();
-      instance.addInstances(value);
+      instance.addRows(value);
       return this;
     }
     /**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
-    public Builder addInstances(
-        int index, org.fuchsiaspindle.wire.proto.SharedInstance value) {
+    public Builder addRows(
+        int index, org.fuchsiaspindle.wire.proto.InstanceRow value) {
       copyOnWrite();
-      instance.addInstances(index, value);
+      instance.addRows(index, value);
       return this;
     }
     /**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
-    public Builder addInstances(
-        org.fuchsiaspindle.wire.proto.SharedInstance.Builder builderForValue) {
+    public Builder addRows(
+        org.fuchsiaspindle.wire.proto.InstanceRow.Builder builderForValue) {
       copyOnWrite();
-      instance.addInstances(builderForValue.build());
+      instance.addRows(builderForValue.build());
       return this;
     }
     /**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
-    public Builder addInstances(
-        int index, org.fuchsiaspindle.wire.proto.SharedInstance.Builder builderForValue) {
+    public Builder addRows(
+        int index, org.fuchsiaspindle.wire.proto.InstanceRow.Builder builderForValue) {
       copyOnWrite();
-      instance.addInstances(index,
+      instance.addRows(index,
           builderForValue.build());
       return this;
     }
     /**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
-    public Builder addAllInstances(
-        java.lang.Iterable<? extends org.fuchsiaspindle.wire.proto.SharedInstance> values) {
+    public Builder addAllRows(
+        java.lang.Iterable<? extends org.fuchsiaspindle.wire.proto.InstanceRow> values) {
       copyOnWrite();
-      instance.addAllInstances(values);
+      instance.addAllRows(values);
       return this;
     }
     /**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
-    public Builder clearInstances() {
+    public Builder clearRows() {
       copyOnWrite();
-      instance.clearInstances();
+      instance.clearRows();
       return this;
     }
     /**
-     * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+     * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
      */
-    public Builder removeInstances(int index) {
+    public Builder removeRows(int index) {
       copyOnWrite();
-      instance.removeInstances(index);
+      instance.removeRows(index);
       return this;
     }
 
@@ -336,8 +336,8 @@
       }
       case BUILD_MESSAGE_INFO: {
           java.lang.Object[] objects = new java.lang.Object[] {
-            "instances_",
-            org.fuchsiaspindle.wire.proto.SharedInstance.class,
+            "rows_",
+            org.fuchsiaspindle.wire.proto.InstanceRow.class,
           };
           java.lang.String info =
               "\u0000\u0001\u0000\u0000\u0001\u0001\u0001\u0000\u0001\u0000\u0001\u001b";
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/InstanceListShareOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/InstanceListShareOrBuilder.java
@@ -11,16 +11,16 @@
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
-  java.util.List<org.fuchsiaspindle.wire.proto.SharedInstance> 
-      getInstancesList();
+  java.util.List<org.fuchsiaspindle.wire.proto.InstanceRow> 
+      getRowsList();
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
-  org.fuchsiaspindle.wire.proto.SharedInstance getInstances(int index);
+  org.fuchsiaspindle.wire.proto.InstanceRow getRows(int index);
   /**
-   * <code>repeated .org.fuchsiaspindle.wire.SharedInstance instances = 1;</code>
+   * <code>repeated .org.fuchsiaspindle.wire.InstanceRow rows = 1;</code>
    */
-  int getInstancesCount();
+  int getRowsCount();
 }
