Decide in core whether a request may be the reason of a crash, and name harmless parts plainly

The project's TokenBucket takes the place of another limiter in PromptGuard, and what it remembers of reports is also pruned while it sends none. Harmless in place of sound.

--- a/core/src/main/java/org/fuchsiaspindle/core/prompt/PromptQuarantine.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/prompt/PromptQuarantine.java
@@ -26,7 +26,7 @@
  * crashing target share parts as well; answers elsewhere clear those parts. If several parts
  * explain crashes, the one deepest in the prompts is chosen, because it is part of the fewest
  * requests. All gateways receive the same crashes, and tell each other of suspected parts that they
- * know to be sound.
+ * know to be harmless.
  *
  * <p>A quarantine ends after some time, so that requests are served again after the targets were
  * repaired; a single crash then renews it for twice the time. Not thread-safe; times are monotonic
@@ -49,7 +49,7 @@
     /** Reports of several gateways within this time are about the same crash of a target. */
     static final Duration SAME_CRASH_TIME = Duration.ofSeconds(1);
 
-    /** Time in which other gateways can report parts of a crash as sound before it counts. */
+    /** Time in which other gateways can report parts of a crash as harmless before it counts. */
     public static final Duration DECISION_DELAY = Duration.ofMillis(250);
 
     /** An answer also clears a part of the crashes that follow within this time. */
@@ -152,8 +152,8 @@
         }
     }
 
-    /** Returns a report without the parts that this gateway knows to be sound. */
-    public TargetCrash withoutSoundParts(TargetCrash report, long now) {
+    /** Returns a report without the parts that this gateway knows to be harmless. */
+    public TargetCrash withoutHarmlessParts(TargetCrash report, long now) {
         return new TargetCrash(
                 report.service(),
                 report.target(),
@@ -170,8 +170,8 @@
                 .collect(ImmutableList.toImmutableList());
     }
 
-    /** Returns the parts of a report that this gateway knows to be sound. */
-    public ImmutableSet<PromptPart> soundParts(TargetCrash report, long now) {
+    /** Returns the parts of a report that this gateway knows to be harmless. */
+    public ImmutableSet<PromptPart> harmlessParts(TargetCrash report, long now) {
         return report.suspects().stream()
                 .flatMap(Collection::stream)
                 .map(id -> new PromptPart(report.service(), id))
@@ -192,13 +192,13 @@
             if (isSuspected(part)) {
                 cleared.add(part);
             }
-            recordSound(part, now);
+            recordHarmless(part, now);
         }
         return cleared.build();
     }
 
-    /** Records that some gateway knows a part to be sound. */
-    public void recordSound(PromptPart part, long now) {
+    /** Records that some gateway knows a part to be harmless. */
+    public void recordHarmless(PromptPart part, long now) {
         answeredNanos.put(checkNotNull(part, "part"), now);
         quarantines.remove(part);
     }
@@ -303,11 +303,13 @@
         ADOPTED,
         /** The quarantine is known, possibly with an earlier end. */
         KNOWN,
-        /** This gateway knows the part to be sound, which the other gateway must be told. */
+        /** This gateway knows the part to be harmless, which the other gateway must be told. */
         REJECTED
     }
 
-    /** Takes over a quarantine of another gateway, unless this one knows the part to be sound. */
+    /**
+     * Takes over a quarantine of another gateway, unless this one knows the part to be harmless.
+     */
     public Adoption adopt(Quarantine quarantine, long now) {
         checkNotNull(quarantine, "quarantine");
         if (isCleared(quarantine.part(), now)) {
--- a/core/src/test/java/org/fuchsiaspindle/core/prompt/PromptQuarantineTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/prompt/PromptQuarantineTest.java
@@ -8,7 +8,7 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 
-/** Guards against sound prompts that are quarantined, and crashing ones that are not. */
+/** Guards against harmless prompts that are quarantined, and crashing ones that are not. */
 final class PromptQuarantineTest {
 
     private static final String SERVICE = "model";
@@ -24,14 +24,14 @@
         assertThat(isQuarantined("caller", "deadly")).isFalse();
         crash("t3", "caller+deadly");
         assertThat(isQuarantined("other", "deadly")).isTrue();
-        assertThat(isQuarantined("caller", "sound")).isFalse();
+        assertThat(isQuarantined("caller", "harmless")).isFalse();
     }
 
     /** The first part of prompts is part of nearly every request, so of nearly every crash. */
     @Test
     void partThatIsAnsweredElsewhere_isNotQuarantined() {
         for (int i = 0; i < 10; i++) {
-            answered("caller", "sound");
+            answered("caller", "harmless");
             crash("t" + i, "caller+b" + i);
         }
         assertThat(quarantine.active(now)).isEmpty();
@@ -50,9 +50,9 @@
     /** Crashes of all targets at once, as after a loss of power, say nothing about prompts. */
     @Test
     void partThatWasAnsweredJustBeforeAllTargetsCrashed_isNotQuarantined() {
-        answered("caller", "sound");
+        answered("caller", "harmless");
         for (int i = 0; i < 8; i++) {
-            quarantine.recordCrash(report("t" + i, "caller+sound"), now);
+            quarantine.recordCrash(report("t" + i, "caller+harmless"), now);
         }
         passDecisionDelay();
         assertThat(quarantine.evaluate(now)).isEmpty();
@@ -62,7 +62,7 @@
     @Test
     void crashesAtOneMoment_countOnce() {
         for (int i = 0; i < 8; i++) {
-            quarantine.recordCrash(report("t" + i, "caller+sound"), now);
+            quarantine.recordCrash(report("t" + i, "caller+harmless"), now);
         }
         passDecisionDelay();
         assertThat(quarantine.evaluate(now)).isEmpty();
@@ -70,12 +70,12 @@
 
     /** Another gateway knows what this one has not seen. */
     @Test
-    void soundReportOfAnotherGateway_arrivesBeforeTheDecision() {
-        crash("t1", "sound");
-        crash("t2", "sound");
-        quarantine.recordCrash(report("t3", "sound"), now);
+    void harmlessReportOfAnotherGateway_arrivesBeforeTheDecision() {
+        crash("t1", "harmless");
+        crash("t2", "harmless");
+        quarantine.recordCrash(report("t3", "harmless"), now);
         assertThat(quarantine.evaluate(now)).isEmpty();
-        quarantine.recordSound(new PromptPart(SERVICE, "sound"), now + 1);
+        quarantine.recordHarmless(new PromptPart(SERVICE, "harmless"), now + 1);
         passDecisionDelay();
         assertThat(quarantine.evaluate(now)).isEmpty();
     }
@@ -94,7 +94,9 @@
         assertThat(isQuarantined("deadly")).isTrue();
     }
 
-    /** One quarantine explains the crashes, so that no sound neighbour is quarantined as well. */
+    /**
+     * One quarantine explains the crashes, so that no harmless neighbour is quarantined as well.
+     */
     @Test
     void neighboursOfAQuarantinedPart_areNotQuarantined() {
         for (int i = 0; i < 6; i++) {
@@ -115,7 +117,7 @@
         }
         assertThat(isQuarantined("caller", "first")).isTrue();
         assertThat(isQuarantined("caller", "second")).isTrue();
-        assertThat(isQuarantined("caller", "sound")).isFalse();
+        assertThat(isQuarantined("caller", "harmless")).isFalse();
     }
 
     @Test
@@ -169,9 +171,10 @@
     @Test
     void report_leavesOutPartsThatAreAnsweredHere() {
         answered("caller");
-        TargetCrash report = quarantine.withoutSoundParts(report("t1", "caller+b", "caller"), now);
+        TargetCrash report =
+                quarantine.withoutHarmlessParts(report("t1", "caller+b", "caller"), now);
         assertThat(report.suspects()).containsExactly(ImmutableList.of("b"));
-        assertThat(quarantine.soundParts(report("t1", "caller+b"), now))
+        assertThat(quarantine.harmlessParts(report("t1", "caller+b"), now))
                 .containsExactly(new PromptPart(SERVICE, "caller"));
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
@@ -502,7 +502,7 @@
                 case VIEW_REQUEST ->
                         PeerChannels.send(channel, viewExchange.answer(frame.getViewRequest()));
                 case VIEW -> viewExchange.apply(frame.getView());
-                case PROMPT_CRASH, SOUND_PROMPT_PARTS, PROMPT_QUARANTINES ->
+                case PROMPT_CRASH, HARMLESS_PROMPT_PARTS, PROMPT_QUARANTINES ->
                         promptListener.onPromptFrame(frame);
                 // A newer version may send frames that this one does not know.
                 case BODY_NOT_SET -> LOG.debug("peer: frame of an unknown type ignored");
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/prompt/PromptCodec.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/prompt/PromptCodec.java
@@ -8,12 +8,12 @@
 import org.fuchsiaspindle.core.prompt.PromptPart;
 import org.fuchsiaspindle.core.prompt.Quarantine;
 import org.fuchsiaspindle.core.prompt.TargetCrash;
+import org.fuchsiaspindle.wire.peer.HarmlessPromptParts;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
 import org.fuchsiaspindle.wire.peer.PromptCrash;
 import org.fuchsiaspindle.wire.peer.PromptParts;
 import org.fuchsiaspindle.wire.peer.PromptQuarantineMessage;
 import org.fuchsiaspindle.wire.peer.PromptQuarantines;
-import org.fuchsiaspindle.wire.peer.SoundPromptParts;
 
 /** Encodes what gateways tell each other about prompts, and decodes it. */
 final class PromptCodec {
@@ -37,14 +37,16 @@
                         .collect(ImmutableList.toImmutableList()));
     }
 
-    static PeerFrame sound(PromptPart part) {
+    static PeerFrame harmless(PromptPart part) {
         return PeerFrame.newBuilder()
-                .setSoundPromptParts(
-                        SoundPromptParts.newBuilder().setService(part.service()).addIds(part.id()))
+                .setHarmlessPromptParts(
+                        HarmlessPromptParts.newBuilder()
+                                .setService(part.service())
+                                .addIds(part.id()))
                 .build();
     }
 
-    static List<PromptPart> decode(SoundPromptParts message) {
+    static List<PromptPart> decode(HarmlessPromptParts message) {
         return message.getIdsList().stream()
                 .map(id -> new PromptPart(message.getService(), id))
                 .toList();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/prompt/PromptGuard.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/prompt/PromptGuard.java
@@ -4,7 +4,6 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
-import com.google.common.util.concurrent.RateLimiter;
 import io.netty.channel.EventLoop;
 import java.time.Duration;
 import java.util.Collection;
@@ -13,6 +12,7 @@
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.limit.TokenBucket;
 import org.fuchsiaspindle.core.prompt.PromptPart;
 import org.fuchsiaspindle.core.prompt.PromptQuarantine;
 import org.fuchsiaspindle.core.prompt.Quarantine;
@@ -26,7 +26,7 @@
 /**
  * Keeps requests with prompt parts that crash targets from all targets.
  *
- * <p>Gateways tell each other of crashes, and of suspected parts that they know to be sound. A
+ * <p>Gateways tell each other of crashes, and of suspected parts that they know to be harmless. A
  * gateway that starts learns the quarantines in force from its peers. Confined to the event loop of
  * the request path.
  */
@@ -37,14 +37,16 @@
     /** Bounds what one gateway sends to all others while many targets crash. */
     private static final double MAX_REPORTS_PER_SECOND = 20;
 
+    private static final double MAX_REPORTS_AT_ONCE = 20;
+
     /**
-     * A part is reported as sound after a random part of this time, unless another gateway did so
-     * before.
+     * What all gateways know at the same moment is told after a random part of this time, unless
+     * another one did so before; otherwise each would tell all others.
      */
-    private static final Duration MAX_SOUND_REPORT_DELAY = Duration.ofMillis(100);
+    private static final Duration MAX_DELAY = Duration.ofMillis(100);
 
-    /** Time for which one report that a part is sound is enough. */
-    private static final Duration SOUND_REPORT_VALIDITY = Duration.ofMillis(500);
+    /** Time for which one report that a part is harmless is enough. */
+    private static final Duration HARMLESS_REPORT_VALIDITY = Duration.ofMillis(500);
 
     /** Margin between the last possible report of other gateways and the decision. */
     private static final Duration DECISION_MARGIN = Duration.ofMillis(10);
@@ -54,8 +56,9 @@
     private final EventLoop loop;
     private final GatewayMetrics metrics;
     private final PromptQuarantine quarantine = new PromptQuarantine();
-    private final RateLimiter reportLimiter = RateLimiter.create(MAX_REPORTS_PER_SECOND);
-    private final Map<PromptPart, Long> soundReportedNanos = new HashMap<>();
+    private final TokenBucket reports =
+            TokenBucket.full(MAX_REPORTS_PER_SECOND, MAX_REPORTS_AT_ONCE, System.nanoTime());
+    private final Map<PromptPart, Long> harmlessReportedNanos = new HashMap<>();
     private PeerMesh mesh;
 
     private PromptGuard(EventLoop loop, GatewayMetrics metrics) {
@@ -94,11 +97,11 @@
     public void onCrash(TargetCrash crash) {
         long now = System.nanoTime();
         metrics.countPromptEvent("crash");
-        TargetCrash report = quarantine.withoutSoundParts(crash, now);
+        TargetCrash report = quarantine.withoutHarmlessParts(crash, now);
         if (report.suspects().isEmpty()) {
             return;
         }
-        if (reportLimiter.tryAcquire()) {
+        if (reports.tryTake(now)) {
             mesh.broadcast(PromptCodec.crash(report));
         } else {
             LOG.info("prompt: crash not reported to peers target={}", crash.target());
@@ -137,7 +140,7 @@
         ImmutableSet<PromptPart> cleared =
                 quarantine.recordAnswer(service, promptParts, System.nanoTime());
         if (!cleared.isEmpty()) {
-            reportSound(cleared);
+            reportHarmless(cleared);
         }
     }
 
@@ -147,15 +150,15 @@
         switch (frame.getBodyCase()) {
             case PROMPT_CRASH -> {
                 TargetCrash report = PromptCodec.decode(frame.getPromptCrash());
-                ImmutableSet<PromptPart> sound = quarantine.soundParts(report, now);
-                if (!sound.isEmpty()) {
-                    scheduleSoundReport(sound);
+                ImmutableSet<PromptPart> harmless = quarantine.harmlessParts(report, now);
+                if (!harmless.isEmpty()) {
+                    scheduleHarmlessReport(harmless);
                 }
                 recordCrash(report, now);
             }
-            case SOUND_PROMPT_PARTS ->
-                    PromptCodec.decode(frame.getSoundPromptParts())
-                            .forEach(part -> recordSound(part, now));
+            case HARMLESS_PROMPT_PARTS ->
+                    PromptCodec.decode(frame.getHarmlessPromptParts())
+                            .forEach(part -> recordHarmless(part, now));
             case PROMPT_QUARANTINES ->
                     PromptCodec.decode(frame.getPromptQuarantines(), now)
                             .forEach(other -> adopt(other, now));
@@ -163,9 +166,9 @@
         }
     }
 
-    private void recordSound(PromptPart part, long now) {
-        soundReportedNanos.put(part, now);
-        quarantine.recordSound(part, now);
+    private void recordHarmless(PromptPart part, long now) {
+        harmlessReportedNanos.put(part, now);
+        quarantine.recordHarmless(part, now);
     }
 
     private void adopt(Quarantine other, long now) {
@@ -178,7 +181,7 @@
                         other.part().id(),
                         other.duration().toSeconds());
             }
-            case REJECTED -> scheduleSoundReport(ImmutableSet.of(other.part()));
+            case REJECTED -> scheduleHarmlessReport(ImmutableSet.of(other.part()));
             case KNOWN -> {}
             default -> throw new AssertionError(other);
         }
@@ -193,26 +196,35 @@
         }
     }
 
-    private void scheduleSoundReport(ImmutableSet<PromptPart> parts) {
-        long delayMillis = ThreadLocalRandom.current().nextLong(MAX_SOUND_REPORT_DELAY.toMillis());
-        loop.schedule(() -> reportSound(parts), delayMillis, TimeUnit.MILLISECONDS);
+    private void scheduleHarmlessReport(ImmutableSet<PromptPart> parts) {
+        loop.schedule(() -> reportHarmless(parts), randomDelay().toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private static Duration randomDelay() {
+        return Duration.ofMillis(ThreadLocalRandom.current().nextLong(MAX_DELAY.toMillis()));
     }
 
-    /** Tells all peers that parts are sound, unless another gateway has just done so. */
-    private void reportSound(Collection<PromptPart> parts) {
+    /** Tells all peers that parts are harmless, unless another gateway has just done so. */
+    private void reportHarmless(Collection<PromptPart> parts) {
         long now = System.nanoTime();
-        soundReportedNanos
-                .values()
-                .removeIf(nanos -> now - nanos > SOUND_REPORT_VALIDITY.toNanos());
+        removeOldReports(now);
         for (PromptPart part : parts) {
-            if (soundReportedNanos.putIfAbsent(part, now) == null) {
-                metrics.countPromptEvent("sound_reported");
-                mesh.broadcast(PromptCodec.sound(part));
+            if (harmlessReportedNanos.putIfAbsent(part, now) == null) {
+                metrics.countPromptEvent("reported_harmless");
+                mesh.broadcast(PromptCodec.harmless(part));
             }
         }
     }
 
+    private void removeOldReports(long now) {
+        harmlessReportedNanos
+                .values()
+                .removeIf(nanos -> now - nanos > HARMLESS_REPORT_VALIDITY.toNanos());
+    }
+
     private void removeExpired() {
-        quarantine.removeExpired(System.nanoTime());
+        long now = System.nanoTime();
+        quarantine.removeExpired(now);
+        removeOldReports(now);
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -5,8 +5,8 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
-import java.time.Duration;
 import java.util.function.Supplier;
+import org.fuchsiaspindle.core.prompt.CrashSuspicion;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
@@ -23,12 +23,6 @@
  */
 public final class TargetCall {
 
-    /**
-     * Time for which a target must go on after the start of a response to prove that the request
-     * does not crash it.
-     */
-    private static final Duration PROOF_TIME = Duration.ofMillis(250);
-
     private final TargetFleet fleet;
     private final TargetState target;
     private final SlotLease lease;
@@ -40,9 +34,7 @@
     private TargetResponse response;
     private boolean sent;
     private boolean ended;
-    private boolean answering;
-    private long firstDataNanos;
-    private boolean proved;
+    private final CrashSuspicion suspicion = new CrashSuspicion();
 
     TargetCall(
             TargetFleet fleet,
@@ -114,9 +106,9 @@
         return description;
     }
 
-    /** Returns whether the target went on running after it had started the response. */
-    boolean isProved() {
-        return proved;
+    /** Returns whether the request may be the reason if the target has crashed. */
+    boolean isCrashSuspect() {
+        return suspicion.isSuspect();
     }
 
     long createdNanos() {
@@ -185,23 +177,14 @@
         @Override
         public void onData(ByteBuf data) {
             fleet.dataReceived(target);
-            recordAnswering();
+            if (suspicion.recordData(System.nanoTime())) {
+                fleet.answered(TargetCall.this);
+            }
             if (!ended) {
                 listener.onData(data);
             }
         }
 
-        private void recordAnswering() {
-            long now = System.nanoTime();
-            if (!answering) {
-                answering = true;
-                firstDataNanos = now;
-            } else if (!proved && now - firstDataNanos > PROOF_TIME.toNanos()) {
-                proved = true;
-                fleet.answered(TargetCall.this);
-            }
-        }
-
         @Override
         public void onComplete() {
             if (connection.isIdle()) {
@@ -209,7 +192,7 @@
                 target.returnToPool(connection);
             }
             target.health().responseCompleted();
-            if (!proved && response.meaning() == TargetResponse.Meaning.SUCCESS) {
+            if (response.meaning() == TargetResponse.Meaning.SUCCESS && suspicion.recordSuccess()) {
                 fleet.answered(TargetCall.this);
             }
             if (end(outcome(response.meaning()))) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -187,7 +187,7 @@
 
     /** Handles the loss of the connection of a call whose response was not complete. */
     void connectionLost(TargetCall call) {
-        if (!call.isProved()) {
+        if (call.isCrashSuspect()) {
             crashDetector.connectionLost(call.instance(), call.description());
         }
     }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SoundPromptParts.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/HarmlessPromptParts.java
@@ -10,15 +10,15 @@
  * Tells that targets answered requests whose prompts have these parts.
  * </pre>
  *
- * Protobuf type {@code org.fuchsiaspindle.wire.peer.SoundPromptParts}
+ * Protobuf type {@code org.fuchsiaspindle.wire.peer.HarmlessPromptParts}
  */
 @com.google.protobuf.Generated
-public  final class SoundPromptParts extends
+public  final class HarmlessPromptParts extends
     com.google.protobuf.GeneratedMessageLite<
-        SoundPromptParts, SoundPromptParts.Builder> implements
-    // @@protoc_insertion_point(message_implements:org.fuchsiaspindle.wire.peer.SoundPromptParts)
-    SoundPromptPartsOrBuilder {
-  private SoundPromptParts() {
+        HarmlessPromptParts, HarmlessPromptParts.Builder> implements
+    // @@protoc_insertion_point(message_implements:org.fuchsiaspindle.wire.peer.HarmlessPromptParts)
+    HarmlessPromptPartsOrBuilder {
+  private HarmlessPromptParts() {
     service_ = "";
     ids_ = emptyProtobufList();
   }
@@ -162,50 +162,50 @@
     ids_.add(value.toStringUtf8());
   }
 
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data);
   }
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseFrom(
       java.nio.ByteBuffer data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data, extensionRegistry);
   }
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseFrom(
       com.google.protobuf.ByteString data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data);
   }
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseFrom(
       com.google.protobuf.ByteString data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data, extensionRegistry);
   }
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseFrom(byte[] data)
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseFrom(byte[] data)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data);
   }
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseFrom(
       byte[] data,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws com.google.protobuf.InvalidProtocolBufferException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, data, extensionRegistry);
   }
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseFrom(java.io.InputStream input)
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseFrom(java.io.InputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, input);
   }
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -213,24 +213,24 @@
         DEFAULT_INSTANCE, input, extensionRegistry);
   }
 
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseDelimitedFrom(java.io.InputStream input)
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseDelimitedFrom(java.io.InputStream input)
       throws java.io.IOException {
     return parseDelimitedFrom(DEFAULT_INSTANCE, input);
   }
 
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseDelimitedFrom(
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseDelimitedFrom(
       java.io.InputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
     return parseDelimitedFrom(DEFAULT_INSTANCE, input, extensionRegistry);
   }
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseFrom(
       com.google.protobuf.CodedInputStream input)
       throws java.io.IOException {
     return com.google.protobuf.GeneratedMessageLite.parseFrom(
         DEFAULT_INSTANCE, input);
   }
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts parseFrom(
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts parseFrom(
       com.google.protobuf.CodedInputStream input,
       com.google.protobuf.ExtensionRegistryLite extensionRegistry)
       throws java.io.IOException {
@@ -241,7 +241,7 @@
   public static Builder newBuilder() {
     return (Builder) DEFAULT_INSTANCE.createBuilder();
   }
-  public static Builder newBuilder(org.fuchsiaspindle.wire.peer.SoundPromptParts prototype) {
+  public static Builder newBuilder(org.fuchsiaspindle.wire.peer.HarmlessPromptParts prototype) {
     return DEFAULT_INSTANCE.createBuilder(prototype);
   }
 
@@ -250,14 +250,14 @@
    * Tells that targets answered requests whose prompts have these parts.
    * </pre>
    *
-   * Protobuf type {@code org.fuchsiaspindle.wire.peer.SoundPromptParts}
+   * Protobuf type {@code org.fuchsiaspindle.wire.peer.HarmlessPromptParts}
    */
   public static final class Builder extends
       com.google.protobuf.GeneratedMessageLite.Builder<
-        org.fuchsiaspindle.wire.peer.SoundPromptParts, Builder> implements
-      // @@protoc_insertion_point(builder_implements:org.fuchsiaspindle.wire.peer.SoundPromptParts)
-      org.fuchsiaspindle.wire.peer.SoundPromptPartsOrBuilder {
-    // Construct using org.fuchsiaspindle.wire.peer.SoundPromptParts.newBuilder()
+        org.fuchsiaspindle.wire.peer.HarmlessPromptParts, Builder> implements
+      // @@protoc_insertion_point(builder_implements:org.fuchsiaspindle.wire.peer.HarmlessPromptParts)
+      org.fuchsiaspindle.wire.peer.HarmlessPromptPartsOrBuilder {
+    // Construct using org.fuchsiaspindle.wire.peer.HarmlessPromptParts.newBuilder()
     private Builder() {
       super(DEFAULT_INSTANCE);
     }
@@ -404,7 +404,7 @@
       return this;
     }
 
-    // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.SoundPromptParts)
+    // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.HarmlessPromptParts)
   }
   @java.lang.Override
   @java.lang.SuppressWarnings({"ThrowNull"})
@@ -413,7 +413,7 @@
       java.lang.Object arg0, java.lang.Object arg1) {
     switch (method) {
       case NEW_MUTABLE_INSTANCE: {
-        return new org.fuchsiaspindle.wire.peer.SoundPromptParts();
+        return new org.fuchsiaspindle.wire.peer.HarmlessPromptParts();
       }
       case NEW_BUILDER: {
         return new Builder();
@@ -432,13 +432,13 @@
         return DEFAULT_INSTANCE;
       }
       case GET_PARSER: {
-        com.google.protobuf.Parser<org.fuchsiaspindle.wire.peer.SoundPromptParts> parser = PARSER;
+        com.google.protobuf.Parser<org.fuchsiaspindle.wire.peer.HarmlessPromptParts> parser = PARSER;
         if (parser == null) {
-          synchronized (org.fuchsiaspindle.wire.peer.SoundPromptParts.class) {
+          synchronized (org.fuchsiaspindle.wire.peer.HarmlessPromptParts.class) {
             parser = PARSER;
             if (parser == null) {
               parser =
-                  new DefaultInstanceBasedParser<org.fuchsiaspindle.wire.peer.SoundPromptParts>(
+                  new DefaultInstanceBasedParser<org.fuchsiaspindle.wire.peer.HarmlessPromptParts>(
                       DEFAULT_INSTANCE);
               PARSER = parser;
             }
@@ -458,24 +458,24 @@
   }
 
 
-  // @@protoc_insertion_point(class_scope:org.fuchsiaspindle.wire.peer.SoundPromptParts)
-  private static final org.fuchsiaspindle.wire.peer.SoundPromptParts DEFAULT_INSTANCE;
+  // @@protoc_insertion_point(class_scope:org.fuchsiaspindle.wire.peer.HarmlessPromptParts)
+  private static final org.fuchsiaspindle.wire.peer.HarmlessPromptParts DEFAULT_INSTANCE;
   static {
-    SoundPromptParts defaultInstance = new SoundPromptParts();
+    HarmlessPromptParts defaultInstance = new HarmlessPromptParts();
     // New instances are implicitly immutable so no need to make
     // immutable.
     DEFAULT_INSTANCE = defaultInstance;
     com.google.protobuf.GeneratedMessageLite.registerDefaultInstance(
-      SoundPromptParts.class, defaultInstance);
+      HarmlessPromptParts.class, defaultInstance);
   }
 
-  public static org.fuchsiaspindle.wire.peer.SoundPromptParts getDefaultInstance() {
+  public static org.fuchsiaspindle.wire.peer.HarmlessPromptParts getDefaultInstance() {
     return DEFAULT_INSTANCE;
   }
 
-  private static volatile com.google.protobuf.Parser<SoundPromptParts> PARSER;
+  private static volatile com.google.protobuf.Parser<HarmlessPromptParts> PARSER;
 
-  public static com.google.protobuf.Parser<SoundPromptParts> parser() {
+  public static com.google.protobuf.Parser<HarmlessPromptParts> parser() {
     return DEFAULT_INSTANCE.getParserForType();
   }
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SoundPromptPartsOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/HarmlessPromptPartsOrBuilder.java
@@ -6,8 +6,8 @@
 package org.fuchsiaspindle.wire.peer;
 
 @com.google.protobuf.Generated
-public interface SoundPromptPartsOrBuilder extends
-    // @@protoc_insertion_point(interface_extends:org.fuchsiaspindle.wire.peer.SoundPromptParts)
+public interface HarmlessPromptPartsOrBuilder extends
+    // @@protoc_insertion_point(interface_extends:org.fuchsiaspindle.wire.peer.HarmlessPromptParts)
     com.google.protobuf.MessageLiteOrBuilder {
 
   /**
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrame.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrame.java
@@ -38,7 +38,7 @@
     SILENCE_REPORT(13),
     COORDINATOR_CHECK(14),
     PROMPT_CRASH(15),
-    SOUND_PROMPT_PARTS(16),
+    HARMLESS_PROMPT_PARTS(16),
     PROMPT_QUARANTINES(17),
     REQUEST_LIMIT_REPORT(18),
     BODY_NOT_SET(0);
@@ -70,7 +70,7 @@
         case 13: return SILENCE_REPORT;
         case 14: return COORDINATOR_CHECK;
         case 15: return PROMPT_CRASH;
-        case 16: return SOUND_PROMPT_PARTS;
+        case 16: return HARMLESS_PROMPT_PARTS;
         case 17: return PROMPT_QUARANTINES;
         case 18: return REQUEST_LIMIT_REPORT;
         case 0: return BODY_NOT_SET;
@@ -794,40 +794,40 @@
     }
   }
 
-  public static final int SOUND_PROMPT_PARTS_FIELD_NUMBER = 16;
+  public static final int HARMLESS_PROMPT_PARTS_FIELD_NUMBER = 16;
   /**
-   * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
+   * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
    */
   @java.lang.Override
-  public boolean hasSoundPromptParts() {
+  public boolean hasHarmlessPromptParts() {
     return bodyCase_ == 16;
   }
   /**
-   * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
+   * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
    */
   @java.lang.Override
-  public org.fuchsiaspindle.wire.peer.SoundPromptParts getSoundPromptParts() {
+  public org.fuchsiaspindle.wire.peer.HarmlessPromptParts getHarmlessPromptParts() {
     if (bodyCase_ == 16) {
-       return (org.fuchsiaspindle.wire.peer.SoundPromptParts) body_;
+       return (org.fuchsiaspindle.wire.peer.HarmlessPromptParts) body_;
     }
-    return org.fuchsiaspindle.wire.peer.SoundPromptParts.getDefaultInstance();
+    return org.fuchsiaspindle.wire.peer.HarmlessPromptParts.getDefaultInstance();
   }
   /**
-   * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
+   * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
    */
-  private void setSoundPromptParts(org.fuchsiaspindle.wire.peer.SoundPromptParts value) {
+  private void setHarmlessPromptParts(org.fuchsiaspindle.wire.peer.HarmlessPromptParts value) {
     java.util.Objects.requireNonNull(value);
     body_ = value;
     bodyCase_ = 16;
   }
   /**
-   * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
+   * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
    */
-  private void mergeSoundPromptParts(org.fuchsiaspindle.wire.peer.SoundPromptParts value) {
+  private void mergeHarmlessPromptParts(org.fuchsiaspindle.wire.peer.HarmlessPromptParts value) {
     java.util.Objects.requireNonNull(value);
     if (bodyCase_ == 16 &&
-        body_ != org.fuchsiaspindle.wire.peer.SoundPromptParts.getDefaultInstance()) {
-      body_ = org.fuchsiaspindle.wire.peer.SoundPromptParts.newBuilder((org.fuchsiaspindle.wire.peer.SoundPromptParts) body_)
+        body_ != org.fuchsiaspindle.wire.peer.HarmlessPromptParts.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.HarmlessPromptParts.newBuilder((org.fuchsiaspindle.wire.peer.HarmlessPromptParts) body_)
           .mergeFrom(value).buildPartial();
     } else {
       body_ = value;
@@ -835,9 +835,9 @@
     bodyCase_ = 16;
   }
   /**
-   * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
+   * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
    */
-  private void clearSoundPromptParts() {
+  private void clearHarmlessPromptParts() {
     if (bodyCase_ == 16) {
       bodyCase_ = 0;
       body_ = null;
@@ -1730,50 +1730,50 @@
     }
 
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
      */
     @java.lang.Override
-    public boolean hasSoundPromptParts() {
-      return instance.hasSoundPromptParts();
+    public boolean hasHarmlessPromptParts() {
+      return instance.hasHarmlessPromptParts();
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
      */
     @java.lang.Override
-    public org.fuchsiaspindle.wire.peer.SoundPromptParts getSoundPromptParts() {
-      return instance.getSoundPromptParts();
+    public org.fuchsiaspindle.wire.peer.HarmlessPromptParts getHarmlessPromptParts() {
+      return instance.getHarmlessPromptParts();
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
      */
-    public Builder setSoundPromptParts(org.fuchsiaspindle.wire.peer.SoundPromptParts value) {
+    public Builder setHarmlessPromptParts(org.fuchsiaspindle.wire.peer.HarmlessPromptParts value) {
       copyOnWrite();
-      instance.setSoundPromptParts(value);
+      instance.setHarmlessPromptParts(value);
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
      */
-    public Builder setSoundPromptParts(
-        org.fuchsiaspindle.wire.peer.SoundPromptParts.Builder builderForValue) {
+    public Builder setHarmlessPromptParts(
+        org.fuchsiaspindle.wire.peer.HarmlessPromptParts.Builder builderForValue) {
       copyOnWrite();
-      instance.setSoundPromptParts(builderForValue.build());
+      instance.setHarmlessPromptParts(builderForValue.build());
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
      */
-    public Builder mergeSoundPromptParts(org.fuchsiaspindle.wire.peer.SoundPromptParts value) {
+    public Builder mergeHarmlessPromptParts(org.fuchsiaspindle.wire.peer.HarmlessPromptParts value) {
       copyOnWrite();
-      instance.mergeSoundPromptParts(value);
+      instance.mergeHarmlessPromptParts(value);
       return this;
     }
     /**
-     * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
+     * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
      */
-    public Builder clearSoundPromptParts() {
+    public Builder clearHarmlessPromptParts() {
       copyOnWrite();
-      instance.clearSoundPromptParts();
+      instance.clearHarmlessPromptParts();
       return this;
     }
 
@@ -1905,7 +1905,7 @@
             org.fuchsiaspindle.wire.peer.SilenceReport.class,
             org.fuchsiaspindle.wire.peer.CoordinatorCheck.class,
             org.fuchsiaspindle.wire.peer.PromptCrash.class,
-            org.fuchsiaspindle.wire.peer.SoundPromptParts.class,
+            org.fuchsiaspindle.wire.peer.HarmlessPromptParts.class,
             org.fuchsiaspindle.wire.peer.PromptQuarantines.class,
             org.fuchsiaspindle.wire.peer.RequestLimitReport.class,
           };
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrameOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrameOrBuilder.java
@@ -165,15 +165,15 @@
   org.fuchsiaspindle.wire.peer.PromptCrash getPromptCrash();
 
   /**
-   * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
-   * @return Whether the soundPromptParts field is set.
+   * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
+   * @return Whether the harmlessPromptParts field is set.
    */
-  boolean hasSoundPromptParts();
+  boolean hasHarmlessPromptParts();
   /**
-   * <code>.org.fuchsiaspindle.wire.peer.SoundPromptParts sound_prompt_parts = 16;</code>
-   * @return The soundPromptParts.
+   * <code>.org.fuchsiaspindle.wire.peer.HarmlessPromptParts harmless_prompt_parts = 16;</code>
+   * @return The harmlessPromptParts.
    */
-  org.fuchsiaspindle.wire.peer.SoundPromptParts getSoundPromptParts();
+  org.fuchsiaspindle.wire.peer.HarmlessPromptParts getHarmlessPromptParts();
 
   /**
    * <code>.org.fuchsiaspindle.wire.peer.PromptQuarantines prompt_quarantines = 17;</code>
