Let one gateway tell all others of a quarantine instead of each

The decision now comes a random time up to 100 ms later, as reports of harmless parts do; who hears of the quarantine before needs not decide. PromptPartCrashTest passes.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/prompt/PromptGuard.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/prompt/PromptGuard.java
@@ -111,7 +111,7 @@
 
     private void recordCrash(TargetCrash report, long now) {
         quarantine.recordCrash(report, now);
-        Duration delay = PromptQuarantine.DECISION_DELAY.plus(DECISION_MARGIN);
+        Duration delay = PromptQuarantine.DECISION_DELAY.plus(DECISION_MARGIN).plus(randomDelay());
         loop.schedule(this::decide, delay.toMillis(), TimeUnit.MILLISECONDS);
     }
 
