Wait for conditions instead of sleeping in the tests of faulty targets

Verdicts of EndlessBytesTest, FaultyAnswersTest, LeavingTargetTest and PromptPartCrashTest rested on sleeps until a target was known, or until something had not happened. A new gauge, fuchsiaspindle_targets, tells how many targets a gateway knows that accept requests, which operators want as well; the tests wait for it, for runs at the engines, and for a later job. The checks are the same.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -134,6 +134,7 @@
         HostAndPort statusAddress = required(settings.readinessAddress(), "listen.readiness");
         slots.start(mesh, fleet);
         promptGuard.start(mesh);
+        metrics.observeTargets(fleet::openTargets);
         fleet.start(slots::reportSilence, slots::reportRequestLimit);
         viewHolder.addListener(view -> requestLoop.execute(() -> apply(view.directory())));
         ConfigWatch.start(storeLoop, storeClient, storeHealth, viewHolder);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -124,6 +124,11 @@
                 .map(TargetState::instance);
     }
 
+    /** Returns the number of targets that are registered and accept new requests. */
+    public int openTargets() {
+        return (int) targets.values().stream().filter(TargetState::isOpen).count();
+    }
+
     @Override
     public OptionalDouble requestLimit(String id) {
         TargetState state = targets.get(id);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
@@ -1,12 +1,14 @@
 package org.fuchsiaspindle.gateway.telemetry;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.function.IntSupplier;
 import org.fuchsiaspindle.core.error.ResultCode;
 
 /** The Prometheus metrics of a gateway; thread-safe. */
@@ -96,6 +98,18 @@
         prompts.labelValues(event).inc();
     }
 
+    /**
+     * Sets the source of the number of targets that accept new requests; read on the thread that
+     * serves the metrics.
+     */
+    public void observeTargets(IntSupplier targets) {
+        GaugeWithCallback.builder()
+                .name("fuchsiaspindle_targets")
+                .help("Targets that accept new requests.")
+                .callback(callback -> callback.call(targets.getAsInt()))
+                .register(registry);
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public byte[] text() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/EndlessBytesTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/EndlessBytesTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.await;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitReady;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitTargets;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.headers;
 
@@ -185,7 +186,7 @@
     private void startServer(String service, String start, String filler) throws Exception {
         server = EndlessServer.start(SERVER_IP, start, filler);
         platform.store().put("servers", "endless", server.registration(service, SERVER_IP));
-        Thread.sleep(700);
+        awaitTargets(platform, 2);
     }
 
     private Response call(String path, String id) throws IOException {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/FaultyAnswersTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/FaultyAnswersTest.java
@@ -6,6 +6,7 @@
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.UNSAFE;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.await;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitReady;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitTargets;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.headers;
 
@@ -38,6 +39,7 @@
     private final List<String> runs = new CopyOnWriteArrayList<>();
     private BlockingHttpServer server;
     private String ip;
+    private int soundTargets = 1;
 
     @BeforeEach
     void startPlatform() throws Exception {
@@ -177,6 +179,7 @@
     @Test
     void unsafeAnswerThatEndsWithItsConnection_isWhole() throws Exception {
         platform.store().remove("servers", "plain-ready");
+        soundTargets = 0;
         startServer(
                 "plain",
                 (request, connection) -> {
@@ -253,13 +256,15 @@
     }
 
     private void startServer(String service, Handler handler) throws Exception {
+        platform.store().remove("servers", "faulty");
+        awaitTargets(platform, soundTargets);
         server = BlockingHttpServer.start(SERVER_IP, 0, handler);
         String registration =
                 ("{\"service\":\"%s\",\"address\":\"%s:%d\",\"zone\":\"zone-a\",\"slots\":4,"
                                 + "\"state\":\"ready\",\"born\":1}")
                         .formatted(service, SERVER_IP, server.port());
         platform.store().put("servers", "faulty", registration.getBytes(StandardCharsets.UTF_8));
-        Thread.sleep(700);
+        awaitTargets(platform, soundTargets + 1);
     }
 
     /** Gives what was written the time to arrive before a reset discards it. */
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayFixture.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayFixture.java
@@ -56,6 +56,13 @@
         return ips;
     }
 
+    /** Waits until the gateways together know a number of targets that accept requests. */
+    static void awaitTargets(PlatformEmulator platform, int targets) throws Exception {
+        await(
+                targets + " targets known",
+                () -> platform.metric("fuchsiaspindle_targets") == targets);
+    }
+
     /** Waits until a condition is met; the failure message contains the description. */
     static void await(String description, Callable<Boolean> condition) throws Exception {
         await(description, Duration.ofSeconds(15), condition);
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/LeavingTargetTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/LeavingTargetTest.java
@@ -4,6 +4,7 @@
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.STREAM;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.await;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitReady;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitTargets;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.headers;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.streamHeaders;
@@ -91,8 +92,9 @@
     }
 
     private void startOther() throws Exception {
+        int targets = (int) platform.metric("fuchsiaspindle_targets");
         other = platform.addEngine("engine-2", "model", 4, Duration.ofMillis(5));
-        Thread.sleep(700);
+        awaitTargets(platform, targets + 1);
     }
 
     private Response stream(String id) throws IOException {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/PromptPartCrashTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/PromptPartCrashTest.java
@@ -113,15 +113,17 @@
                     String id = "round-" + round + "-" + i;
                     running.add(threads.submit(() -> stream(ip, id, "b1")));
                 }
-                Thread.sleep(30);
+                await(
+                        "half of the requests run",
+                        () -> engines.stream().mapToInt(EngineEmulator::active).sum() >= ENGINES);
                 engines.forEach(engine -> engine.crash(Duration.ofMillis(300)));
                 for (Future<Response> response : running) {
                     response.get();
                 }
-                Thread.sleep(1200);
-                for (int i = 0; i < GATEWAYS; i++) {
-                    String id = "after-" + round + "-" + i;
-                    assertThat(stream(gateways.get(i), id, "b1").status()).isEqualTo(200);
+                for (String ip : gateways) {
+                    String id = "after-" + round + "-" + ip;
+                    // A quarantine would last far longer than this wait.
+                    await("served by " + ip, () -> stream(ip, id, "b1").status() == 200);
                 }
             }
         }
@@ -132,23 +134,25 @@
     void batchItemsWithThePart_waitWhileOthersComplete() throws Exception {
         crashUntilRefused();
         int crashes = crashCount();
-        String submission =
-                EmulatorJobs.submission(item("item-1", "b1"), item("item-2", CRASHING_PART));
-        assertThat(
-                        platform.client(gateways.getFirst())
-                                .call(
-                                        "POST",
-                                        GatewayFixture.BATCH + "x",
-                                        GatewayFixture.headers("job-1"),
-                                        submission)
-                                .status())
-                .isEqualTo(202);
+        submit("job-1", item("item-1", "b1"), item("item-2", CRASHING_PART));
         await("the other item completed", () -> results("job-1").contains("completed"));
-        Thread.sleep(1000);
+        submit("job-2", item("item-3", "b1"));
+        await("an item of a later job completed", () -> results("job-2").contains("completed"));
         assertThat(results("job-1")).contains("item-1").doesNotContain("dead_letter");
         assertThat(crashCount()).isEqualTo(crashes);
     }
 
+    private void submit(String job, String... items) throws Exception {
+        Response response =
+                platform.client(gateways.getFirst())
+                        .call(
+                                "POST",
+                                GatewayFixture.BATCH + "x",
+                                GatewayFixture.headers(job),
+                                EmulatorJobs.submission(items));
+        assertThat(response.status()).isEqualTo(202);
+    }
+
     private static String item(String id, String middlePart) {
         return EmulatorJobs.item(
                 id, Map.of("X-Events", "3", "Prompt-Prefix", prompt(id, middlePart)));
