--- a/cli/src/main/java/org/fuchsiaspindle/cli/OutcomeDescriptions.java
+++ b/cli/src/main/java/org/fuchsiaspindle/cli/OutcomeDescriptions.java
@@ -33,6 +33,7 @@
             case "completed" -> "The item completed; its result is listed once it is stored.";
             case "given_up" -> "The item was abandoned: " + reason + ".";
             case "again" -> "The item was interrupted and will be retried.";
+            case "waiting" -> "The item waits: " + reason + ".";
             case "accepted" -> "The job is stored, and its items are being run.";
             case "dropped" -> "This process no longer runs the job: " + reason + ".";
             case "open" -> "It is unknown whether the job was stored; the client resubmits it.";
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -36,6 +36,7 @@
     private OptionalLong lastEvent = OptionalLong.empty();
     private TargetCall call;
     private boolean completed;
+    private boolean quarantined;
     private long startedNanos;
     private long lastEventAtStart;
     private long earliestStartNanos = System.nanoTime();
@@ -66,6 +67,13 @@
         return promptParts;
     }
 
+    /** Sets whether a prompt part keeps the item from targets; returns whether it does now anew. */
+    boolean setQuarantined(boolean newQuarantined) {
+        boolean isNew = newQuarantined && !quarantined;
+        quarantined = newQuarantined;
+        return isNew;
+    }
+
     TargetCall call() {
         return call;
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -355,7 +355,15 @@
 
     /** Returns whether a prompt part keeps an item from targets; it then waits. */
     private boolean isQuarantined(ItemRun run, String service) {
-        return promptGuard.quarantine(service, run.promptParts()).isPresent();
+        Optional<Duration> remaining = promptGuard.quarantine(service, run.promptParts());
+        if (run.setQuarantined(remaining.isPresent())) {
+            DecisionLog.batch(
+                    run.job().id(),
+                    run.item().id(),
+                    "waiting",
+                    "PROMPT_QUARANTINED for " + remaining.orElseThrow().toSeconds() + "s");
+        }
+        return remaining.isPresent();
     }
 
     /** Starts the most urgent item of a service in a granted slot, if there is one. */
