--- a/review/standins/Fleet.java
+++ b/review/standins/Fleet.java
@@ -3,16 +3,18 @@
 import java.io.File;
 import java.io.IOException;
 import java.io.PrintWriter;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /** A small deployment: the store, engines, and gateways as processes of the deploy file's command. */
@@ -35,6 +37,7 @@
     private final int gatewayCount;
     private final PrintWriter record;
     private final long start = System.nanoTime();
+    private final Set<Integer> ports = new HashSet<>();
 
     public Fleet(int gatewayCount, Path recordFile) throws Exception {
         this.gatewayCount = gatewayCount;
@@ -71,10 +74,17 @@
         System.exit(exit);
     }
 
-    private int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress("127.0.0.11", 0));
-            return socket.getLocalPort();
+    /** Returns a port that no process listens on, outside the range from which the system takes ports by itself. */
+    private int freePort() {
+        while (true) {
+            int port = ThreadLocalRandom.current().nextInt(20_000, 31_000);
+            try (ServerSocket socket = new ServerSocket(port)) {
+                if (ports.add(port)) {
+                    return port;
+                }
+            } catch (IOException taken) {
+                // The next one.
+            }
         }
     }
 
