--- a/review/standins/Fleet.java
+++ b/review/Fleet.java
@@ -20,6 +20,7 @@
 /** A small deployment: the store, engines, and gateways as processes of the deploy file's command. */
 public final class Fleet implements AutoCloseable {
 
+    private static final int BROKEN = 10;
     public static final String HOST = "games.example";
     public static final String[] ZONES = {"zone-a", "zone-b", "zone-c"};
     private static final String ENGINE_SETTINGS = "\"engine\":{\"slots\":8,\"kvCapacity\":101495}";
@@ -71,7 +72,8 @@
         } catch (Exception failure) {
             System.err.println("at the end: " + failure);
         }
-        System.exit(exit);
+        // A JVM that fails by itself ends with 1, so a broken rule has a code of its own; run.sh makes 1 of it.
+        System.exit(exit == 1 ? BROKEN : exit);
     }
 
     /** Returns a port that no process listens on, outside the range from which the system takes ports by itself. */
