Keep accepted batch items on the route that accepted them

Cause: ItemSchedule.route looked the route up again by host and path. The added route has the longer prefix and is no batch route, so the result was empty, which JobRunner.abandonIfExpired takes for a removed route after a grace of 3 s. Hypotheses were: the route is looked up by path; the new version is decoded without the batch route; the items fail at engines. The log of the case tells them apart: reason=route removed on all of them, the gateways still accept submissions on the batch route, no failure before.

Change: ServingConfig.batchRoute finds the route by the name stored with the job. A batch route that covers the path takes over only if none has the name any more, so that a renamed route abandons nothing, and a removed one still ends its items. The log now names the route, the path and the version when a route is missing, which the log of the case did not say.

GatewayBatchTest.routeAddedBelowTheBatchRoute_* failed before the change (8 dead letters without text in place of 8 texts) and passes now, with the other tests of the class and ServingConfigTest.

--- a/core/src/main/java/org/fuchsiaspindle/core/serving/ServingConfig.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/ServingConfig.java
@@ -67,6 +67,33 @@
         return Optional.empty();
     }
 
+    /**
+     * Returns the route of accepted batch work in this version, empty if it was removed.
+     *
+     * <p>Accepted work stays on the route that accepted it, whatever routes are added above or
+     * below its path later. If no batch route has the name any more, the batch route with the
+     * longest prefix that matches the path continues the work, so that a renamed route abandons
+     * nothing.
+     *
+     * @param name the name of the route that accepted the work
+     * @param host the host named by the submission, without a port
+     * @param path the path of the submission without the query
+     */
+    public Optional<Route> batchRoute(String name, String host, String path) {
+        List<Route> batchRoutes =
+                routesByHost.getOrDefault(hostKey(host), List.of()).stream()
+                        .filter(route -> route.kind() == RouteKind.BATCH)
+                        .toList();
+        return batchRoutes.stream()
+                .filter(route -> route.name().equals(name))
+                .findFirst()
+                .or(
+                        () ->
+                                batchRoutes.stream()
+                                        .filter(route -> path.startsWith(route.pathPrefix()))
+                                        .findFirst());
+    }
+
     private static String hostKey(String host) {
         return host.toLowerCase(Locale.ROOT);
     }
--- a/core/src/test/java/org/fuchsiaspindle/core/serving/ServingConfigTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/serving/ServingConfigTest.java
@@ -50,6 +50,55 @@
         assertThatThrownBy(() -> route("bad", "/a", "s")).hasMessageContaining("/a");
     }
 
+    /** Guards against accepted batch work that a route added later takes away from its route. */
+    @Test
+    void batchRoute_isTheOneThatAcceptedTheWork() {
+        Route batch = batchRoute("batch", "/b/");
+        Route below = route("below", "/b/c/", "s");
+        Route otherBatch = batchRoute("other", "/b/c/d/");
+        ServingConfig config =
+                ServingConfig.of(3, List.of(batch, below, otherBatch), ClientLimits.INITIAL);
+        assertThat(config.batchRoute("batch", "H.example", "/b/c/x")).contains(batch);
+        assertThat(config.batchRoute("batch", "H.example", "/b/c/d/x")).contains(batch);
+    }
+
+    /** Guards against accepted batch work that is abandoned because its route was renamed. */
+    @Test
+    void batchRouteWithAnotherName_continuesTheWorkOnItsPath() {
+        Route batch = batchRoute("new-name", "/b/");
+        Route below = route("below", "/b/c/", "s");
+        ServingConfig config = ServingConfig.of(3, List.of(batch, below), ClientLimits.INITIAL);
+        assertThat(config.batchRoute("old-name", "h.example", "/b/c/x")).contains(batch);
+    }
+
+    /** Guards against batch work that runs on although its route was removed. */
+    @Test
+    void removedBatchRoute_isEmpty() {
+        ServingConfig config =
+                ServingConfig.of(
+                        3,
+                        List.of(route("batch", "/b/", "s"), batchRoute("far", "/far/")),
+                        ClientLimits.INITIAL);
+        assertThat(config.batchRoute("batch", "h.example", "/b/x")).isEmpty();
+        assertThat(config.batchRoute("far", "other.example", "/far/x")).isEmpty();
+    }
+
+    private static Route batchRoute(String name, String prefix) {
+        return new Route(
+                name,
+                "h.example",
+                prefix,
+                RouteKind.BATCH,
+                List.of(new WeightedService("s", 1)),
+                Duration.ofSeconds(1),
+                Duration.ofSeconds(1),
+                0,
+                1,
+                false,
+                Optional.of(
+                        new Route.BatchLimits(Duration.ofSeconds(1), Duration.ofSeconds(1), 0)));
+    }
+
     private static Route route(String name, String prefix, String service) {
         return new Route(
                 name,
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemSchedule.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemSchedule.java
@@ -12,7 +12,6 @@
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.serving.BatchDue;
 import org.fuchsiaspindle.core.serving.Route;
-import org.fuchsiaspindle.core.serving.RouteKind;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
 import org.fuchsiaspindle.platform.store.StoreClock;
 
@@ -34,13 +33,12 @@
         durationEstimator.recordRun(run.eventsOfThisRun(), run.timeOfThisRun(now));
     }
 
-    /** Returns the route of a job in the configuration in force, empty if it was removed. */
+    /** Returns the route of a job in the current configuration, empty if it was removed. */
     Optional<Route> route(JobRecord job) {
         return viewHolder
                 .view()
                 .config()
-                .flatMap(config -> config.match(job.host(), job.path()))
-                .filter(route -> route.kind() == RouteKind.BATCH);
+                .flatMap(config -> config.batchRoute(job.route(), job.host(), job.path()));
     }
 
     /** Returns the item that runs next: the one due first and, of several, the most advanced. */
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -273,7 +273,9 @@
     private void abandonIfExpired(OwnedJob job, long now) {
         Optional<Route> route = schedule.route(job.job());
         if (route.isEmpty()) {
-            long sinceNanos = routeMissingSinceNanos.computeIfAbsent(job.id(), id -> now);
+            long sinceNanos =
+                    routeMissingSinceNanos.computeIfAbsent(
+                            job.id(), id -> logMissingRoute(job.job(), now));
             if (viewHolder.view().config().isPresent()
                     && now - sinceNanos > MISSING_ROUTE_GRACE.toNanos()) {
                 abandonUnfinishedItems(job, "route removed");
@@ -292,6 +294,21 @@
         }
     }
 
+    /** Logs that a job has no route in the current configuration, and returns the given time. */
+    private long logMissingRoute(JobRecord job, long now) {
+        LOG.warn(
+                "batch: route missing job={} route={} path={} configVersion={}",
+                job.id(),
+                job.route(),
+                job.path(),
+                viewHolder
+                        .view()
+                        .config()
+                        .map(config -> String.valueOf(config.version()))
+                        .orElse("-"));
+        return now;
+    }
+
     private void abandonUnfinishedItems(OwnedJob job, String reason) {
         for (ItemRun run : job.runs()) {
             if (!run.isFinished()) {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
@@ -18,6 +18,7 @@
 import java.util.Set;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import org.fuchsiaspindle.testbed.emulator.EmulatorClient.Response;
 import org.fuchsiaspindle.testbed.emulator.EngineEmulator.Run;
 import org.junit.jupiter.api.AfterEach;
@@ -274,6 +275,29 @@
         await("not found", () -> call(third, "GET", "/lots/job-x?after=0").status() == 404);
     }
 
+    /** Guards against accepted items that are abandoned because a route is added on their path. */
+    @Test
+    void routeAddedBelowTheBatchRoute_abandonsNoAcceptedItem() throws Exception {
+        String job = "studio/job-r";
+        submit(first, job, submission("job-r", 8, 400));
+        await("items run", () -> engine.active() > 0);
+        platform.configure(
+                Stream.concat(
+                                Stream.of(GatewayFixture.allRoutes()),
+                                Stream.of(
+                                        PlatformEmulator.route(
+                                                "studio",
+                                                BATCH + "studio/",
+                                                "safe",
+                                                "plain",
+                                                2,
+                                                "")))
+                        .toArray(String[]::new));
+        awaitResults(second, "job-r", 8);
+        assertThat(texts(read(second, "job-r", 0).body())).containsAll(expected("job-r", 8, 400));
+        assertThat(plain.ledger()).noneMatch(run -> run.requestId().startsWith("job-r"));
+    }
+
     /** Guards against item bodies that are returned modified, or for a job that does not exist. */
     @Test
     void bodiesOfItems_areReadableAtEveryGateway() throws Exception {
@@ -289,8 +313,10 @@
         assertThat(post(ip, job, body).status()).isEqualTo(202);
     }
 
-    private Response post(String ip, String job, String body) throws Exception {
-        return platform.client(ip).call("POST", BATCH + job, headers(job), body);
+    /** Submits a job; the last segment of its path is its identifier. */
+    private Response post(String ip, String path, String body) throws Exception {
+        String job = path.substring(path.lastIndexOf('/') + 1);
+        return platform.client(ip).call("POST", BATCH + path, headers(job), body);
     }
 
     private Response call(String ip, String method, String path) throws Exception {
