Bound the response heads that agents read from their targets

Report of another operator: an engine sends bytes that are no answer without end; the process that called it runs out of memory.

Looked for: the gateways bound it (EndlessBytesTest, EndlessStoreTest).

Cause: Undertow's client has no limit on the size of a response head, and its read loop does not return while bytes arrive, so no timer of that thread can end the exchange.

Change: TargetClient and TargetExchange use HttpConnection, the client side of the gateways, which has these bounds. The interface to the agent is the same.

--- a/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/ResponseListener.java
+++ b/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/ResponseListener.java
@@ -6,7 +6,7 @@
 import org.fuchsiaspindle.wire.proto.Header;
 
 /**
- * Receives the events of one exchange, in order, on the client's I/O thread; must not block.
+ * Receives the events of one exchange, in order, on the client's event loop; must not block.
  *
  * <p>Exactly one of {@link #onEnd} and {@link #onFailure} is called, unless the exchange is aborted
  * first.
--- a/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/TargetClient.java
+++ b/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/TargetClient.java
@@ -2,29 +2,25 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.UndertowClient;
-import io.undertow.connector.ByteBufferPool;
-import io.undertow.server.DefaultByteBufferPool;
+import com.google.common.net.HostAndPort;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.URI;
-import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.fuchsiaspindle.core.time.Clock;
-import org.xnio.IoUtils;
-import org.xnio.OptionMap;
-import org.xnio.Options;
-import org.xnio.Xnio;
-import org.xnio.XnioIoThread;
-import org.xnio.XnioWorker;
+import org.fuchsiaspindle.platform.channel.HttpConnection;
 
 /**
- * Sends requests to one target over HTTP with a single I/O thread.
+ * Sends requests to one target over HTTP with a single event loop.
  *
  * <p>Thread-safe and non-blocking. A connection is reused only after a complete exchange and within
  * a short idle time: if a target closed an idle connection while a request was being sent on it,
@@ -32,51 +28,41 @@
  */
 public final class TargetClient implements AutoCloseable {
 
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(5);
     private static final Duration MAX_IDLE = Duration.ofSeconds(2);
+    private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
     private static final int MAX_IDLE_CONNECTIONS = 64;
-    private static final int BUFFER_BYTES = 16 * 1024;
+    private static final int DEFAULT_PORT = 80;
 
     private final URI base;
+    private final HostAndPort address;
     private final Clock clock;
-    private final XnioWorker worker;
-    private final XnioIoThread ioThread;
-    private final ByteBufferPool buffers = new DefaultByteBufferPool(false, BUFFER_BYTES);
-    private final ByteBuffer readBuffer = ByteBuffer.allocate(BUFFER_BYTES);
+    private final EventLoopGroup group;
+    private final EventLoop loop;
     private final Deque<IdleConnection> idle = new ArrayDeque<>();
 
-    private record IdleConnection(ClientConnection connection, long sinceNanos) {}
+    private record IdleConnection(HttpConnection connection, long sinceNanos) {}
 
-    private TargetClient(URI base, Clock clock, XnioWorker worker) {
+    private TargetClient(URI base, Clock clock) {
         this.base = base;
+        this.address = HostAndPort.fromString(base.getRawAuthority()).withDefaultPort(DEFAULT_PORT);
         this.clock = clock;
-        this.worker = worker;
-        this.ioThread = worker.getIoThread();
+        this.group =
+                new MultiThreadIoEventLoopGroup(
+                        1,
+                        new DefaultThreadFactory("target-client", true),
+                        NioIoHandler.newFactory());
+        this.loop = group.next();
     }
 
     /**
-     * Creates a client with its I/O thread.
+     * Creates a client with its event loop.
      *
      * @param base base URL of the target, not null
      * @param clock measures the idle time of connections, not null
      */
     public static TargetClient create(URI base, Clock clock) {
-        OptionMap options =
-                OptionMap.builder()
-                        .set(Options.WORKER_IO_THREADS, 1)
-                        .set(Options.WORKER_TASK_CORE_THREADS, 1)
-                        .set(Options.WORKER_TASK_MAX_THREADS, 1)
-                        .set(Options.TCP_NODELAY, true)
-                        .set(Options.THREAD_DAEMON, true)
-                        .set(Options.WORKER_NAME, "target-client")
-                        .getMap();
-        try {
-            return new TargetClient(
-                    checkNotNull(base, "base"),
-                    checkNotNull(clock, "clock"),
-                    Xnio.getInstance().createWorker(options));
-        } catch (IOException e) {
-            throw new IllegalStateException("cannot create an I/O thread", e);
-        }
+        return new TargetClient(checkNotNull(base, "base"), checkNotNull(clock, "clock"));
     }
 
     /**
@@ -97,31 +83,24 @@
     /**
      * Checks that the target accepts connections, by opening and closing one.
      *
-     * @param result receives true if the connection was accepted; called on the I/O thread
+     * @param result receives true if the connection was accepted; called on the event loop
      */
     public void probe(Consumer<Boolean> result) {
         execute(
                 () ->
                         connect(
-                                new ClientCallback<>() {
-                                    @Override
-                                    public void completed(ClientConnection connection) {
-                                        IoUtils.safeClose(connection);
-                                        result.accept(true);
-                                    }
-
-                                    @Override
-                                    public void failed(IOException e) {
-                                        result.accept(false);
-                                    }
-                                }));
+                                connection -> {
+                                    connection.close();
+                                    result.accept(true);
+                                },
+                                failure -> result.accept(false)));
     }
 
     /** Closes the idle connections, for example after the target was lost. */
     public void closeIdle() {
         execute(
                 () -> {
-                    idle.forEach(idleConnection -> IoUtils.safeClose(idleConnection.connection()));
+                    idle.forEach(idleConnection -> idleConnection.connection().close());
                     idle.clear();
                 });
     }
@@ -129,12 +108,12 @@
     @Override
     public void close() {
         closeIdle();
-        worker.shutdown();
+        group.shutdownGracefully(0, CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     void execute(Runnable task) {
         try {
-            ioThread.execute(task);
+            loop.execute(task);
         } catch (RejectedExecutionException e) {
             // The client is closed; its exchanges get no further events.
         }
@@ -144,13 +123,9 @@
         return base.getAuthority();
     }
 
-    ByteBuffer readBuffer() {
-        return readBuffer;
-    }
-
-    void release(ClientConnection connection) {
-        if (!connection.isOpen() || idle.size() >= MAX_IDLE_CONNECTIONS) {
-            IoUtils.safeClose(connection);
+    void release(HttpConnection connection) {
+        if (!connection.isIdle() || idle.size() >= MAX_IDLE_CONNECTIONS) {
+            connection.close();
             return;
         }
         idle.push(new IdleConnection(connection, clock.nanoTime()));
@@ -160,48 +135,37 @@
         if (exchange.isClosed()) {
             return;
         }
-        ClientConnection reusable = takeIdle();
+        HttpConnection reusable = takeIdle();
         if (reusable != null) {
             exchange.start(reusable);
             return;
         }
         connect(
-                new ClientCallback<>() {
-                    @Override
-                    public void completed(ClientConnection connection) {
-                        if (exchange.isClosed()) {
-                            IoUtils.safeClose(connection);
-                        } else {
-                            exchange.start(connection);
-                        }
+                connection -> {
+                    if (exchange.isClosed() || !connection.isIdle()) {
+                        connection.close();
+                        exchange.fail(new IOException("connection closed by the target"));
+                    } else {
+                        exchange.start(connection);
                     }
-
-                    @Override
-                    public void failed(IOException e) {
-                        exchange.fail(e);
-                    }
-                });
+                },
+                failure -> exchange.fail(new IOException("no connection to the target", failure)));
     }
 
-    private void connect(ClientCallback<ClientConnection> callback) {
-        UndertowClient.getInstance()
-                .connect(
-                        callback,
-                        base,
-                        ioThread,
-                        buffers,
-                        OptionMap.create(Options.TCP_NODELAY, true));
+    private void connect(
+            Consumer<HttpConnection> openListener, Consumer<Throwable> failureListener) {
+        HttpConnection.open(loop, address, CONNECT_TIMEOUT, openListener, failureListener);
     }
 
-    private ClientConnection takeIdle() {
+    private HttpConnection takeIdle() {
         long now = clock.nanoTime();
         IdleConnection idleConnection = idle.poll();
         while (idleConnection != null) {
-            if (idleConnection.connection().isOpen()
+            if (idleConnection.connection().isIdle()
                     && now - idleConnection.sinceNanos() < MAX_IDLE.toNanos()) {
                 return idleConnection.connection();
             }
-            IoUtils.safeClose(idleConnection.connection());
+            idleConnection.connection().close();
             idleConnection = idle.poll();
         }
         return null;
--- a/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/TargetExchange.java
+++ b/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/TargetExchange.java
@@ -1,50 +1,50 @@
 package org.fuchsiaspindle.daemon.agent.target;
 
 import com.google.common.collect.ImmutableList;
-import io.undertow.client.ClientCallback;
-import io.undertow.client.ClientConnection;
-import io.undertow.client.ClientExchange;
-import io.undertow.client.ClientRequest;
-import io.undertow.client.ClientResponse;
-import io.undertow.util.HeaderMap;
-import io.undertow.util.HeaderValues;
-import io.undertow.util.Headers;
-import io.undertow.util.HttpString;
+import com.google.common.collect.ImmutableSet;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.Locale;
+import java.util.Map;
+import org.fuchsiaspindle.platform.channel.ExchangeFailure;
+import org.fuchsiaspindle.platform.channel.ExchangeListener;
+import org.fuchsiaspindle.platform.channel.HttpConnection;
 import org.fuchsiaspindle.wire.proto.Header;
-import org.xnio.IoUtils;
-import org.xnio.channels.StreamSinkChannel;
-import org.xnio.channels.StreamSourceChannel;
 
 /**
  * One request to the target and its response.
  *
- * <p>All state is confined to the client's I/O thread; the public methods are thread-safe.
+ * <p>All state is confined to the client's event loop; the public methods are thread-safe.
  */
 public final class TargetExchange {
 
     /** Headers that concern one connection, which a proxy must not forward (RFC 9110, 7.6.1). */
-    private static final ImmutableList<HttpString> CONNECTION_HEADERS =
-            ImmutableList.of(
-                    Headers.CONNECTION,
-                    Headers.TRANSFER_ENCODING,
-                    Headers.CONTENT_LENGTH,
-                    Headers.HOST,
-                    Headers.UPGRADE,
-                    Headers.TE,
-                    Headers.TRAILER,
-                    Headers.EXPECT,
-                    new HttpString("Keep-Alive"),
-                    new HttpString("Proxy-Connection"));
+    private static final ImmutableSet<String> CONNECTION_HEADERS =
+            ImmutableSet.of(
+                    "connection",
+                    "transfer-encoding",
+                    "content-length",
+                    "host",
+                    "upgrade",
+                    "te",
+                    "trailer",
+                    "expect",
+                    "keep-alive",
+                    "proxy-connection");
 
     private final TargetClient client;
     private final TargetRequest request;
     private final ResponseListener listener;
-    private ClientConnection connection;
-    private StreamSourceChannel source;
-    private boolean requestWritten;
-    private boolean responseEnded;
+    private HttpConnection connection;
     private boolean closed;
     private boolean paused;
 
@@ -63,59 +63,43 @@
                     // After its end the connection may already serve another exchange.
                     if (!closed) {
                         closed = true;
-                        IoUtils.safeClose(connection);
+                        closeConnection();
                     }
                 });
     }
 
     /** Stops reading the response until {@link #resume}; TCP flow control slows down the target. */
     public void pause() {
-        client.execute(
-                () -> {
-                    paused = true;
-                    if (source != null) {
-                        source.suspendReads();
-                    }
-                });
+        client.execute(() -> setPaused(true));
     }
 
     /** Resumes reading after {@link #pause}. */
     public void resume() {
-        client.execute(
-                () -> {
-                    paused = false;
-                    if (source != null && !closed) {
-                        source.resumeReads();
-                    }
-                });
+        client.execute(() -> setPaused(false));
     }
 
     boolean isClosed() {
         return closed;
     }
 
-    void start(ClientConnection opened) {
+    void start(HttpConnection opened) {
+        FullHttpRequest httpRequest;
+        try {
+            httpRequest = toHttpRequest();
+        } catch (IllegalArgumentException invalid) {
+            client.release(opened);
+            fail(new IOException("request cannot be sent: " + invalid.getMessage(), invalid));
+            return;
+        }
         if (!listener.onSending()) {
             closed = true;
+            httpRequest.release();
             client.release(opened);
             return;
         }
         connection = opened;
-        connection.getCloseSetter().set(channel -> fail(new IOException("connection closed")));
-        connection.sendRequest(
-                toClientRequest(),
-                new ClientCallback<>() {
-                    @Override
-                    public void completed(ClientExchange exchange) {
-                        exchange.setResponseListener(responseCallback());
-                        write(exchange.getRequestChannel());
-                    }
-
-                    @Override
-                    public void failed(IOException e) {
-                        fail(e);
-                    }
-                });
+        connection.setReading(!paused);
+        connection.send(httpRequest, new ConnectionListener());
     }
 
     void fail(IOException cause) {
@@ -123,136 +107,90 @@
             return;
         }
         closed = true;
-        IoUtils.safeClose(connection);
+        closeConnection();
         listener.onFailure(cause);
     }
 
-    private ClientRequest toClientRequest() {
-        ClientRequest clientRequest = new ClientRequest();
-        clientRequest.setMethod(new HttpString(request.method()));
-        clientRequest.setPath(request.path());
-        HeaderMap headers = clientRequest.getRequestHeaders();
-        for (Header header : request.headers()) {
-            HttpString name = new HttpString(header.getName());
-            if (!CONNECTION_HEADERS.contains(name)) {
-                headers.add(name, header.getValue());
-            }
+    private void setPaused(boolean newPaused) {
+        paused = newPaused;
+        if (connection != null && !closed) {
+            connection.setReading(!paused);
         }
-        headers.put(Headers.HOST, client.host());
-        headers.put(Headers.CONTENT_LENGTH, request.body().size());
-        return clientRequest;
     }
 
-    private void write(StreamSinkChannel sink) {
-        ByteBuffer data = request.body().asReadOnlyByteBuffer();
-        sink.getWriteSetter().set(channel -> writeMore(channel, data));
-        writeMore(sink, data);
+    private void closeConnection() {
+        if (connection != null) {
+            connection.close();
+        }
     }
 
-    private void writeMore(StreamSinkChannel sink, ByteBuffer data) {
-        try {
-            while (data.hasRemaining()) {
-                if (sink.write(data) == 0) {
-                    sink.resumeWrites();
-                    return;
-                }
-            }
-            sink.shutdownWrites();
-            if (sink.flush()) {
-                sink.suspendWrites();
-                requestWritten = true;
-                finishIfComplete();
-            } else {
-                sink.getWriteSetter().set(this::flush);
-                sink.resumeWrites();
+    private FullHttpRequest toHttpRequest() {
+        FullHttpRequest httpRequest =
+                new DefaultFullHttpRequest(
+                        HttpVersion.HTTP_1_1,
+                        HttpMethod.valueOf(request.method()),
+                        request.path(),
+                        Unpooled.wrappedBuffer(request.body().asReadOnlyByteBuffer()));
+        HttpHeaders headers = httpRequest.headers();
+        for (Header header : request.headers()) {
+            if (!isConnectionHeader(header.getName())) {
+                headers.add(header.getName(), header.getValue());
             }
-        } catch (IOException e) {
-            fail(e);
         }
+        headers.set(HttpHeaderNames.HOST, client.host());
+        headers.set(HttpHeaderNames.CONTENT_LENGTH, request.body().size());
+        return httpRequest;
     }
 
-    private void flush(StreamSinkChannel sink) {
-        try {
-            if (sink.flush()) {
-                sink.suspendWrites();
-                requestWritten = true;
-                finishIfComplete();
+    private static boolean isConnectionHeader(String name) {
+        return CONNECTION_HEADERS.contains(name.toLowerCase(Locale.ROOT));
+    }
+
+    private static ImmutableList<Header> headers(HttpResponse head) {
+        ImmutableList.Builder<Header> headers = ImmutableList.builder();
+        for (Map.Entry<String, String> header : head.headers()) {
+            if (!isConnectionHeader(header.getKey())) {
+                headers.add(
+                        Header.newBuilder()
+                                .setName(header.getKey())
+                                .setValue(header.getValue())
+                                .build());
             }
-        } catch (IOException e) {
-            fail(e);
         }
+        return headers.build();
     }
 
-    private ClientCallback<ClientExchange> responseCallback() {
-        return new ClientCallback<>() {
-            @Override
-            public void completed(ClientExchange exchange) {
-                if (closed) {
-                    return;
-                }
-                ClientResponse response = exchange.getResponse();
-                listener.onHead(response.getResponseCode(), headers(response));
-                source = exchange.getResponseChannel();
-                source.getReadSetter().set(channel -> read());
-                read();
-                if (!responseEnded && !closed && !paused) {
-                    source.resumeReads();
-                }
-            }
+    /** Passes the events of the connection on. */
+    private final class ConnectionListener implements ExchangeListener {
 
-            @Override
-            public void failed(IOException e) {
-                fail(e);
-            }
-        };
-    }
+        @Override
+        public boolean onHead(HttpResponse head) {
+            listener.onHead(head.status().code(), headers(head));
+            return true;
+        }
 
-    private void read() {
-        ByteBuffer buffer = client.readBuffer();
-        try {
-            while (!closed && !paused) {
-                buffer.clear();
-                int count = source.read(buffer);
-                if (count == 0) {
-                    return;
-                }
-                if (count < 0) {
-                    responseEnded = true;
-                    source.suspendReads();
-                    finishIfComplete();
-                    return;
-                }
-                buffer.flip();
-                listener.onBody(buffer);
+        @Override
+        public void onData(ByteBuf data) {
+            byte[] bytes = new byte[data.readableBytes()];
+            data.readBytes(bytes);
+            try {
+                listener.onBody(ByteBuffer.wrap(bytes));
+            } catch (IOException e) {
+                fail(e);
             }
-        } catch (IOException e) {
-            fail(e);
         }
-    }
 
-    private void finishIfComplete() {
-        if (!responseEnded || !requestWritten || closed) {
-            return;
+        @Override
+        public void onComplete() {
+            closed = true;
+            connection.setReading(true);
+            client.release(connection);
+            listener.onEnd();
         }
-        closed = true;
-        connection.getCloseSetter().set(null);
-        client.release(connection);
-        listener.onEnd();
-    }
 
-    private static ImmutableList<Header> headers(ClientResponse response) {
-        ImmutableList.Builder<Header> headers = ImmutableList.builder();
-        for (HeaderValues values : response.getResponseHeaders()) {
-            if (!CONNECTION_HEADERS.contains(values.getHeaderName())) {
-                for (String value : values) {
-                    headers.add(
-                            Header.newBuilder()
-                                    .setName(values.getHeaderName().toString())
-                                    .setValue(value)
-                                    .build());
-                }
-            }
+        @Override
+        public void onFailure(ExchangeFailure failure) {
+            fail(new IOException("exchange failed: " + failure));
         }
-        return headers.build();
     }
 }
