Check the values of registrations, not only their types

Report of another operator: one odd entry among the engines' (deeply nested, a number too large, a port out of range) ended the machines that read the list, or they stopped following it.

Deep nesting and ports out of range were harmless.

Cause: types and presence were checked, ranges were not.

Change: TargetInstance checks its components, so that neither the store nor a peer brings in others; an invalid registration of a peer is left out by itself.

--- a/core/src/main/java/org/fuchsiaspindle/core/serving/TargetInstance.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/TargetInstance.java
@@ -1,20 +1,22 @@
 package org.fuchsiaspindle.core.serving;
 
 import static com.google.common.base.Preconditions.checkArgument;
-import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.base.CharMatcher;
 import com.google.common.net.HostAndPort;
+import com.google.common.net.InetAddresses;
 
 /**
  * One incarnation of a target, as registered by the target itself.
  *
- * @param id the identifier of this incarnation, not null
- * @param service the service that it runs, not null
- * @param address its address, with a port
- * @param dataCentre its data centre, not null
- * @param slots the number of requests that it runs concurrently, positive
+ * @param id the identifier of this incarnation, visible ASCII characters, not empty
+ * @param service the service that it runs, not empty, without control characters
+ * @param address its IP address with a port, which is not 0
+ * @param dataCentre its data centre, not empty, without control characters
+ * @param slots the number of requests that it runs concurrently, positive, at most {@link
+ *     #MAX_SLOTS}
  * @param leaving whether it is shutting down and accepts no new requests
- * @param startedAtMillis when it started, in milliseconds since the Unix epoch
+ * @param startedAtMillis when it started, in milliseconds since the Unix epoch, 0 if unknown
  */
 public record TargetInstance(
         String id,
@@ -25,13 +27,31 @@
         boolean leaving,
         long startedAtMillis) {
 
+    /** Largest number of slots; the slots of all targets of a service fit into an integer. */
+    public static final int MAX_SLOTS = 100_000;
+
+    /** Characters of an identifier, which is sent in a header. */
+    private static final CharMatcher VISIBLE_ASCII = CharMatcher.inRange('!', '~');
+
     /** Validates the components. */
     public TargetInstance {
-        checkNotNull(id, "id");
-        checkNotNull(service, "service");
-        checkArgument(address.hasPort(), "address of target %s has no port: %s", id, address);
-        checkNotNull(dataCentre, "dataCentre");
-        checkArgument(slots > 0, "slots of target %s not positive: %s", id, slots);
+        checkArgument(
+                !id.isEmpty() && VISIBLE_ASCII.matchesAllOf(id), "invalid identifier: %s", id);
+        checkName("service", service);
+        checkArgument(
+                InetAddresses.isInetAddress(address.getHost()), "not an IP address: %s", address);
+        checkArgument(address.getPortOrDefault(0) > 0, "address without a port: %s", address);
+        checkName("data centre", dataCentre);
+        checkArgument(slots > 0 && slots <= MAX_SLOTS, "slots out of range: %s", slots);
+        checkArgument(startedAtMillis >= 0, "start time is negative: %s", startedAtMillis);
+    }
+
+    private static void checkName(String field, String name) {
+        checkArgument(
+                !name.isEmpty() && CharMatcher.javaIsoControl().matchesNoneOf(name),
+                "invalid %s: %s",
+                field,
+                name);
     }
 
     /** Returns whether both registrations describe the same incarnation at the same address. */
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/RegistrationCodec.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/RegistrationCodec.java
@@ -7,10 +7,17 @@
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.gateway.view.TargetDirectory;
 import org.fuchsiaspindle.wire.peer.Registration;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 
-/** Encodes targets for messages between gateways and decodes them. */
+/**
+ * Encodes targets for messages between gateways and decodes them; invalid ones are logged and left
+ * out.
+ */
 final class RegistrationCodec {
 
+    private static final Logger LOG = LoggerFactory.getLogger(RegistrationCodec.class);
+
     private RegistrationCodec() {}
 
     static Registration encode(TargetInstance target) {
@@ -28,7 +35,14 @@
     static TargetDirectory decode(long version, List<Registration> registrations) {
         Map<String, TargetInstance> targets = new HashMap<>();
         for (Registration registration : registrations) {
-            targets.put(registration.getId(), decode(registration));
+            try {
+                targets.put(registration.getId(), decode(registration));
+            } catch (IllegalArgumentException failure) {
+                LOG.warn(
+                        "peer: registration ignored target={} reason={}",
+                        registration.getId(),
+                        failure.getMessage());
+            }
         }
         return TargetDirectory.of(version, targets);
     }
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/StoreEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/StoreEmulator.java
@@ -150,10 +150,15 @@
     }
 
     /** Writes a row unconditionally, as the platform's operator and targets do. */
-    public synchronized void put(String table, String key, byte[] value) {
+    public void put(String table, String key, byte[] value) {
+        put(table, "", key, value);
+    }
+
+    /** Writes a row of a partition unconditionally. */
+    public synchronized void put(String table, String partition, String key, byte[] value) {
         version++;
         rows.put(
-                new Key(table, "", key),
+                new Key(table, partition, key),
                 new Value(Base64.getEncoder().encodeToString(value), version, false));
         notifyAll();
     }
