Ignore rows of other partitions among the registrations

The feed of a table has the rows of all its partitions, and TargetWatch took a row by its key alone. A row of another writer with the key of a target replaced that target: OddRegistrationTest.rowOfAnotherPartition_* failed before (requests to the target were refused) and passes now. Registrations are the rows with an empty partition.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TargetWatch.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TargetWatch.java
@@ -69,7 +69,7 @@
     @Override
     public void onContent(List<StoredRow> rows, long newVersion) {
         Set<String> removed = new HashSet<>(targets.keySet());
-        for (StoredRow row : rows) {
+        for (StoredRow row : registrations(rows)) {
             removed.remove(row.key().key());
             register(row);
         }
@@ -79,7 +79,7 @@
 
     @Override
     public void onChanges(List<StoredRow> rows, long newVersion) {
-        for (StoredRow row : rows) {
+        for (StoredRow row : registrations(rows)) {
             if (row.deleted()) {
                 unregister(row.key().key());
             } else {
@@ -89,6 +89,11 @@
         publish(newVersion);
     }
 
+    /** Returns the rows that describe targets; those of other partitions describe none. */
+    private static List<StoredRow> registrations(List<StoredRow> rows) {
+        return rows.stream().filter(row -> row.key().partition().isEmpty()).toList();
+    }
+
     private void register(StoredRow row) {
         String id = row.key().key();
         missingIds.remove(id);
