Go on watching a table after a failure of the listener

A listener that throws ended the watch without a log line, because the exception stayed in the future of the read. No listener is known to throw; odd registrations would have been the way. The failure is logged now, and the watch continues with the next version.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TableWatch.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TableWatch.java
@@ -115,7 +115,7 @@
                         return;
                     }
                     recordSuccess();
-                    listener.onContent(page.rows(), page.version());
+                    deliver(() -> listener.onContent(page.rows(), page.version()));
                     waitForChanges(page.version());
                 },
                 loop);
@@ -177,7 +177,8 @@
             }
             case FeedResult.Changes changes -> {
                 if (!changes.rows().isEmpty()) {
-                    listener.onChanges(new ArrayList<>(changes.rows()), changes.version());
+                    List<StoredRow> rows = new ArrayList<>(changes.rows());
+                    deliver(() -> listener.onChanges(rows, changes.version()));
                 }
                 loop.schedule(
                         () -> waitForChanges(changes.version()),
@@ -187,6 +188,15 @@
         }
     }
 
+    /** Passes rows on; a failure of the listener does not end the watch. */
+    private void deliver(Runnable delivery) {
+        try {
+            delivery.run();
+        } catch (RuntimeException failure) {
+            LOG.error("store: rows not processed table={}", options.table(), failure);
+        }
+    }
+
     private void recordSuccess() {
         health.recordSuccess();
         failures = 0;
