Refuse requests that a planned stop would cut off

Report of another operator: requests that came late in the grace of a planned stop were taken, passed on and cut off without an answer, among them requests that may not be repeated.

Cause: a stopping gateway took every request on an open connection, however little time was left, and ended with its open requests unanswered. Closing the port does not help: a connection whose answer began before the stop does not announce its close.

Change: StopWindow (core) admits all requests while the balancer may send them, later ones only if they end by themselves in time; the others are refused as not run. A request that waited is not sent without time for it. Before the end each open request is answered, as not run only where that is certain. The entries of the own interface already refuse late requests.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.fuchsiaspindle.core.error.FuchsiaspindleException;
 import org.fuchsiaspindle.core.error.ResultCode;
 import org.fuchsiaspindle.core.job.JobOwner;
+import org.fuchsiaspindle.core.serving.StopWindow;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.time.Clock;
 import org.fuchsiaspindle.gateway.batch.JobCallHandler;
@@ -60,6 +61,9 @@
     /** Minimum time between the end of the process and the end of the platform's grace period. */
     private static final Duration GRACE_MARGIN = Duration.ofMillis(500);
 
+    /** Time for sending the last answers before the process ends. */
+    private static final Duration LAST_ANSWERS_TIME = Duration.ofMillis(100);
+
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
     private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
 
@@ -86,6 +90,7 @@
     private JobOwnership ownership;
     private ClientServer clientServer;
     private volatile boolean stopping;
+    private volatile Optional<StopWindow> stopWindow = Optional.empty();
 
     private Gateway(ProcessSettings settings, String incarnation) {
         this.settings = settings;
@@ -103,7 +108,8 @@
         this.slots = SlotClient.create(requestLoop, peerSelf, metrics);
         this.mesh = PeerMesh.create(requestLoop, peerSelf, viewHolder, storeHealth, slots, metrics);
         this.onlineDispatcher =
-                OnlineDispatcher.create(requestLoop, fleet, slots, promptGuard, metrics);
+                OnlineDispatcher.create(
+                        requestLoop, fleet, slots, promptGuard, metrics, () -> stopWindow);
         this.jobTable = JobTable.create(requestLoop);
         this.jobStore = JobStore.on(storeClient);
         this.self = new JobOwner(settings.ip(), incarnation);
@@ -220,7 +226,8 @@
                                 storeHealth));
         JobCallHandler jobCallHandler =
                 JobCallHandler.create(requestLoop, jobStore, jobTable, relay);
-        return new RequestRouter(viewHolder, onlineDispatcher, submissionHandler, jobCallHandler);
+        return new RequestRouter(
+                viewHolder, onlineDispatcher, submissionHandler, jobCallHandler, () -> stopWindow);
     }
 
     private static HostAndPort required(Optional<HostAndPort> address, String name) {
@@ -247,7 +254,8 @@
      *
      * <p>It reports that it is not ready, releases its jobs to other gateways, and serves requests
      * until the load balancer has detected this and all connections are closed, or until the
-     * platform's grace period is nearly over.
+     * platform's grace period is nearly over. Requests that then are still in progress are answered
+     * as not executed, if that is certain, or as possibly executed.
      *
      * @return a future that completes when the process may end
      */
@@ -255,6 +263,10 @@
         stopping = true;
         CompletableFuture<Void> stopped = new CompletableFuture<>();
         long beginNanos = System.nanoTime();
+        long endNanos =
+                beginNanos + Math.max(0, settings.stopGrace().minus(GRACE_MARGIN).toNanos());
+        StopWindow window = new StopWindow(beginNanos, endNanos, BALANCER_DELAY);
+        stopWindow = Optional.of(window);
         requestLoop.execute(
                 () -> {
                     LOG.info("gateway: stopping jobs={}", runner.ownedJobCount());
@@ -263,7 +275,7 @@
                     ownership.stop();
                     runner.releaseJobs();
                     requestLoop.schedule(
-                            () -> finishStop(beginNanos, stopped),
+                            () -> finishStop(window, stopped),
                             BALANCER_DELAY.toMillis(),
                             TimeUnit.MILLISECONDS);
                 });
@@ -278,18 +290,27 @@
                 .syncUninterruptibly();
     }
 
-    private void finishStop(long beginNanos, CompletableFuture<Void> stopped) {
-        Duration elapsed = Duration.ofNanos(System.nanoTime() - beginNanos);
-        Duration graceLimit = settings.stopGrace().minus(GRACE_MARGIN);
+    private void finishStop(StopWindow window, CompletableFuture<Void> stopped) {
         clientServer.closeIdle();
-        if (clientServer.openConnections() == 0 || elapsed.compareTo(graceLimit) > 0) {
-            LOG.info("gateway: stopped after={}ms", elapsed.toMillis());
-            stopped.complete(null);
+        if (clientServer.openConnections() == 0) {
+            completeStop(window, stopped);
+        } else if (!window.hasTimeFor(System.nanoTime(), STOP_CHECK_INTERVAL)) {
+            clientServer.answerOpenRequests();
+            requestLoop.schedule(
+                    () -> completeStop(window, stopped),
+                    LAST_ANSWERS_TIME.toMillis(),
+                    TimeUnit.MILLISECONDS);
         } else {
             requestLoop.schedule(
-                    () -> finishStop(beginNanos, stopped),
+                    () -> finishStop(window, stopped),
                     STOP_CHECK_INTERVAL.toMillis(),
                     TimeUnit.MILLISECONDS);
         }
     }
+
+    private static void completeStop(StopWindow window, CompletableFuture<Void> stopped) {
+        Duration elapsed = Duration.ofNanos(System.nanoTime() - window.beginNanos());
+        LOG.info("gateway: stopped after={}ms", elapsed.toMillis());
+        stopped.complete(null);
+    }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
@@ -5,10 +5,12 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Supplier;
 import org.fuchsiaspindle.core.error.ResultCode;
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.RouteKind;
 import org.fuchsiaspindle.core.serving.ServingConfig;
+import org.fuchsiaspindle.core.serving.StopWindow;
 import org.fuchsiaspindle.gateway.batch.JobCallHandler;
 import org.fuchsiaspindle.gateway.batch.JobSubmissionHandler;
 import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
@@ -27,20 +29,38 @@
     private static final int STATUS_BAD_REQUEST = 400;
     private static final Duration CONFIG_RETRY_AFTER = Duration.ofMillis(300);
 
+    /** Other gateways can execute the request at once. */
+    private static final Duration DRAINING_RETRY_AFTER = Duration.ofMillis(10);
+
+    /** Time that is assumed for a request without a deadline. */
+    private static final Duration DEFAULT_DEADLINE = Duration.ofSeconds(4);
+
     private final FleetViewHolder viewHolder;
     private final OnlineDispatcher onlineDispatcher;
     private final JobSubmissionHandler submissionHandler;
     private final JobCallHandler jobCallHandler;
+    private final Supplier<Optional<StopWindow>> stopWindow;
 
+    /**
+     * Creates a router.
+     *
+     * @param viewHolder the configuration in force
+     * @param onlineDispatcher handles online requests
+     * @param submissionHandler handles submissions of jobs
+     * @param jobCallHandler handles calls on existing jobs
+     * @param stopWindow the graceful stop in progress, if there is one
+     */
     RequestRouter(
             FleetViewHolder viewHolder,
             OnlineDispatcher onlineDispatcher,
             JobSubmissionHandler submissionHandler,
-            JobCallHandler jobCallHandler) {
+            JobCallHandler jobCallHandler,
+            Supplier<Optional<StopWindow>> stopWindow) {
         this.viewHolder = checkNotNull(viewHolder, "viewHolder");
         this.onlineDispatcher = checkNotNull(onlineDispatcher, "onlineDispatcher");
         this.submissionHandler = checkNotNull(submissionHandler, "submissionHandler");
         this.jobCallHandler = checkNotNull(jobCallHandler, "jobCallHandler");
+        this.stopWindow = checkNotNull(stopWindow, "stopWindow");
     }
 
     @Override
@@ -52,6 +72,19 @@
             return;
         }
         Optional<Route> route = config.get().match(request.host(), request.path());
+        if (!isAdmitted(request, route)) {
+            DecisionLog.online(
+                    request.id(),
+                    route.map(Route::name).orElse("-"),
+                    "-",
+                    "-",
+                    "refused",
+                    ResultCode.DRAINING.name(),
+                    0,
+                    0);
+            exchange.refuse(Refusal.notRun(ResultCode.DRAINING, DRAINING_RETRY_AFTER));
+            return;
+        }
         if (route.isPresent()) {
             dispatch(exchange, route.get());
             return;
@@ -62,6 +95,20 @@
                         () -> refuseNotFound(exchange, config.get()));
     }
 
+    /** Returns whether the process does not end before a request must be answered. */
+    private boolean isAdmitted(ClientRequest request, Optional<Route> route) {
+        Duration deadline = request.deadline().orElse(DEFAULT_DEADLINE);
+        Duration longestTime =
+                route.filter(candidate -> candidate.kind() != RouteKind.BATCH)
+                        .map(Route::timeout)
+                        .filter(timeout -> timeout.compareTo(deadline) < 0)
+                        .orElse(deadline);
+        return stopWindow
+                .get()
+                .map(window -> window.admits(System.nanoTime(), longestTime))
+                .orElse(true);
+    }
+
     private void dispatch(ClientExchange exchange, Route route) {
         if (route.kind() == RouteKind.BATCH) {
             submissionHandler.handle(exchange, route);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -94,6 +94,7 @@
 
     void start() {
         exchange.onClientDisconnect(this::clientDisconnected);
+        exchange.onProcessEnd(this::processEnds);
         long remainingNanos = deadlineNanos - System.nanoTime();
         deadlineTimer =
                 dispatcher
@@ -286,6 +287,19 @@
         }
     }
 
+    /** Answers the request before the process ends. */
+    private void processEnds() {
+        boolean sent = call != null && call.isSent();
+        cancelPendingWork();
+        if (sent || mayHaveRun) {
+            logDecision("lost", ResultCode.DRAINING.name());
+            finish();
+            exchange.refuse(Refusal.mayHaveRun(ResultCode.CONNECTION_CLOSED));
+        } else {
+            refuse(ResultCode.DRAINING, MIN_RETRY_AFTER);
+        }
+    }
+
     private void clientDisconnected() {
         if (!finished) {
             cancelPendingWork();
@@ -346,6 +360,9 @@
             if (quarantine.isPresent()) {
                 lease.release(LeaseOutcome.CANCELLED);
                 refuse(ResultCode.PROMPT_QUARANTINED, quarantine.get());
+            } else if (!dispatcher.hasTimeFor(dispatcher.serviceTimes().average(service))) {
+                lease.release(LeaseOutcome.CANCELLED);
+                refuse(ResultCode.DRAINING, MIN_RETRY_AFTER);
             } else {
                 sendTo(target, lease);
             }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
@@ -3,7 +3,11 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.function.Supplier;
 import org.fuchsiaspindle.core.serving.Route;
+import org.fuchsiaspindle.core.serving.StopWindow;
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.SlotClient;
 import org.fuchsiaspindle.gateway.target.TargetFleet;
@@ -22,6 +26,7 @@
     private final SlotClient slots;
     private final PromptGuard promptGuard;
     private final GatewayMetrics metrics;
+    private final Supplier<Optional<StopWindow>> stopWindow;
     private final ServiceTimes serviceTimes = new ServiceTimes();
 
     private OnlineDispatcher(
@@ -29,27 +34,40 @@
             TargetFleet fleet,
             SlotClient slots,
             PromptGuard promptGuard,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            Supplier<Optional<StopWindow>> stopWindow) {
         this.loop = loop;
         this.fleet = fleet;
         this.slots = slots;
         this.promptGuard = promptGuard;
         this.metrics = metrics;
+        this.stopWindow = stopWindow;
     }
 
-    /** Creates a dispatcher. */
+    /**
+     * Creates a dispatcher.
+     *
+     * @param loop its event loop, not null
+     * @param fleet the targets, not null
+     * @param slots assigns slots of targets, not null
+     * @param promptGuard knows the prompts that crash targets, not null
+     * @param metrics counts requests, not null
+     * @param stopWindow the graceful stop in progress, if there is one; not null
+     */
     public static OnlineDispatcher create(
             EventLoop loop,
             TargetFleet fleet,
             SlotClient slots,
             PromptGuard promptGuard,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            Supplier<Optional<StopWindow>> stopWindow) {
         return new OnlineDispatcher(
                 checkNotNull(loop, "loop"),
                 checkNotNull(fleet, "fleet"),
                 checkNotNull(slots, "slots"),
                 checkNotNull(promptGuard, "promptGuard"),
-                checkNotNull(metrics, "metrics"));
+                checkNotNull(metrics, "metrics"),
+                checkNotNull(stopWindow, "stopWindow"));
     }
 
     /** Handles a request on a route; the response is sent now or later. */
@@ -77,6 +95,14 @@
         return metrics;
     }
 
+    /** Returns whether the process runs for some time yet. */
+    boolean hasTimeFor(Duration time) {
+        return stopWindow
+                .get()
+                .map(window -> window.hasTimeFor(System.nanoTime(), time))
+                .orElse(true);
+    }
+
     ServiceTimes serviceTimes() {
         return serviceTimes;
     }
