Keep a silent call whose answer no other target can replace

Cause: OnlineCall.checkSilence cancels the call of an idempotent request when its target is silent and attempts are left. Only attemptLost asks whether the request can still be sent again; when a part of an answer without numbered events was forwarded it cannot, and the client is cut off.

Change: both places ask isReplaceable. Streams with numbered events and answers that have not begun are moved to another target as before.

GatewayOnlineTest.largeAnswerWithAPause_isDeliveredWhole failed before (lost after 2.7 s) and passes now, with the 14 others of the class.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -201,7 +201,8 @@
         }
         if (checkedCall.isTargetSilent()
                 && checkedCall.isSent()
-                && attempts + 1 < route.maxAttempts()) {
+                && attempts + 1 < route.maxAttempts()
+                && isReplaceable()) {
             checkedCall.cancel();
             attemptLost("silent");
         } else {
@@ -219,7 +220,7 @@
                 route.isIdempotent()
                         && attempts < route.maxAttempts()
                         && deadlineNanos - System.nanoTime() > 0
-                        && (!exchange.isResponseStarted() || lastEvent.isPresent());
+                        && isReplaceable();
         logDecision(mayResend ? "resent" : "lost", reason);
         if (mayResend) {
             dispatch();
@@ -231,6 +232,14 @@
         }
     }
 
+    /**
+     * Returns whether another target could give or continue the answer. If a part of an answer
+     * without numbered events was forwarded, only its target can end it.
+     */
+    private boolean isReplaceable() {
+        return !exchange.isResponseStarted() || lastEvent.isPresent();
+    }
+
     private void refusedByTarget(String reason) {
         refusals++;
         triedTargets.add(lastTarget);
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
@@ -80,6 +80,12 @@
      */
     public record Arrival(String requestId, long nanos) {}
 
+    /** Size of each half of a large body, in bytes. */
+    public static final int LARGE_PART_BYTES = 300_000;
+
+    /** Pause in the middle of a large body. */
+    private static final Duration LONG_PAUSE = Duration.ofMillis(3200);
+
     /** A fault of the next response. */
     public enum ResponseFault {
         /** No fault. */
@@ -91,7 +97,9 @@
         /** Executes the request, then resets the connection instead of responding. */
         RESET,
         /** Starts executing the request and never responds. */
-        NO_RESPONSE
+        NO_RESPONSE,
+        /** Sends a large body and pauses in its middle. */
+        LARGE_WITH_PAUSE
     }
 
     /**
@@ -333,6 +341,18 @@
         pause(spec.eventTime());
         byte[] body = ("done " + request.uri()).getBytes(StandardCharsets.UTF_8);
         run.complete = true;
+        if (fault == ResponseFault.LARGE_WITH_PAUSE) {
+            connection.write(
+                    "HTTP/1.1 200 OK\r\n"
+                            + headers
+                            + "Content-Length: "
+                            + 2 * LARGE_PART_BYTES
+                            + "\r\n\r\n");
+            connection.write("x".repeat(LARGE_PART_BYTES));
+            pause(LONG_PAUSE);
+            connection.write("x".repeat(LARGE_PART_BYTES));
+            return true;
+        }
         if (fault == ResponseFault.TRUNCATE) {
             connection.write("HTTP/1.1 200 OK\r\n" + headers + "Content-Length: 1000\r\n\r\nhalf");
             return false;
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayOnlineTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayOnlineTest.java
@@ -71,6 +71,20 @@
         assertThat(secondResponse.status()).isEqualTo(200);
     }
 
+    /**
+     * Guards against cutting off the answer of a slow but sound target when so much of it has been
+     * forwarded that no other target's answer can take its place.
+     */
+    @Test
+    void largeAnswerWithAPause_isDeliveredWhole() throws Exception {
+        plainFirst.failNextResponse(ResponseFault.LARGE_WITH_PAUSE);
+        plainSecond.failNextResponse(ResponseFault.LARGE_WITH_PAUSE);
+        Response response = client.call("POST", GatewayFixture.SAFE + "w", headers("a14"), "");
+        assertThat(response.status()).isEqualTo(200);
+        assertThat(response.complete()).isTrue();
+        assertThat(response.body()).hasSize(2 * EngineEmulator.LARGE_PART_BYTES);
+    }
+
     /** Guards against a second run, and against reporting the request as not run. */
     @Test
     void unsafeRequest_whoseResponseIsLost_runsOnceAndIsNotReportedAsNotRun() throws Exception {
