Bound the memory for batch items of a gateway

Cause: every owned job was loaded with all bodies and held until it was done; nothing bounds their size. After the OutOfMemoryError both event loops were gone and the process stayed. The log of the case shows the error in both loops 5 s after the loss; the heap is 192 MB.

Change: JobLoadQueue (core) decides which jobs are in memory: a quarter of the heap, first due first, four loads at a time; the rest waits in the store. JobLoader does the reads and is taken out of JobRunner.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -141,6 +141,7 @@
         slots.start(mesh, fleet);
         promptGuard.start(mesh);
         metrics.observeTargets(fleet::openTargets);
+        metrics.observeItemMemory(() -> runner.itemBytes(), () -> runner.waitingJobCount());
         fleet.start(slots::reportSilence, slots::reportRequestLimit);
         viewHolder.addListener(view -> requestLoop.execute(() -> apply(view.directory())));
         ConfigWatch.start(storeLoop, storeClient, storeHealth, viewHolder);
@@ -157,7 +158,8 @@
                                 jobTable,
                                 storeClock,
                                 self,
-                                metrics));
+                                metrics,
+                                settings.itemMemoryBytes()));
         ownership =
                 JobOwnership.start(
                         requestLoop,
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemSchedule.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemSchedule.java
@@ -67,7 +67,7 @@
     }
 
     /** Returns when the results of a job are due, in milliseconds of the store's clock. */
-    private long dueMillis(JobRecord job) {
+    long dueMillis(JobRecord job) {
         Duration completionTarget =
                 route(job)
                         .flatMap(Route::batch)
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -9,14 +9,13 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.job.ItemOutcome;
+import org.fuchsiaspindle.core.job.JobLoadQueue;
 import org.fuchsiaspindle.core.job.JobOwner;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.serving.Route;
@@ -33,7 +32,6 @@
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
 import org.fuchsiaspindle.platform.job.BatchItem;
-import org.fuchsiaspindle.platform.job.JobApiCodec;
 import org.fuchsiaspindle.platform.store.StoreClock;
 import org.fuchsiaspindle.platform.target.EventSplitter;
 import org.fuchsiaspindle.platform.target.TargetProtocol;
@@ -72,6 +70,13 @@
     /** Time limit for one run of an item on a target. */
     private static final Duration RUN_TIMEOUT = Duration.ofSeconds(60);
 
+    /**
+     * Largest size of the bodies of one job; above the size of a submission that clients may send.
+     */
+    private static final long MAX_JOB_BYTES = 4L << 20;
+
+    private static final int MAX_CONCURRENT_LOADS = 4;
+
     private final EventLoop loop;
     private final FleetViewHolder viewHolder;
     private final TargetFleet fleet;
@@ -85,7 +90,7 @@
     private final JobCommitter committer;
     private final Map<String, OwnedJob> ownedJobs = new HashMap<>();
     private final ItemSchedule schedule;
-    private final Set<String> loading = new HashSet<>();
+    private final JobLoader loader;
     private final Map<String, Long> routeMissingSinceNanos = new HashMap<>();
     private boolean demandUpdateScheduled;
     private long lastCheckpointNanos = System.nanoTime();
@@ -103,6 +108,17 @@
         this.self = dependencies.self();
         this.metrics = dependencies.metrics();
         this.schedule = new ItemSchedule(dependencies.viewHolder(), dependencies.storeClock());
+        this.loader =
+                new JobLoader(
+                        loop,
+                        jobStore,
+                        jobTable,
+                        self,
+                        JobLoadQueue.create(
+                                dependencies.itemMemoryBytes(),
+                                MAX_JOB_BYTES,
+                                MAX_CONCURRENT_LOADS),
+                        this::start);
         this.committer = new JobCommitter(loop, jobStore, jobTable, self, this::ownershipLost);
     }
 
@@ -119,6 +135,7 @@
      * @param storeClock the clock that measures the age of jobs
      * @param self this process as an owner
      * @param metrics counts the items by outcome
+     * @param itemMemoryBytes how many bytes of items may be in memory
      */
     public record Dependencies(
             EventLoop loop,
@@ -130,7 +147,8 @@
             JobTable jobTable,
             StoreClock storeClock,
             JobOwner self,
-            GatewayMetrics metrics) {}
+            GatewayMetrics metrics,
+            long itemMemoryBytes) {}
 
     /** Creates a runner and starts its timers. */
     public static JobRunner start(Dependencies dependencies) {
@@ -152,57 +170,48 @@
         return ownedJobs.size();
     }
 
-    /** Returns whether this process runs a job or is loading it. */
+    /** Returns the size of the items in memory, in bytes. */
+    public long itemBytes() {
+        return loader.itemBytes();
+    }
+
+    /** Returns the number of own jobs that wait until there is memory for them. */
+    public int waitingJobCount() {
+        return loader.waitingCount();
+    }
+
+    /** Returns whether this process runs a job, is loading it or will load it. */
     boolean hasJob(String jobId) {
-        return ownedJobs.containsKey(jobId) || loading.contains(jobId);
+        return ownedJobs.containsKey(jobId) || loader.isPending(jobId);
     }
 
     /**
-     * Starts to run a job that this gateway owns, unless it is stopping or runs the job already.
+     * Starts to run a new job that this gateway owns, unless it is stopping or has the job already.
+     * A job for which there is no memory now is loaded later.
      */
-    void run(VersionedJob job, List<BatchItem> items, Map<Integer, ItemProgress> progress) {
-        loading.remove(job.job().id());
-        if (stopping || !job.job().isOpen() || ownedJobs.containsKey(job.job().id())) {
+    void run(VersionedJob job, List<BatchItem> items) {
+        if (stopping || !job.job().isOpen() || hasJob(job.job().id())) {
             return;
         }
-        ownedJobs.put(job.job().id(), new OwnedJob(job, ImmutableList.copyOf(items), progress));
-        scheduleDemandUpdate();
-    }
-
-    /** Reads the submission and progress of a job that this gateway owns, and starts to run it. */
-    void load(VersionedJob job) {
-        if (!loading.add(job.job().id())) {
-            return;
+        if (loader.tryHold(job, items)) {
+            start(job, ImmutableList.copyOf(items), Map.of());
+        } else {
+            load(job);
         }
-        readSubmission(job.job().id());
     }
 
-    private void readSubmission(String jobId) {
-        jobStore.submission(jobId)
-                .thenCombine(jobStore.progress(jobId), SubmissionAndProgress::new)
-                .whenCompleteAsync((stored, failure) -> handleLoaded(jobId, stored, failure), loop);
+    /** Loads a job that this gateway owns when there is memory for it, and starts to run it. */
+    void load(VersionedJob job) {
+        loader.load(job, schedule.dueMillis(job.job()));
     }
 
-    /** The submission and the progress of a job, as read from the store. */
-    private record SubmissionAndProgress(
-            Optional<byte[]> submission, Map<Integer, ItemProgress> progress) {}
-
-    private void handleLoaded(String jobId, SubmissionAndProgress stored, Throwable failure) {
-        Optional<VersionedJob> current = jobTable.job(jobId).filter(job -> isOwn(job.job()));
-        if (current.isEmpty() || !current.get().job().isOpen()) {
-            loading.remove(jobId);
-        } else if (failure != null || stored.submission().isEmpty()) {
-            LOG.warn("batch: submission not read job={} reason={}", jobId, String.valueOf(failure));
-            loop.schedule(
-                    () -> readSubmission(jobId),
-                    FAILURE_RETRY_DELAY.toMillis(),
-                    TimeUnit.MILLISECONDS);
-        } else {
-            run(
-                    current.get(),
-                    JobApiCodec.decodeItems(stored.submission().get()),
-                    stored.progress());
+    private void start(
+            VersionedJob job, ImmutableList<BatchItem> items, Map<Integer, ItemProgress> progress) {
+        if (stopping) {
+            return;
         }
+        ownedJobs.put(job.job().id(), new OwnedJob(job, items, progress));
+        scheduleDemandUpdate();
     }
 
     /** Stops all items and releases the jobs to other gateways. */
@@ -222,6 +231,7 @@
     private void jobChanged(VersionedJob newJob) {
         OwnedJob job = ownedJobs.get(newJob.job().id());
         if (job == null) {
+            removeIfNotToRun(newJob.job());
             return;
         }
         if (!isOwn(newJob.job())) {
@@ -233,6 +243,12 @@
         }
     }
 
+    private void removeIfNotToRun(JobRecord job) {
+        if (loader.isPending(job.id()) && !(isOwn(job) && job.isOpen())) {
+            loader.remove(job.id());
+        }
+    }
+
     private void ownershipLost(OwnedJob job) {
         dropJob(job, "handed over");
     }
@@ -240,6 +256,8 @@
     private void dropJob(OwnedJob job, String reason) {
         if (ownedJobs.remove(job.id(), job)) {
             job.stopAll();
+            routeMissingSinceNanos.remove(job.id());
+            loader.remove(job.id());
             scheduleDemandUpdate();
             DecisionLog.batch(job.id(), "-", "dropped", reason);
         }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
@@ -262,7 +262,7 @@
             case CommitResult.Committed committed -> {
                 VersionedJob created = new VersionedJob(job, committed.version());
                 jobTable.offer(created);
-                runner.run(created, items, Map.of());
+                runner.run(created, items);
                 acknowledge(exchange, job.id(), "new items=" + items.size());
             }
             case CommitResult.Conflict conflict -> {
@@ -291,7 +291,7 @@
                             if (failure == null && found.isPresent()) {
                                 jobTable.offer(found.get());
                                 if (found.get().job().owner().equals(self)) {
-                                    runner.run(found.get(), items, Map.of());
+                                    runner.run(found.get(), items);
                                 }
                                 acknowledge(exchange, job.id(), "resolved");
                             } else {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
@@ -9,6 +9,7 @@
 import java.io.IOException;
 import java.io.UncheckedIOException;
 import java.util.function.IntSupplier;
+import java.util.function.LongSupplier;
 import org.fuchsiaspindle.core.error.ResultCode;
 
 /** The Prometheus metrics of a gateway; thread-safe. */
@@ -110,6 +111,23 @@
                 .register(registry);
     }
 
+    /**
+     * Sets the sources of the size of the batch items in memory and of the number of own jobs that
+     * wait for memory; read on the thread that serves the metrics.
+     */
+    public void observeItemMemory(LongSupplier bytes, IntSupplier waitingJobs) {
+        GaugeWithCallback.builder()
+                .name("fuchsiaspindle_batch_item_bytes")
+                .help("Bytes of the batch items in memory.")
+                .callback(callback -> callback.call(bytes.getAsLong()))
+                .register(registry);
+        GaugeWithCallback.builder()
+                .name("fuchsiaspindle_batch_jobs_waiting_for_memory")
+                .help("Own batch jobs that are not in memory yet.")
+                .callback(callback -> callback.call(waitingJobs.getAsInt()))
+                .register(registry);
+    }
+
     /** Returns all metrics in the Prometheus text format. */
     public byte[] text() {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EmulatorJobs.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EmulatorJobs.java
@@ -1,5 +1,6 @@
 package org.fuchsiaspindle.testbed.emulator;
 
+import java.util.Base64;
 import java.util.Map;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
@@ -35,13 +36,28 @@
 
     /** Returns an item as JSON. */
     public static String item(String id, Map<String, String> headers) {
+        return item(id, headers, "aGFsbG8=");
+    }
+
+    /**
+     * Returns a submission of items with a body of a number of bytes and an answer of one event.
+     */
+    public static String largeSubmission(String job, int items, int bodyBytes) {
+        String body = Base64.getEncoder().encodeToString(new byte[bodyBytes]);
+        return submission(
+                IntStream.range(0, items)
+                        .mapToObj(item -> item(itemId(job, item), Map.of("X-Events", "1"), body))
+                        .toArray(String[]::new));
+    }
+
+    private static String item(String id, Map<String, String> headers, String body) {
         String headerFields =
                 headers.entrySet().stream()
                         .map(header -> "\"" + header.getKey() + "\":\"" + header.getValue() + "\"")
                         .collect(Collectors.joining(","));
         return ("{\"id\":\"%s\",\"path\":\"/batch/x\",\"headers\":{%s},"
-                        + "\"body\":\"aGFsbG8=\",\"tokens\":100}")
-                .formatted(id, headerFields);
+                        + "\"body\":\"%s\",\"tokens\":100}")
+                .formatted(id, headerFields, body);
     }
 
     /** Returns the result text of an item that produces a number of events. */
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -42,6 +42,7 @@
     private final int statusPort = freePort();
     private final int peerPort = freePort();
     private Duration resultRetention = Duration.ofSeconds(120);
+    private long itemMemoryBytes = 64L << 20;
     private int incarnations;
     private int configVersion;
 
@@ -83,6 +84,11 @@
         resultRetention = time;
     }
 
+    /** Sets how many bytes of batch items the gateways that start later may hold in memory. */
+    public void setItemMemory(long bytes) {
+        itemMemoryBytes = bytes;
+    }
+
     /** Starts a gateway on its own loopback address and returns the address. */
     public String startGateway(int number) {
         String ip = "127.0.0." + (10 + number);
@@ -182,7 +188,8 @@
                 HostAndPort.fromParts(STORE_IP, store.port()),
                 CPU_CAPACITY,
                 resultRetention,
-                STOP_GRACE);
+                STOP_GRACE,
+                itemMemoryBytes);
     }
 
     private static int freePort() {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
@@ -30,6 +30,13 @@
 
     private static final ObjectMapper JSON = new ObjectMapper();
 
+    private static final int LARGE_JOBS = 12;
+
+    /** Memory for the items of a few of the large jobs. */
+    private static final long ITEM_MEMORY = 6L << 20;
+
+    private static final String WAITING_JOBS = "fuchsiaspindle_batch_jobs_waiting_for_memory";
+
     private final PlatformEmulator platform = PlatformEmulator.start();
     private EngineEmulator engine;
     private EngineEmulator plain;
@@ -298,6 +305,39 @@
         assertThat(plain.ledger()).noneMatch(run -> run.requestId().startsWith("job-r"));
     }
 
+    /**
+     * Guards against a gateway that takes over more than its memory holds and ends with an error.
+     */
+    @Test
+    void jobsBeyondTheMemoryOfTheGateway_areHeldInTurnAndComplete() throws Exception {
+        for (int job = 0; job < LARGE_JOBS; job++) {
+            submit(first, "job-" + job, EmulatorJobs.largeSubmission("job-" + job, 8, 100_000));
+        }
+        platform.setItemMemory(ITEM_MEMORY);
+        String third = platform.startGateway(3);
+        await("ready", () -> platform.gateway(third).isReady());
+        platform.killGateway(first);
+        platform.killGateway(second);
+        await("jobs wait", () -> platform.metric(WAITING_JOBS) > 0);
+        await(
+                "all items completed",
+                () -> {
+                    assertThat(platform.metric("fuchsiaspindle_batch_item_bytes"))
+                            .isLessThanOrEqualTo(ITEM_MEMORY);
+                    return results(third) == LARGE_JOBS * 8;
+                });
+        assertThat(platform.metric(WAITING_JOBS)).isZero();
+    }
+
+    private int results(String ip) throws Exception {
+        int results = 0;
+        for (int job = 0; job < LARGE_JOBS; job++) {
+            Response response = read(ip, "job-" + job, 0);
+            results += JSON.readTree(response.body()).path("results").size();
+        }
+        return results;
+    }
+
     /** Guards against item bodies that are returned modified, or for a job that does not exist. */
     @Test
     void bodiesOfItems_areReadableAtEveryGateway() throws Exception {
