--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRelay.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRelay.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.time.Duration;
 import java.util.List;
+import java.util.concurrent.Future;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.error.ResultCode;
@@ -92,9 +93,9 @@
     private void send(ClientExchange exchange, HttpConnection connection) {
         RelayedExchange relayed = new RelayedExchange(exchange, connection);
         exchange.onClientDisconnect(connection::close);
-        connection.send(request(exchange.request()), relayed);
         Duration limit = exchange.request().deadline().orElse(DEFAULT_TIMEOUT);
-        loop.schedule(relayed::expire, limit.toMillis(), TimeUnit.MILLISECONDS);
+        relayed.timer = loop.schedule(relayed::expire, limit.toMillis(), TimeUnit.MILLISECONDS);
+        connection.send(request(exchange.request()), relayed);
     }
 
     private static FullHttpRequest request(ClientRequest original) {
@@ -118,6 +119,7 @@
         private final HttpConnection connection;
         private final ByteBuf body = Unpooled.buffer();
         private TargetResponse response;
+        private Future<?> timer;
 
         RelayedExchange(ClientExchange exchange, HttpConnection connection) {
             this.exchange = exchange;
@@ -141,11 +143,14 @@
 
         @Override
         public void onComplete() {
+            // A timer that stays scheduled would keep the request and the response in memory.
+            timer.cancel(false);
             exchange.sendResponse(response, body);
         }
 
         @Override
         public void onFailure(ExchangeFailure failure) {
+            timer.cancel(false);
             // The other gateway may have stored the job before the connection failed.
             exchange.refuse(Refusal.mayHaveRun(ResultCode.WRITE_OUTCOME_UNKNOWN));
         }
