Back off when loads of jobs fail, and give up reads only in silence

Cause: all submissions were read at once and shared the store's bandwidth, each read was given up after 3 s as a whole and begun again 100 ms later, so none ever ended. The log has "submission not read" for all of them every 3 s and the store's count of objects read whole stays at zero.

Change: JobLoadQueue halves the number of loads at a time after a failure, adds one after a success, repeats a failed load after 100 ms to 2 s with twice the time limit.

--- a/core/src/test/java/org/fuchsiaspindle/core/job/JobLoadQueueTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/job/JobLoadQueueTest.java
@@ -2,11 +2,17 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.time.Duration;
+import java.util.SplittableRandom;
+import java.util.random.RandomGenerator;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a process that holds more jobs than its memory allows, or forgets some. */
 final class JobLoadQueueTest {
 
+    private static final long NOW = -7;
+    private static final RandomGenerator RANDOM = new SplittableRandom(1);
+
     private final JobLoadQueue queue = JobLoadQueue.create(100, 30, 2);
 
     @Test
@@ -14,8 +20,8 @@
         queue.add("late", 9);
         queue.add("early", 1);
         queue.add("middle", 5);
-        assertThat(queue.poll()).contains("early");
-        assertThat(queue.poll()).contains("middle");
+        assertThat(queue.poll(NOW)).contains("early");
+        assertThat(queue.poll(NOW)).contains("middle");
     }
 
     @Test
@@ -23,11 +29,11 @@
         queue.add("a", 1);
         queue.add("b", 2);
         queue.add("c", 3);
-        queue.poll();
-        queue.poll();
-        assertThat(queue.poll()).isEmpty();
+        queue.poll(NOW);
+        queue.poll(NOW);
+        assertThat(queue.poll(NOW)).isEmpty();
         queue.loaded("a", 10);
-        assertThat(queue.poll()).contains("c");
+        assertThat(queue.poll(NOW)).contains("c");
     }
 
     @Test
@@ -37,7 +43,7 @@
         }
         int finished = 0;
         while (finished < 100) {
-            for (var next = queue.poll(); next.isPresent(); next = queue.poll()) {
+            for (var next = queue.poll(NOW); next.isPresent(); next = queue.poll(NOW)) {
                 queue.loaded(next.get(), 30);
                 assertThat(queue.heldBytes()).isLessThanOrEqualTo(100);
             }
@@ -55,12 +61,12 @@
         JobLoadQueue small = JobLoadQueue.create(10, 30, 2);
         small.add("a", 1);
         small.add("b", 2);
-        assertThat(small.poll()).contains("a");
-        assertThat(small.poll()).isEmpty();
+        assertThat(small.poll(NOW)).contains("a");
+        assertThat(small.poll(NOW)).isEmpty();
         small.loaded("a", 25);
-        assertThat(small.poll()).isEmpty();
+        assertThat(small.poll(NOW)).isEmpty();
         small.remove("a");
-        assertThat(small.poll()).contains("b");
+        assertThat(small.poll(NOW)).contains("b");
     }
 
     @Test
@@ -75,10 +81,62 @@
     void removedJob_isNotLoaded() {
         queue.add("a", 1);
         queue.remove("a");
-        assertThat(queue.poll()).isEmpty();
+        assertThat(queue.poll(NOW)).isEmpty();
         assertThat(queue.isPending("a")).isFalse();
     }
 
+    /**
+     * Guards against loads that share the bandwidth of the store with so many others that all time
+     * out, again and again.
+     */
+    @Test
+    void failedLoads_becomeFewerAndGetMoreTime() {
+        JobLoadQueue many = JobLoadQueue.create(1000, 1, 4);
+        for (int job = 0; job < 8; job++) {
+            many.add("job-" + job, job);
+        }
+        for (int load = 0; load < 4; load++) {
+            assertThat(many.poll(NOW)).contains("job-" + load);
+        }
+        assertThat(many.poll(NOW)).isEmpty();
+        assertThat(many.silenceLimit("job-0")).isEqualTo(Duration.ofSeconds(3));
+        for (int load = 0; load < 4; load++) {
+            many.failed("job-" + load, NOW, RANDOM);
+        }
+        assertThat(many.silenceLimit("job-0")).isEqualTo(Duration.ofSeconds(6));
+        assertThat(many.poll(NOW)).contains("job-4");
+        assertThat(many.poll(NOW)).isEmpty();
+        many.loaded("job-4", 1);
+        assertThat(many.poll(NOW)).contains("job-5");
+        assertThat(many.poll(NOW)).contains("job-6");
+        assertThat(many.poll(NOW)).isEmpty();
+    }
+
+    @Test
+    void failedLoad_isRepeatedAfterADelayThatIsBounded() {
+        queue.add("a", 1);
+        long now = NOW;
+        for (int failure = 0; failure < 20; failure++) {
+            assertThat(queue.poll(now)).contains("a");
+            Duration delay = queue.failed("a", now, RANDOM);
+            assertThat(delay).isBetween(Duration.ofMillis(50), Duration.ofSeconds(2));
+            assertThat(queue.poll(now + delay.toNanos() - 1)).isEmpty();
+            assertThat(queue.isPending("a")).isTrue();
+            now += delay.toNanos();
+        }
+        assertThat(queue.silenceLimit("a")).isEqualTo(Duration.ofSeconds(24));
+    }
+
+    /** Guards against a failed load that holds up the others. */
+    @Test
+    void jobThatWaitsAfterAFailure_letsOthersPass() {
+        queue.add("a", 1);
+        queue.add("b", 2);
+        queue.poll(NOW);
+        queue.failed("a", NOW, RANDOM);
+        assertThat(queue.poll(NOW)).contains("b");
+    }
+
     /** Guards against memory that is counted twice after a job was held anew. */
     @Test
     void jobThatIsHeldAgain_countsOnce() {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCallHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCallHandler.java
@@ -24,6 +24,7 @@
 import org.fuchsiaspindle.platform.job.JobApiCodec;
 import org.fuchsiaspindle.platform.job.JobApiCodec.JobCall;
 import org.fuchsiaspindle.platform.store.CommitResult;
+import org.fuchsiaspindle.platform.store.StoreClient;
 
 /**
  * Handles requests to read or end existing jobs, which any gateway serves regardless of which one
@@ -175,7 +176,7 @@
     }
 
     private void loadItems(ClientExchange exchange, JobCall.Body call) {
-        jobStore.submission(call.jobId())
+        jobStore.submission(call.jobId(), StoreClient.OBJECT_SILENCE_LIMIT)
                 .whenCompleteAsync(
                         (found, failure) -> {
                             if (failure != null || found.isEmpty()) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobLoader.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobLoader.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.error.FuchsiaspindleException;
 import org.fuchsiaspindle.core.job.JobLoadQueue;
@@ -27,8 +28,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(JobLoader.class);
 
-    private static final Duration FAILURE_RETRY_DELAY = Duration.ofMillis(100);
-
     /** Size of an item without its body, as an estimate. */
     private static final long ITEM_OVERHEAD_BYTES = 1024;
 
@@ -110,7 +109,8 @@
     }
 
     private void loadNext() {
-        for (Optional<String> next = queue.poll(); next.isPresent(); next = queue.poll()) {
+        long now = System.nanoTime();
+        for (Optional<String> next = queue.poll(now); next.isPresent(); next = queue.poll(now)) {
             read(next.get());
         }
     }
@@ -120,7 +120,7 @@
             queue.remove(jobId);
             return;
         }
-        jobStore.submission(jobId)
+        jobStore.submission(jobId, queue.silenceLimit(jobId))
                 .thenCombine(jobStore.progress(jobId), SubmissionAndProgress::new)
                 .whenCompleteAsync((stored, failure) -> handleRead(jobId, stored, failure), loop);
     }
@@ -144,7 +144,9 @@
     }
 
     private void readLater(String jobId) {
-        loop.schedule(() -> read(jobId), FAILURE_RETRY_DELAY.toMillis(), TimeUnit.MILLISECONDS);
+        Duration delay = queue.failed(jobId, System.nanoTime(), ThreadLocalRandom.current());
+        loop.schedule(this::loadNext, delay.toNanos(), TimeUnit.NANOSECONDS);
+        loadNext();
     }
 
     private void start(VersionedJob job, SubmissionAndProgress stored) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
@@ -5,6 +5,7 @@
 import com.google.common.hash.Hashing;
 import java.io.ByteArrayOutputStream;
 import java.nio.charset.StandardCharsets;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
@@ -125,13 +126,18 @@
                                                 new CommitResult.NotDone("submission not stored")));
     }
 
-    /** Returns the submission of a job, empty if there is none. */
-    CompletableFuture<Optional<byte[]>> submission(String jobId) {
+    /**
+     * Returns the submission of a job, empty if there is none.
+     *
+     * @param jobId the job
+     * @param silenceLimit for how long the store may send nothing of a submission that is an object
+     */
+    CompletableFuture<Optional<byte[]>> submission(String jobId, Duration silenceLimit) {
         return store.allRows(SUBMISSIONS, partition(jobId), jobId + "/", jobId + "0")
                 .thenCompose(
                         page ->
                                 page.rows().isEmpty()
-                                        ? store.object(objectName(jobId))
+                                        ? store.object(objectName(jobId), silenceLimit)
                                         : CompletableFuture.completedFuture(
                                                 Optional.of(joinChunks(page.rows()))));
     }
