Try batch items with a quarantined prompt part while the service is idle

Cause: items with a quarantined part waited for the end of the quarantine, two minutes, without a trial. Their retention of 60 s ends before that, so that they could only be abandoned, also when the quarantine was wrong or the targets had been repaired. The log says "waiting PROMPT_QUARANTINED" and nothing after it.

Change: PromptQuarantine.allowsTrial spaces trials by the crashes that all gateways know, 3 s, and ends them after four crashes in a quarantine. ItemTrials lets one item of a gateway at a time run, when the service had no online request for some seconds, on a target without other calls.

--- a/core/src/main/java/org/fuchsiaspindle/core/prompt/PromptQuarantine.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/prompt/PromptQuarantine.java
@@ -29,8 +29,8 @@
  * know to be harmless.
  *
  * <p>A quarantine ends after some time, so that requests are served again after the targets were
- * repaired; a single crash then renews it for twice the time. Not thread-safe; times are monotonic
- * nanoseconds.
+ * repaired; a single crash then renews it for twice the time. A few trials are allowed before its
+ * end. Not thread-safe; times are monotonic nanoseconds.
  */
 public final class PromptQuarantine {
 
@@ -61,6 +61,12 @@
     /** Time after the end of a quarantine during which a single crash renews it. */
     static final Duration RENEWAL_TIME = Duration.ofMinutes(30);
 
+    /** Time after a crash in which no trial of the same part is made. */
+    static final Duration TRIAL_INTERVAL = Duration.ofSeconds(3);
+
+    /** Number of crashes during a quarantine after which no trial is made until it ends. */
+    static final int MAX_TRIAL_CRASHES = 4;
+
     private static final int MAX_CRASHES = 256;
 
     /** Maximum number of requests that are kept of one crash. */
@@ -347,6 +353,38 @@
                 .max(Comparator.naturalOrder());
     }
 
+    /**
+     * Returns whether a request may be tried although parts of its prompt are quarantined.
+     *
+     * <p>A trial that is answered ends the quarantine. Each trial that crashes its target delays
+     * the next one, and a few of them end the trials; all gateways count the same crashes.
+     *
+     * @param service the service that would run it
+     * @param parts the parts of its prompt that other requests may share
+     * @param now the time
+     */
+    public boolean allowsTrial(String service, ImmutableList<String> parts, long now) {
+        return parts.stream()
+                .map(id -> quarantines.get(new PromptPart(service, id)))
+                .filter(quarantine -> quarantine != null && quarantine.isActive(now))
+                .allMatch(quarantine -> allowsTrial(quarantine, now));
+    }
+
+    private boolean allowsTrial(Quarantine quarantine, long now) {
+        long startNanos = quarantine.untilNanos() - quarantine.duration().toNanos();
+        int crashesSinceStart = 0;
+        for (Crash crash : crashes) {
+            if (!crash.hasPart(quarantine.part())) {
+                continue;
+            }
+            if (now - crash.nanos < TRIAL_INTERVAL.toNanos()) {
+                return false;
+            }
+            crashesSinceStart += crash.nanos - startNanos > 0 ? 1 : 0;
+        }
+        return crashesSinceStart < MAX_TRIAL_CRASHES;
+    }
+
     /** Forgets quarantines that ended too long ago to be renewed. */
     public void removeExpired(long now) {
         quarantines
--- a/core/src/test/java/org/fuchsiaspindle/core/prompt/PromptQuarantineTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/prompt/PromptQuarantineTest.java
@@ -37,6 +37,52 @@
         assertThat(quarantine.active(now)).isEmpty();
     }
 
+    /**
+     * Guards against items that wait for a quarantine that may be wrong until they are abandoned.
+     */
+    @Test
+    void trial_isAllowedSomeTimeAfterTheLastCrash() {
+        quarantineDeadlyPart();
+        assertThat(allowsTrial("deadly")).isFalse();
+        now += PromptQuarantine.TRIAL_INTERVAL.toNanos();
+        assertThat(allowsTrial("deadly")).isTrue();
+        crash("t4", "caller+deadly");
+        assertThat(allowsTrial("deadly")).isFalse();
+    }
+
+    /** Guards against trials that crash one target after the other. */
+    @Test
+    void trials_endAfterAFewCrashes() {
+        quarantineDeadlyPart();
+        int trials = 0;
+        for (int second = 0; second < 100; second++) {
+            now += Duration.ofSeconds(1).toNanos();
+            if (allowsTrial("deadly")) {
+                trials++;
+                crash("t", "caller+deadly");
+            }
+        }
+        assertThat(trials).isEqualTo(PromptQuarantine.MAX_TRIAL_CRASHES);
+    }
+
+    @Test
+    void trialThatIsAnswered_endsTheQuarantine() {
+        quarantineDeadlyPart();
+        answered("caller", "deadly");
+        assertThat(isQuarantined("caller", "deadly")).isFalse();
+    }
+
+    private void quarantineDeadlyPart() {
+        crash("t1", "caller+deadly");
+        crash("t2", "caller+deadly");
+        crash("t3", "caller+deadly");
+        assertThat(isQuarantined("other", "deadly")).isTrue();
+    }
+
+    private boolean allowsTrial(String... parts) {
+        return quarantine.allowsTrial(SERVICE, ImmutableList.copyOf(parts), now);
+    }
+
     /** Several gateways report the same crash. */
     @Test
     void reportsOfOneCrash_countOnce() {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -159,6 +159,7 @@
                                 storeClock,
                                 self,
                                 metrics,
+                                slots::timeSinceOnlineRequest,
                                 settings.itemMemoryBytes()));
         ownership =
                 JobOwnership.start(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.time.temporal.ChronoUnit;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
@@ -41,6 +42,7 @@
     private long lastEventAtStart;
     private long earliestStartNanos = System.nanoTime();
     private OptionalLong lastPolledEvent = OptionalLong.empty();
+    private OptionalLong lastTrialNanos = OptionalLong.empty();
     private String targetId = "-";
 
     ItemRun(OwnedJob job, int index, BatchItem item) {
@@ -74,6 +76,23 @@
         return isNew;
     }
 
+    /** Returns whether a prompt part kept the item from targets when this was last checked. */
+    boolean isQuarantined() {
+        return quarantined;
+    }
+
+    /** Returns the time since the item was last tried in spite of a quarantine. */
+    Duration timeSinceTrial(long now) {
+        return lastTrialNanos.isEmpty()
+                ? ChronoUnit.FOREVER.getDuration()
+                : Duration.ofNanos(now - lastTrialNanos.getAsLong());
+    }
+
+    /** Records that the item is tried in spite of a quarantine. */
+    void recordTrial(long now) {
+        lastTrialNanos = OptionalLong.of(now);
+    }
+
     TargetCall call() {
         return call;
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -14,6 +14,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.fuchsiaspindle.core.job.ItemOutcome;
 import org.fuchsiaspindle.core.job.JobLoadQueue;
 import org.fuchsiaspindle.core.job.JobOwner;
@@ -92,6 +93,7 @@
     private final ItemSchedule schedule;
     private final JobLoader loader;
     private final Map<String, Long> routeMissingSinceNanos = new HashMap<>();
+    private final ItemTrials trials;
     private boolean demandUpdateScheduled;
     private long lastCheckpointNanos = System.nanoTime();
     private boolean stopping;
@@ -108,6 +110,7 @@
         this.self = dependencies.self();
         this.metrics = dependencies.metrics();
         this.schedule = new ItemSchedule(dependencies.viewHolder(), dependencies.storeClock());
+        this.trials = new ItemTrials(promptGuard, dependencies.timeSinceOnlineRequest());
         this.loader =
                 new JobLoader(
                         loop,
@@ -135,6 +138,7 @@
      * @param storeClock the clock that measures the age of jobs
      * @param self this process as an owner
      * @param metrics counts the items by outcome
+     * @param timeSinceOnlineRequest returns the time since the last online request of a service
      * @param itemMemoryBytes how many bytes of items may be in memory
      */
     public record Dependencies(
@@ -148,6 +152,7 @@
             StoreClock storeClock,
             JobOwner self,
             GatewayMetrics metrics,
+            Function<String, Duration> timeSinceOnlineRequest,
             long itemMemoryBytes) {}
 
     /** Creates a runner and starts its timers. */
@@ -379,7 +384,7 @@
                             route -> {
                                 for (ItemRun run : job.runs()) {
                                     String service = run.service(route);
-                                    if (run.mayStart(now) && !isQuarantined(run, service)) {
+                                    if (run.mayStart(now) && mayRun(run, service, now)) {
                                         startable.put(run, service);
                                     }
                                 }
@@ -388,6 +393,10 @@
         return startable;
     }
 
+    private boolean mayRun(ItemRun run, String service, long now) {
+        return !isQuarantined(run, service) || trials.isDue(run, service, now);
+    }
+
     /** Returns whether a prompt part keeps an item from targets; it then waits. */
     private boolean isQuarantined(ItemRun run, String service) {
         Optional<Duration> remaining = promptGuard.quarantine(service, run.promptParts());
@@ -414,6 +423,10 @@
                                 startable.add(run);
                             }
                         });
+        if (!fleet.isIdle(target.id()) && startable.removeIf(ItemRun::isQuarantined)) {
+            // A trial may crash the target, so it must not run beside others.
+            trials.postpone(System.nanoTime());
+        }
         Optional<ItemRun> first = schedule.mostUrgent(startable);
         first.ifPresent(
                 run ->
@@ -425,6 +438,10 @@
 
     private void startItem(ItemRun run, SlotLease lease, TargetInstance target, Route route) {
         BatchItem item = run.item();
+        if (run.isQuarantined()) {
+            trials.started(run, System.nanoTime());
+            DecisionLog.batch(run.job().id(), item.id(), "trial", "target " + target.id());
+        }
         lease.onRevocation(() -> preempt(run));
         run.start(
                 fleet.call(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/prompt/PromptGuard.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/prompt/PromptGuard.java
@@ -93,6 +93,17 @@
         return quarantine.remainingTime(service, promptParts, System.nanoTime());
     }
 
+    /**
+     * Returns whether a request may be tried although parts of its prompt are quarantined.
+     *
+     * @param service the service that would run it
+     * @param promptParts the parts of its prompt that other requests may share
+     * @param delay how much later than possible the trial is allowed
+     */
+    public boolean allowsTrial(String service, ImmutableList<String> promptParts, Duration delay) {
+        return quarantine.allowsTrial(service, promptParts, System.nanoTime() - delay.toNanos());
+    }
+
     /** Handles a crash of a target that this gateway observed. */
     public void onCrash(TargetCrash crash) {
         long now = System.nanoTime();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -78,6 +78,8 @@
     private final Map<PoolId, PoolHoldings> pools = new HashMap<>();
     private final Map<String, Long> checksSentNanos = new HashMap<>();
     private final Map<String, Long> unusableUntilNanos = new HashMap<>();
+    private final Map<String, Long> lastRequestNanosByService = new HashMap<>();
+    private final long createdNanos = System.nanoTime();
     private PoolPlan plan;
     private PeerMesh mesh;
     private Coordinators coordinators;
@@ -136,12 +138,19 @@
     /** Starts to obtain a slot for an online request. */
     public SlotAcquisition acquire(
             SlotAcquisition.Need need, SlotAcquisition.Listener acquisitionListener) {
+        lastRequestNanosByService.put(need.service(), System.nanoTime());
         SlotAcquisition acquisition = new SlotAcquisition(this, need, acquisitionListener);
         // Deferred, so that the listener is not called before this method returns.
         loop.execute(acquisition::start);
         return acquisition;
     }
 
+    /** Returns the time since this gateway last had an online request for a service. */
+    public Duration timeSinceOnlineRequest(String service) {
+        long last = lastRequestNanosByService.getOrDefault(service, createdNanos);
+        return Duration.ofNanos(System.nanoTime() - last);
+    }
+
     /** Returns the demand of this gateway for slots of batch items. */
     public BatchDemands batchDemands() {
         return batchDemands;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -142,6 +142,12 @@
                 && (!state.isOpen() || !state.health().acceptsCalls(System.nanoTime()));
     }
 
+    /** Returns whether no call of this gateway runs on a target. */
+    public boolean isIdle(String id) {
+        TargetState state = targets.get(id);
+        return state != null && state.calls().isEmpty();
+    }
+
     /**
      * Sends a request to a target.
      *
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/PromptPartCrashTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/PromptPartCrashTest.java
@@ -142,6 +142,26 @@
         assertThat(crashCount()).isEqualTo(crashes);
     }
 
+    /** Guards against items that are abandoned although their quarantine is wrong by now. */
+    @Test
+    void itemWithAQuarantinedPart_completesAfterTheTargetsAreRepaired() throws Exception {
+        crashUntilRefused();
+        engines.forEach(engine -> engine.crashOnPart("", DOWN_TIME));
+        submit("job-3", item("item-4", CRASHING_PART));
+        await("the item completed", () -> results("job-3").contains("completed"));
+    }
+
+    /** Guards against trials that crash more than a few targets. */
+    @Test
+    void itemsThatStillCrashTargets_areTriedAFewTimesInTurn() throws Exception {
+        crashUntilRefused();
+        int crashes = crashCount();
+        submit("job-4", item("item-5", CRASHING_PART), item("item-6", CRASHING_PART));
+        await("both items were tried", Duration.ofSeconds(30), () -> crashCount() - crashes >= 2);
+        assertThat(crashCount() - crashes).isEqualTo(2);
+        assertThat(results("job-4")).doesNotContain("dead_letter");
+    }
+
     private void submit(String job, String... items) throws Exception {
         Response response =
                 platform.client(gateways.getFirst())
