Keep calls on accepted jobs from routes with a shorter prefix

In our test the read got the answer of a target of another service.

Cause: RequestRouter asked the routes first and took a request for a call on a job only if no route matched.

Change: the paths of such calls count as routes of the hosts with batch routes, so the longest prefix decides as everywhere; calls on a job that the gateway knows always reach it.

GatewayBatchTest.routeForTheRestOfTheHost_takesNoCallsOnJobs failed before.

--- a/core/src/main/java/org/fuchsiaspindle/core/serving/ServingConfig.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/ServingConfig.java
@@ -67,6 +67,12 @@
         return Optional.empty();
     }
 
+    /** Returns whether a host has a batch route, and so calls on its jobs. */
+    public boolean hasBatchRoute(String host) {
+        return routesByHost.getOrDefault(hostKey(host), List.of()).stream()
+                .anyMatch(route -> route.kind() == RouteKind.BATCH);
+    }
+
     /**
      * Returns the route of accepted batch work in this version, empty if it was removed.
      *
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
@@ -21,6 +21,7 @@
 import org.fuchsiaspindle.platform.ingress.ClientRequestHandler;
 import org.fuchsiaspindle.platform.ingress.Refusal;
 import org.fuchsiaspindle.platform.job.JobApiCodec;
+import org.fuchsiaspindle.platform.job.JobApiCodec.JobCall;
 
 /** Routes requests to the handlers of online requests, job submissions, and existing jobs. */
 final class RequestRouter implements ClientRequestHandler {
@@ -71,28 +72,50 @@
             exchange.refuse(Refusal.notRun(ResultCode.NO_TARGET, CONFIG_RETRY_AFTER));
             return;
         }
-        Optional<Route> route = config.get().match(request.host(), request.path());
+        Optional<JobCall> jobCall = JobApiCodec.decode(request);
+        Optional<Route> route =
+                config.get()
+                        .match(request.host(), request.path())
+                        .filter(match -> !hasPrecedence(jobCall, match, request, config.get()));
         if (!isAdmitted(request, route)) {
-            DecisionLog.online(
-                    request.id(),
-                    route.map(Route::name).orElse("-"),
-                    "-",
-                    "-",
-                    "refused",
-                    ResultCode.DRAINING.name(),
-                    0,
-                    0);
-            exchange.refuse(Refusal.notRun(ResultCode.DRAINING, DRAINING_RETRY_AFTER));
-            return;
-        }
-        if (route.isPresent()) {
+            refuse(exchange, route, ResultCode.DRAINING);
+        } else if (route.isPresent()) {
             dispatch(exchange, route.get());
-            return;
+        } else {
+            jobCall.ifPresentOrElse(
+                    call -> jobCallHandler.handle(exchange, call),
+                    () -> refuseNotFound(exchange, config.get()));
         }
-        JobApiCodec.decode(request)
-                .ifPresentOrElse(
-                        call -> jobCallHandler.handle(exchange, call),
-                        () -> refuseNotFound(exchange, config.get()));
+    }
+
+    /**
+     * Returns whether a request on a job is handled as such although a route matches its path.
+     *
+     * <p>The paths of such requests count as routes of the hosts that have batch routes, so a route
+     * with a longer prefix takes them. It does not take those on jobs that were accepted before.
+     */
+    private boolean hasPrecedence(
+            Optional<JobCall> jobCall, Route match, ClientRequest request, ServingConfig config) {
+        return jobCall.filter(
+                        call ->
+                                jobCallHandler.isKnownJob(call.jobId(), request.host())
+                                        || config.hasBatchRoute(request.host())
+                                                && call.pathPrefix().length()
+                                                        > match.pathPrefix().length())
+                .isPresent();
+    }
+
+    private static void refuse(ClientExchange exchange, Optional<Route> route, ResultCode code) {
+        DecisionLog.online(
+                exchange.request().id(),
+                route.map(Route::name).orElse("-"),
+                "-",
+                "-",
+                "refused",
+                code.name(),
+                0,
+                0);
+        exchange.refuse(Refusal.notRun(code, DRAINING_RETRY_AFTER));
     }
 
     /** Returns whether the process does not end before a request must be answered. */
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCallHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCallHandler.java
@@ -77,6 +77,11 @@
         return handler;
     }
 
+    /** Returns whether a job that was submitted for a host is known to this gateway. */
+    public boolean isKnownJob(String jobId, String host) {
+        return jobTable.job(jobId).filter(job -> job.job().host().equals(host)).isPresent();
+    }
+
     /** Handles a request on an existing job. */
     public void handle(ClientExchange exchange, JobCall call) {
         switch (call) {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
@@ -282,24 +282,36 @@
         await("not found", () -> call(third, "GET", "/lots/job-x?after=0").status() == 404);
     }
 
+    /** Guards against accepted jobs that cannot be read because a route is added above them. */
+    @Test
+    void routeForTheRestOfTheHost_takesNoCallsOnJobs() throws Exception {
+        submit(first, "job-s", submission("job-s", 3, 5));
+        awaitResults(first, "job-s", 3);
+        platform.configure(withRoute("rest", "/", "plain"));
+        await("the route is in force", () -> call(first, "GET", "/other/x").status() == 200);
+        await("the route is in force", () -> call(second, "GET", "/other/x").status() == 200);
+        for (String ip : List.of(first, second)) {
+            assertThat(texts(read(ip, "job-s", 0).body())).containsAll(expected("job-s", 3, 5));
+            assertThat(call(ip, "GET", "/items/job-s?id=job-s-1").body()).isEqualTo("hallo");
+            assertThat(call(ip, "GET", "/lots/nothing").status()).isEqualTo(404);
+            assertThat(call(ip, "DELETE", "/lots/job-s").status()).isEqualTo(200);
+        }
+    }
+
+    private static String[] withRoute(String name, String prefix, String service) {
+        return Stream.concat(
+                        Stream.of(GatewayFixture.allRoutes()),
+                        Stream.of(PlatformEmulator.route(name, prefix, "safe", service, 2, "")))
+                .toArray(String[]::new);
+    }
+
     /** Guards against accepted items that are abandoned because a route is added on their path. */
     @Test
     void routeAddedBelowTheBatchRoute_abandonsNoAcceptedItem() throws Exception {
         String job = "studio/job-r";
         submit(first, job, submission("job-r", 8, 400));
         await("items run", () -> engine.active() > 0);
-        platform.configure(
-                Stream.concat(
-                                Stream.of(GatewayFixture.allRoutes()),
-                                Stream.of(
-                                        PlatformEmulator.route(
-                                                "studio",
-                                                BATCH + "studio/",
-                                                "safe",
-                                                "plain",
-                                                2,
-                                                "")))
-                        .toArray(String[]::new));
+        platform.configure(withRoute("studio", BATCH + "studio/", "plain"));
         awaitResults(second, "job-r", 8);
         assertThat(texts(read(second, "job-r", 0).body())).containsAll(expected("job-r", 8, 400));
         assertThat(plain.ledger()).noneMatch(run -> run.requestId().startsWith("job-r"));
