Acknowledge repeated submissions whatever the routes are now

A client that got no answer to its submission sends it again. If a route was added on its path meanwhile, the repeat was sent to a target as a request of that route (200 from a target in the test), if the batch route was removed, it was refused with 404, though the job was accepted and stored.

Cause: a submission was told from other requests by the route that matches now. Now a POST with the identifier, host and path of a known job is one.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
@@ -79,6 +79,8 @@
                         .filter(match -> !hasPrecedence(jobCall, match, request, config.get()));
         if (!isAdmitted(request, route)) {
             refuse(exchange, route, ResultCode.DRAINING);
+        } else if (submissionHandler.acknowledgeRepeat(exchange)) {
+            return;
         } else if (route.isPresent()) {
             dispatch(exchange, route.get());
         } else {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
@@ -5,6 +5,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import io.netty.channel.EventLoop;
+import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
@@ -107,6 +108,27 @@
         return new JobSubmissionHandler(checkNotNull(dependencies, "dependencies"));
     }
 
+    /**
+     * Acknowledges a request if it repeats the submission of a known job, also if its path belongs
+     * to another route by now.
+     *
+     * @return whether the request was acknowledged
+     */
+    public boolean acknowledgeRepeat(ClientExchange exchange) {
+        ClientRequest request = exchange.request();
+        boolean isRepeat =
+                request.method().equals(HttpMethod.POST)
+                        && jobTable.job(request.id())
+                                .map(VersionedJob::job)
+                                .filter(job -> job.host().equals(request.host()))
+                                .filter(job -> job.path().equals(request.path()))
+                                .isPresent();
+        if (isRepeat) {
+            acknowledge(exchange, request.id(), "known");
+        }
+        return isRepeat;
+    }
+
     /** Handles a submission on a route for batch jobs. */
     public void handle(ClientExchange exchange, Route route) {
         String id = exchange.request().id();
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
@@ -298,6 +298,23 @@
         }
     }
 
+    /**
+     * Guards against a repeated submission that is refused, or sent to a target, because the routes
+     * have changed since the first one was accepted.
+     */
+    @Test
+    void repeatedSubmission_isAcknowledgedWhateverTheRoutesAreNow() throws Exception {
+        String path = "studio/job-t";
+        String body = submission("job-t", 2, 300);
+        submit(first, path, body);
+        platform.configure(withRoute("studio", BATCH + "studio/", "plain"));
+        await("the route is in force", () -> post(second, "studio/other", "").status() == 200);
+        await("the route is in force", () -> post(first, "studio/other", "").status() == 200);
+        submit(first, path, body);
+        submit(second, path, body);
+        assertThat(plain.ledger()).noneMatch(run -> run.requestId().equals("job-t"));
+    }
+
     private static String[] withRoute(String name, String prefix, String service) {
         return Stream.concat(
                         Stream.of(GatewayFixture.allRoutes()),
