Start no items of a job that ended before its creation was confirmed

Seen by the review by reading: if the store's answer to the creation of a job comes after a repeat at another gateway and the end of the job, the gateway starts its items; nothing stops them, because the version that ends the job is known already.

Cause: JobSubmissionHandler ran the version that it had created, not the newest known one. Now the newest one decides, also after an unknown outcome.

GatewayBatchTest.jobThatEndsBeforeItsCreationIsConfirmed_startsNoItems failed before (items of the ended job ran); the emulator's store can delay an answer for it.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
@@ -282,9 +282,8 @@
             CommitResult result) {
         switch (result) {
             case CommitResult.Committed committed -> {
-                VersionedJob created = new VersionedJob(job, committed.version());
-                jobTable.offer(created);
-                runner.run(created, items);
+                jobTable.offer(new VersionedJob(job, committed.version()));
+                runIfOwn(job.id(), items);
                 acknowledge(exchange, job.id(), "new items=" + items.size());
             }
             case CommitResult.Conflict conflict -> {
@@ -304,6 +303,16 @@
         }
     }
 
+    /**
+     * Runs a job unless it was ended or taken over before its creation was confirmed, as the newest
+     * known version says.
+     */
+    private void runIfOwn(String jobId, ImmutableList<BatchItem> items) {
+        jobTable.job(jobId)
+                .filter(newest -> newest.job().owner().equals(self))
+                .ifPresent(newest -> runner.run(newest, items));
+    }
+
     /** Reads whether a job was created; if the read fails, reports that the outcome is unknown. */
     private void resolveOutcome(
             ClientExchange exchange, JobRecord job, ImmutableList<BatchItem> items, String reason) {
@@ -312,9 +321,7 @@
                         (found, failure) -> {
                             if (failure == null && found.isPresent()) {
                                 jobTable.offer(found.get());
-                                if (found.get().job().owner().equals(self)) {
-                                    runner.run(found.get(), items);
-                                }
+                                runIfOwn(job.id(), items);
                                 acknowledge(exchange, job.id(), "resolved");
                             } else {
                                 DecisionLog.batch(job.id(), "-", "open", reason);
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/StoreEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/StoreEmulator.java
@@ -9,6 +9,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.common.net.HostAndPort;
 import java.io.IOException;
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
@@ -20,6 +21,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.atomic.AtomicReference;
 import org.fuchsiaspindle.testbed.emulator.BlockingHttpServer.Connection;
 import org.fuchsiaspindle.testbed.emulator.BlockingHttpServer.Request;
 
@@ -75,6 +77,8 @@
     private final Map<String, AtomicLong> tableReads = new ConcurrentHashMap<>();
     private final AtomicLong writes = new AtomicLong();
     private final AtomicInteger responsesToDrop = new AtomicInteger();
+    private final AtomicReference<Duration> nextResponseDelay =
+            new AtomicReference<>(Duration.ZERO);
     private volatile FaultMode faultMode = FaultMode.SERVING;
     private volatile String tableDown = "";
     private long version;
@@ -122,6 +126,19 @@
         responsesToDrop.set(count);
     }
 
+    /** Applies the next transaction at once and delays its response. */
+    public void delayNextResponse(Duration delay) {
+        nextResponseDelay.set(checkNotNull(delay, "delay"));
+    }
+
+    private static void pause(Duration time) {
+        try {
+            Thread.sleep(time);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     /** Returns the number of calls so far. */
     public int calls() {
         return calls.get();
@@ -247,6 +264,7 @@
             case "/rows-tx" -> {
                 ObjectNode response = JSON.createObjectNode();
                 int status = transact(JSON.readTree(request.body()), response);
+                pause(nextResponseDelay.getAndSet(Duration.ZERO));
                 return respondToWrite(connection, status, response);
             }
             case "/rows-get" -> {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
@@ -16,6 +16,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.LockSupport;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
@@ -315,6 +316,31 @@
         assertThat(plain.ledger()).noneMatch(run -> run.requestId().equals("job-t"));
     }
 
+    /** Guards against items that run although their job ended before the store confirmed it. */
+    @Test
+    void jobThatEndsBeforeItsCreationIsConfirmed_startsNoItems() throws Exception {
+        String body = submission("job-u", 4, 300);
+        platform.store().delayNextResponse(Duration.ofMillis(1500));
+        CompletableFuture<Integer> submitted =
+                CompletableFuture.supplyAsync(() -> statusOfPost(first, "job-u", body));
+        await("job stored", () -> !platform.store().values("job", "job-u").isEmpty());
+        submit(second, "job-u", body);
+        assertThat(call(second, "DELETE", "/lots/job-u").status()).isEqualTo(200);
+        assertThat(submitted.get()).isEqualTo(202);
+        // An item would start within milliseconds of the confirmation.
+        submit(first, "job-v", submission("job-v", 1, 2));
+        awaitResults(first, "job-v", 1);
+        assertThat(engine.ledger()).noneMatch(run -> run.requestId().startsWith("job-u"));
+    }
+
+    private int statusOfPost(String ip, String path, String body) {
+        try {
+            return post(ip, path, body).status();
+        } catch (Exception failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
     private static String[] withRoute(String name, String prefix, String service) {
         return Stream.concat(
                         Stream.of(GatewayFixture.allRoutes()),
