Bound the text of a batch item by its encoded size

Seen by the review by reading: a text of over about 370,000 characters that aren't ASCII passes the limit of 600,000 characters and fits into no transaction; the store refuses it each time, so that the item, and the others that are committed with it, are never listed.

The limit now counts the bytes that are stored.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -1,6 +1,7 @@
 package org.fuchsiaspindle.gateway.batch;
 
 import com.google.common.collect.ImmutableList;
+import io.netty.buffer.ByteBufUtil;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.time.temporal.ChronoUnit;
@@ -32,6 +33,7 @@
     private final BatchItem item;
     private final ImmutableList<String> promptParts;
     private final StringBuilder text = new StringBuilder();
+    private int textBytes;
     private final double serviceFraction = ThreadLocalRandom.current().nextDouble();
     private State state = State.PENDING;
     private OptionalLong lastEvent = OptionalLong.empty();
@@ -168,9 +170,9 @@
                         && event.id().getAsLong() <= lastEvent.getAsLong();
         if (!duplicate) {
             if (lastEvent.isPresent()) {
-                text.append('\n');
+                append("\n");
             }
-            text.append(event.data());
+            append(event.data());
             lastEvent = event.id();
         }
         event.bytes().release();
@@ -181,8 +183,8 @@
      * it.
      */
     void restore(ItemProgress progress) {
-        text.setLength(0);
-        text.append(progress.text());
+        clearText();
+        append(progress.text());
         lastEvent = OptionalLong.of(progress.lastEvent());
     }
 
@@ -195,14 +197,24 @@
         return Optional.of(new ItemProgress(lastEvent.getAsLong(), text.toString()));
     }
 
-    /** Returns the size of the text so far, in characters. */
-    int textLength() {
-        return text.length();
+    /** Returns the size of the text so far as it is stored, in bytes. */
+    int textBytes() {
+        return textBytes;
+    }
+
+    private void append(String part) {
+        text.append(part);
+        textBytes += ByteBufUtil.utf8Bytes(part);
+    }
+
+    private void clearText() {
+        text.setLength(0);
+        textBytes = 0;
     }
 
     /** Discards the progress, so that the next run starts from the first event. */
     void discardProgress() {
-        text.setLength(0);
+        clearText();
         lastEvent = OptionalLong.empty();
         lastPolledEvent = OptionalLong.empty();
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -62,8 +62,8 @@
     /** How long a route may be missing from the configuration before its items are abandoned. */
     private static final Duration MISSING_ROUTE_GRACE = Duration.ofSeconds(3);
 
-    /** Maximum length of the text of an item; a longer one does not fit into a transaction. */
-    private static final int MAX_TEXT_LENGTH = JobStore.MAX_COMMIT_BYTES;
+    /** Maximum size of the text of an item; a larger one does not fit into a transaction. */
+    private static final int MAX_TEXT_BYTES = JobStore.MAX_COMMIT_BYTES;
 
     /** Maximum size of the body of a failure, which is not used. */
     private static final long MAX_IGNORED_BYTES = 256 * 1024;
@@ -511,7 +511,7 @@
                     run.call().fail();
                     retryLater(run, System.nanoTime(), "oversized answer");
                 }
-            } else if (!eventSplitter.add(data) || run.textLength() > MAX_TEXT_LENGTH) {
+            } else if (!eventSplitter.add(data) || run.textBytes() > MAX_TEXT_BYTES) {
                 // The text so far cannot be trusted, because the target does not end the stream.
                 run.call().fail();
                 run.discardProgress();
