Never hold a job twice that was lost and owned again during its load

A job that is removed while its submission is read, and added again before the read ends, would have been started by the old read and loaded once more. Found while reading the change; JobLoadQueueTest.loadOfARemovedJob_isNotHeld guards it.

--- a/core/src/main/java/org/fuchsiaspindle/core/job/JobLoadQueue.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/job/JobLoadQueue.java
@@ -147,13 +147,19 @@
         return Backoff.bound(count + 1, FIRST_SILENCE_LIMIT, MAX_SILENCE_LIMIT);
     }
 
-    /** Records that a job which is being loaded is in memory. */
-    public void loaded(String id, long bytes) {
-        if (loading.remove(id) != null) {
-            failuresById.remove(id);
-            concurrentLoads = Math.min(maxLoads, concurrentLoads + 1);
-            hold(id, bytes);
+    /**
+     * Records that a job which is being loaded is in memory.
+     *
+     * @return false if the job was removed meanwhile, so that it must not be held
+     */
+    public boolean loaded(String id, long bytes) {
+        if (loading.remove(id) == null) {
+            return false;
         }
+        failuresById.remove(id);
+        concurrentLoads = Math.min(maxLoads, concurrentLoads + 1);
+        hold(id, bytes);
+        return true;
     }
 
     /**
--- a/core/src/test/java/org/fuchsiaspindle/core/job/JobLoadQueueTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/job/JobLoadQueueTest.java
@@ -127,6 +127,19 @@
         assertThat(queue.silenceLimit("a")).isEqualTo(Duration.ofSeconds(24));
     }
 
+    /** Guards against a job that is held twice because it was lost and owned again meanwhile. */
+    @Test
+    void loadOfARemovedJob_isNotHeld() {
+        queue.add("a", 1);
+        queue.poll(NOW);
+        queue.remove("a");
+        queue.add("a", 1);
+        assertThat(queue.loaded("a", 10)).isFalse();
+        assertThat(queue.heldBytes()).isZero();
+        assertThat(queue.poll(NOW)).contains("a");
+        assertThat(queue.loaded("a", 10)).isTrue();
+    }
+
     /** Guards against a failed load that holds up the others. */
     @Test
     void jobThatWaitsAfterAFailure_letsOthersPass() {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
@@ -73,10 +73,7 @@
             return;
         }
         Optional<JobCall> jobCall = JobApiCodec.decode(request);
-        Optional<Route> route =
-                config.get()
-                        .match(request.host(), request.path())
-                        .filter(match -> !hasPrecedence(jobCall, match, request, config.get()));
+        Optional<Route> route = route(request, jobCall, config.get());
         if (!isAdmitted(request, route)) {
             refuse(exchange, route, ResultCode.DRAINING);
         } else if (submissionHandler.acknowledgeRepeat(exchange)) {
@@ -90,6 +87,15 @@
         }
     }
 
+    private Optional<Route> route(
+            ClientRequest request, Optional<JobCall> jobCall, ServingConfig config) {
+        Optional<Route> match = config.match(request.host(), request.path());
+        if (match.isEmpty() || jobCall.isEmpty()) {
+            return match;
+        }
+        return match.filter(route -> !hasPrecedence(jobCall.get(), route, request, config));
+    }
+
     /**
      * Returns whether a request on a job is handled as such although a route matches its path.
      *
@@ -97,14 +103,12 @@
      * with a longer prefix takes them. It does not take those on jobs that were accepted before.
      */
     private boolean hasPrecedence(
-            Optional<JobCall> jobCall, Route match, ClientRequest request, ServingConfig config) {
-        return jobCall.filter(
-                        call ->
-                                jobCallHandler.isKnownJob(call.jobId(), request.host())
-                                        || config.hasBatchRoute(request.host())
-                                                && call.pathPrefix().length()
-                                                        > match.pathPrefix().length())
-                .isPresent();
+            JobCall call, Route match, ClientRequest request, ServingConfig config) {
+        if (jobCallHandler.isKnownJob(call.jobId(), request.host())) {
+            return true;
+        }
+        boolean isMoreSpecific = call.pathPrefix().length() > match.pathPrefix().length();
+        return isMoreSpecific && config.hasBatchRoute(request.host());
     }
 
     private static void refuse(ClientExchange exchange, Optional<Route> route, ResultCode code) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobLoader.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobLoader.java
@@ -159,8 +159,9 @@
             remove(jobId);
             return;
         }
-        queue.loaded(jobId, bytes(items));
-        listener.onLoaded(job, items, stored.progress());
+        if (queue.loaded(jobId, bytes(items))) {
+            listener.onLoaded(job, items, stored.progress());
+        }
         loadNext();
     }
 
