Log and count irregular answers of targets

Change: no decision changes. A gateway logs and counts, as fuchsiaspindle_target_answer_events_total{event}: without_identifier and of_another_request (passed over), accepted_after_another, repeated_on_connection, after_complete (data on an idle connection, which closes it as before).

The whole suite was not run.

--- a/cli/src/main/java/org/fuchsiaspindle/cli/LogExplanation.java
+++ b/cli/src/main/java/org/fuchsiaspindle/cli/LogExplanation.java
@@ -132,7 +132,10 @@
             case "gateway", "peer" -> Optional.of(Reason.PROCESS);
             case "log" -> Optional.of(Reason.LEFT_OUT);
             case "target", "discovery" ->
-                    line.field("target").filter(targets::contains).map(target -> Reason.TARGET);
+                    line.field("target")
+                            .filter(targets::contains)
+                            .filter(target -> line.field("request").isEmpty())
+                            .map(target -> Reason.TARGET);
             default -> Optional.empty();
         };
     }
--- a/cli/src/test/java/org/fuchsiaspindle/cli/LogExplanationTest.java
+++ b/cli/src/test/java/org/fuchsiaspindle/cli/LogExplanationTest.java
@@ -94,6 +94,35 @@
         assertThat(explanation.verdict().orElseThrow()).contains("part of its prompt");
     }
 
+    /** Guards against a success whose explanation hides that other answers came before it. */
+    @Test
+    void irregularAnswers_areShownForTheRequestsThatTheyName() {
+        String log =
+                """
+                2026-04-20T10:58:43.000Z INFO  target: answer passed over target=i-1 request=cc33 \
+                answer_request=none status=500 exchanges=2 after=40ms
+                2026-04-20T10:58:43.100Z INFO  target: answer accepted after others target=i-1 \
+                request=cc33 status=200 passed_over=1 exchanges=2 after=140ms
+                2026-04-20T10:58:43.100Z INFO  online: request=cc33 route=r-1 service=s target=i-1 \
+                outcome=answered reason=200 attempts=0 elapsed=141ms
+                2026-04-20T10:58:43.200Z INFO  target: answer passed over target=i-1 request=dd44 \
+                answer_request=cc33 status=200 exchanges=3 after=2ms
+                2026-04-20T10:58:43.300Z INFO  target: answer passed over target=i-1 request=dd44 \
+                answer_request=ee55 status=200 exchanges=3 after=102ms
+                2026-04-20T10:58:43.400Z INFO  target: request repeated on its connection \
+                target=i-1 request=cc33 exchanges=4
+                2026-04-20T10:58:43.500Z INFO  target: bytes after a complete answer target=i-1 \
+                request=cc33 exchanges=4
+                """;
+        LogExplanation explanation = explain(log, "cc33");
+        assertThat(explanation.steps())
+                .extracting(LogExplanation.Step::reason)
+                .hasSize(6)
+                .containsOnly(Reason.DECISION);
+        assertThat(explanation.steps()).noneMatch(step -> step.line().message().contains("ee55"));
+        assertThat(explanation.verdict().orElseThrow()).contains("status 200");
+    }
+
     @Test
     void lineWithoutProcess_isParsed() {
         Optional<LogLine> line =
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -104,7 +104,7 @@
                         settings.dataCentre(),
                         settings.cpuCapacity());
         this.promptGuard = PromptGuard.create(requestLoop, metrics);
-        this.fleet = TargetFleet.create(requestLoop, promptGuard);
+        this.fleet = TargetFleet.create(requestLoop, promptGuard, metrics);
         this.slots = SlotClient.create(requestLoop, peerSelf, metrics);
         this.mesh = PeerMesh.create(requestLoop, peerSelf, viewHolder, storeHealth, slots, metrics);
         this.onlineDispatcher =
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpResponse;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.fuchsiaspindle.core.prompt.CrashSuspicion;
 import org.fuchsiaspindle.core.serving.TargetInstance;
@@ -33,6 +34,8 @@
     private HttpConnection connection;
     private TargetResponse response;
     private boolean sent;
+    private long sentNanos;
+    private int passedOver;
     private boolean ended;
     private final CrashSuspicion suspicion = new CrashSuspicion();
 
@@ -115,19 +118,34 @@
         return createdNanos;
     }
 
+    /** Returns how many exchanges its connection has carried, this call's included. */
+    int exchanges() {
+        return connection.exchanges();
+    }
+
+    /** Returns the time since the request was sent, in milliseconds. */
+    long sinceSentMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - sentNanos);
+    }
+
     TargetState target() {
         return target;
     }
 
     void sendOn(HttpConnection newConnection) {
         if (ended) {
-            target.returnToPool(newConnection);
+            target.returnToPool(newConnection, description.requestId());
             return;
         }
         connection = newConnection;
         sent = true;
+        sentNanos = System.nanoTime();
+        boolean repeated = !newConnection.recordRequestId(description.requestId());
         newConnection.send(request.get(), new ResponseReader());
         request = null;
+        if (repeated) {
+            fleet.answerEvents().repeatedOnConnection(this);
+        }
     }
 
     void connectFailed() {
@@ -161,8 +179,13 @@
         public boolean onHead(HttpResponse head) {
             fleet.dataReceived(target);
             if (!TargetProtocol.belongsTo(head, description.requestId())) {
+                passedOver++;
+                fleet.answerEvents().passedOver(TargetCall.this, head);
                 return false;
             }
+            if (passedOver > 0) {
+                fleet.answerEvents().acceptedAfterOthers(TargetCall.this, head, passedOver);
+            }
             response = TargetProtocol.decode(head);
             if (response.isRefusal()) {
                 // Refusals carry no identifier, so one that a faulty target writes again could not
@@ -189,7 +212,7 @@
         public void onComplete() {
             if (connection.isIdle()) {
                 connection.setReading(true);
-                target.returnToPool(connection);
+                target.returnToPool(connection, description.requestId());
             }
             target.health().responseCompleted();
             if (response.meaning() == TargetResponse.Meaning.SUCCESS && suspicion.recordSuccess()) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -17,6 +17,7 @@
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.SlotClient;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
+import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.gateway.view.TargetDirectory;
 import org.fuchsiaspindle.platform.channel.HttpConnection;
 import org.fuchsiaspindle.platform.target.TargetResponse;
@@ -44,12 +45,14 @@
     private final Map<String, TargetState> targets = new HashMap<>();
     private final CrashDetector crashDetector;
     private final PromptGuard promptGuard;
+    private final AnswerEvents answerEvents;
     private Consumer<TargetInstance> silenceListener = target -> {};
     private RequestLimitListener requestLimitListener = (target, limit) -> {};
 
-    private TargetFleet(EventLoop loop, PromptGuard promptGuard) {
+    private TargetFleet(EventLoop loop, PromptGuard promptGuard, GatewayMetrics metrics) {
         this.loop = loop;
         this.promptGuard = promptGuard;
+        this.answerEvents = new AnswerEvents(metrics);
         this.crashDetector = new CrashDetector(loop, promptGuard::onCrash);
     }
 
@@ -58,10 +61,14 @@
      *
      * @param loop its event loop
      * @param promptGuard learns which prompts crash targets and which are answered
+     * @param metrics counts irregular answers
      */
-    public static TargetFleet create(EventLoop loop, PromptGuard promptGuard) {
+    public static TargetFleet create(
+            EventLoop loop, PromptGuard promptGuard, GatewayMetrics metrics) {
         return new TargetFleet(
-                checkNotNull(loop, "loop"), checkNotNull(promptGuard, "promptGuard"));
+                checkNotNull(loop, "loop"),
+                checkNotNull(promptGuard, "promptGuard"),
+                checkNotNull(metrics, "metrics"));
     }
 
     /** Receives the limits that targets announce. */
@@ -114,7 +121,7 @@
         if (previous != null) {
             previous.unregister();
         }
-        targets.put(instance.id(), new TargetState(instance));
+        targets.put(instance.id(), new TargetState(instance, answerEvents));
     }
 
     @Override
@@ -208,6 +215,11 @@
         promptGuard.onAnswer(call.instance().service(), call.description().promptParts());
     }
 
+    /** Returns the log of irregular answers. */
+    AnswerEvents answerEvents() {
+        return answerEvents;
+    }
+
     void dataReceived(TargetState state) {
         state.dataReceived(System.nanoTime());
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
@@ -17,6 +17,7 @@
     /** Time between two reports that the target is silent. */
     private static final Duration SILENCE_REPORT_INTERVAL = Duration.ofSeconds(1);
 
+    private final AnswerEvents answerEvents;
     private TargetInstance instance;
     private boolean registered = true;
     private final TargetHealth health = new TargetHealth();
@@ -27,8 +28,9 @@
     private boolean leavingAnnounced;
     private OptionalDouble requestLimit = OptionalDouble.empty();
 
-    TargetState(TargetInstance instance) {
+    TargetState(TargetInstance instance, AnswerEvents answerEvents) {
         this.instance = instance;
+        this.answerEvents = answerEvents;
     }
 
     TargetInstance instance() {
@@ -143,15 +145,28 @@
         return null;
     }
 
-    void returnToPool(HttpConnection connection) {
+    /**
+     * Keeps a connection for other requests if it may carry any, else closes it.
+     *
+     * @param connection the connection
+     * @param lastRequest the identifier of the request that it was used or opened for
+     */
+    void returnToPool(HttpConnection connection, String lastRequest) {
         if (registered && connection.isIdle()) {
-            connection.onClose(() -> idleConnections.remove(connection));
+            connection.onClose(() -> idleConnectionClosed(connection, lastRequest));
             idleConnections.addFirst(connection);
         } else {
             connection.close();
         }
     }
 
+    private void idleConnectionClosed(HttpConnection connection, String lastRequest) {
+        idleConnections.remove(connection);
+        if (connection.receivedUnexpectedData()) {
+            answerEvents.dataAfterComplete(instance.id(), lastRequest, connection);
+        }
+    }
+
     /**
      * Closes idle connections before the target does, so that no request is sent on a closing one.
      */
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/DecisionLog.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/DecisionLog.java
@@ -5,7 +5,8 @@
 import org.slf4j.LoggerFactory;
 
 /**
- * Logs each decision on a request, a job or an item in one line, with a rate limit.
+ * Logs each decision on a request, a job or an item, and each irregular answer of a target, in one
+ * line, with a rate limit.
  *
  * <p>Lines beyond the limit are only counted; the count is logged before the first line of a later
  * second. Thread-safe.
@@ -56,6 +57,18 @@
         }
     }
 
+    /**
+     * Logs an irregularity in the exchange of one request with a target.
+     *
+     * @param message what happened, with a placeholder for each field
+     * @param fields the values of the fields, in order
+     */
+    public static void target(String message, Object... fields) {
+        if (tryAcquireLine()) {
+            LOG.info("target: " + message, fields);
+        }
+    }
+
     private static boolean tryAcquireLine() {
         synchronized (LOCK) {
             long now = TimeUnit.NANOSECONDS.toSeconds(System.nanoTime());
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
@@ -65,6 +65,13 @@
                     .labelNames("event")
                     .register(registry);
 
+    private final Counter answers =
+            Counter.builder()
+                    .name("fuchsiaspindle_target_answer_events_total")
+                    .help("Answers of targets that did not follow their requests as they must.")
+                    .labelNames("event")
+                    .register(registry);
+
     /** Creates metrics in a new registry. */
     public GatewayMetrics() {}
 
@@ -99,6 +106,11 @@
         prompts.labelValues(event).inc();
     }
 
+    /** Counts an event about answers that did not follow their requests as they must. */
+    public void countAnswerEvent(String event) {
+        answers.labelValues(event).inc();
+    }
+
     /**
      * Sets the source of the number of targets that accept new requests; read on the thread that
      * serves the metrics.
