--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswersTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswersTest.java
@@ -23,7 +23,6 @@
 import org.fuchsiaspindle.testbed.emulator.EmulatorClient.Response;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -150,7 +149,6 @@
     }
 
     /** Guards against an answer of another request that hides the own answer behind it. */
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(strings = {SAFE, UNSAFE, STREAM, RESUMABLE})
     void answerOfAnotherRequestWithoutLength_endsItsCallAtOnce(String path) throws Exception {
@@ -165,7 +163,6 @@
     }
 
     /** Guards against an answer of another request that holds the call until its time limit. */
-    @Tag("known-red")
     @ParameterizedTest
     @ValueSource(
             strings = {"Content-Length: 100\r\n\r\n", "Transfer-Encoding: chunked\r\n\r\n4\r\n"})
