Let an emulated engine answer requests twice

An engine now takes a seeded behaviour, DuplicateAnswers, with nine habits: earlier answers again (whole, without a length, cut), failures with and without the identifier, a late refusal, a second answer to HEAD, and an answer before the body is read.

--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/BlockingHttpServer.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/BlockingHttpServer.java
@@ -35,6 +35,15 @@
     @FunctionalInterface
     interface Handler {
 
+        /**
+         * Receives a request whose body has not been read, and may respond to it.
+         *
+         * @return whether the request is answered; its body is then read and ignored
+         */
+        default boolean handleHead(Request head, Connection connection) throws IOException {
+            return false;
+        }
+
         /** Responds to a request; returns whether the connection stays open. */
         boolean handle(Request request, Connection connection) throws IOException;
     }
@@ -224,9 +233,11 @@
             InputStream in = new BufferedInputStream(socket.getInputStream());
             Connection connection = new Connection(socket);
             Request request;
-            while ((request = read(in)) != null) {
+            while ((request = readHead(in)) != null) {
+                boolean answered = handler.handleHead(request, connection);
+                request = readBody(request, in);
                 waitWhilePaused(socket);
-                if (!handler.handle(request, connection)) {
+                if (!answered && !handler.handle(request, connection)) {
                     return;
                 }
             }
@@ -246,7 +257,8 @@
         }
     }
 
-    private static Request read(InputStream in) throws IOException {
+    /** Returns the next request without its body, or null at the end of the connection. */
+    private static Request readHead(InputStream in) throws IOException {
         String requestLine = readLine(in);
         if (requestLine == null) {
             return null;
@@ -258,8 +270,13 @@
             int colon = line.indexOf(':');
             headers.put(line.substring(0, colon), line.substring(colon + 1).strip());
         }
-        int length = Integer.parseInt(headers.getOrDefault("Content-Length", "0"));
-        return new Request(parts[0], parts[1], headers, in.readNBytes(length));
+        return new Request(parts[0], parts[1], headers, new byte[0]);
+    }
+
+    private static Request readBody(Request head, InputStream in) throws IOException {
+        int length = Integer.parseInt(head.headers().getOrDefault("Content-Length", "0"));
+        byte[] body = in.readNBytes(length);
+        return new Request(head.method(), head.uri(), head.headers(), body);
     }
 
     private static String readLine(InputStream in) throws IOException {
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
@@ -4,6 +4,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.Semaphore;
@@ -129,6 +130,7 @@
     private volatile String limitHeader = "";
     private volatile String leavingHeader = "";
     private volatile int incarnation = 1;
+    private volatile Optional<DuplicateAnswers> duplicateAnswers = Optional.empty();
     private final List<Arrival> arrivals = new CopyOnWriteArrayList<>();
     private final List<Long> crashNanos = new CopyOnWriteArrayList<>();
 
@@ -136,7 +138,7 @@
         this.spec = spec;
         this.ip = ip;
         this.slots = new Semaphore(spec.slots(), true);
-        this.server = BlockingHttpServer.start(ip, 0, this::handle);
+        this.server = BlockingHttpServer.start(ip, 0, new RequestHandler());
     }
 
     /** Starts an engine on a free port of a loopback address. */
@@ -215,6 +217,11 @@
         leavingHeader = leaving ? "Server-Leaving: 1\r\n" : "";
     }
 
+    /** Makes the engine answer all later requests that have an identifier by a behaviour. */
+    public void answerWith(DuplicateAnswers behaviour) {
+        duplicateAnswers = Optional.of(behaviour);
+    }
+
     /** Makes the engine a new incarnation at the same address, which is not leaving. */
     public void restart() {
         leavingHeader = "";
@@ -247,9 +254,29 @@
         server.close();
     }
 
-    private boolean handle(Request request, Connection connection) throws IOException {
+    /** Handles requests; some are answered before their body is read. */
+    private final class RequestHandler implements BlockingHttpServer.Handler {
+
+        @Override
+        public boolean handleHead(Request head, Connection connection) throws IOException {
+            return duplicateAnswers.isPresent()
+                    && isExpected(head)
+                    && duplicateAnswers.get().answerEarly(head, connection);
+        }
+
+        @Override
+        public boolean handle(Request request, Connection connection) throws IOException {
+            return EngineEmulator.this.handle(request, connection);
+        }
+    }
+
+    private boolean isExpected(Request request) {
         String expected = request.header("Expect-Instance");
-        if (!expected.isEmpty() && !expected.equals(spec.id())) {
+        return expected.isEmpty() || expected.equals(spec.id());
+    }
+
+    private boolean handle(Request request, Connection connection) throws IOException {
+        if (!isExpected(request)) {
             connection.respond(421, "Instance-Id: " + spec.id() + "\r\n", new byte[0]);
             return true;
         }
@@ -300,6 +327,9 @@
             crash(crashTime);
             return false;
         }
+        if (duplicateAnswers.isPresent() && !run.requestId().isEmpty()) {
+            return duplicateAnswers.get().answer(request, connection, spec.eventTime());
+        }
         String headers =
                 "Attempt-Id: "
                         + request.header("Attempt-Id")
