Play engines that answer twice against gateway processes

bin/bench duplicates starts gateways as processes, with the emulated store and three engines in its JVM, sends a seeded mix of safe, unsafe, stream and resumable requests and batch jobs, and compares what callers got with the ledger of the engines. It ends with code 1 if a success is not that of a successful run, a request ran twice, a request that ran was refused, a call was held to its limit after the engines had answered, or an item's result is not its whole output.

--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/Bench.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/Bench.java
@@ -18,6 +18,7 @@
             SlopesBench.class,
             DecisionBench.class,
             PlatformBench.class,
+            DuplicatesBench.class,
             GrowthBench.class
         })
 public final class Bench {
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswers.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswers.java
@@ -92,11 +92,11 @@
 
         /** Returns the success that the engine may claim for the run. */
         EngineAnswer success() {
-            return new EngineAnswer(SUCCESS, answer.headers(), run.body());
+            return new EngineAnswer(SUCCESS, answer.headers(), run.body(), isHead());
         }
 
         EngineAnswer unnamedFailure() {
-            return new EngineAnswer(FAILURE, STAMP_HEADER, answer.body());
+            return new EngineAnswer(FAILURE, STAMP_HEADER, answer.body(), isHead());
         }
     }
 
@@ -145,7 +145,7 @@
     boolean answer(Request request, Connection connection, Duration runTime) throws IOException {
         Random random = random(request.header("Attempt-Id"));
         if (random.nextDouble() < REFUSAL_SHARE) {
-            write(connection, new EngineAnswer(REFUSAL, REFUSAL_HEADERS, "").whole());
+            write(connection, new EngineAnswer(REFUSAL, REFUSAL_HEADERS, "", false).whole());
             return true;
         }
         pause(runTime);
@@ -172,6 +172,7 @@
         int first = Integer.parseInt("0" + request.header("Last-Event-Id"));
         String name = id + "|" + engine + "|" + number;
         boolean isStream = !request.header("X-Events").isEmpty();
+        boolean isHead = request.method().equals("HEAD");
         String body =
                 isStream
                         ? events(name, first + 1, Integer.parseInt(request.header("X-Events")))
@@ -196,7 +197,7 @@
                         + ("X-Run: " + number + "\r\n")
                         + (isStream ? "Content-Type: text/event-stream\r\n" : "");
         EngineAnswer answer =
-                new EngineAnswer(run.status(), headers, fails ? "failed " + name : body);
+                new EngineAnswer(run.status(), headers, fails ? "failed " + name : body, isHead);
         return new Plan(request, run, answer, affected, random);
     }
 
@@ -218,10 +219,10 @@
                 writeLate(plan, connection, plan.success());
             }
             case FAILS_UNNAMED_THEN_SUCCEEDS -> {
-                write(connection, text(plan, plan.unnamedFailure()));
+                write(connection, plan.unnamedFailure().whole());
                 writeLate(plan, connection, plan.success());
             }
-            case FAILS_UNNAMED -> write(connection, text(plan, plan.unnamedFailure()));
+            case FAILS_UNNAMED -> write(connection, plan.unnamedFailure().whole());
             case REPEATS_UNFRAMED -> {
                 EngineAnswer earlier = earlier(plan, connection);
                 write(connection, earlier == null ? "" : earlier.unframed());
@@ -234,13 +235,16 @@
             }
             case REFUSES_LATE -> {
                 writeOwn(plan, connection);
-                writeLate(plan, connection, new EngineAnswer(REFUSAL, REFUSAL_HEADERS, ""));
+                writeLate(plan, connection, new EngineAnswer(REFUSAL, REFUSAL_HEADERS, "", false));
             }
             case ANSWERS_HEAD_TWICE -> {
                 writeOwn(plan, connection);
                 if (plan.isHead()) {
                     boolean hasBody = plan.random().nextBoolean();
-                    write(connection, hasBody ? plan.success().whole() : plan.success().head());
+                    EngineAnswer second =
+                            new EngineAnswer(
+                                    SUCCESS, plan.answer().headers(), plan.run().body(), !hasBody);
+                    write(connection, second.whole());
                 }
             }
             case ANSWERS_BEFORE_BODY -> writeOwn(plan, connection);
@@ -287,7 +291,7 @@
             if (plan.isStream() && plan.run().isSuccess()) {
                 writeStream(plan.answer(), connection);
             } else {
-                connection.write(text(plan, plan.answer()));
+                connection.write(plan.answer().whole());
             }
         }
     }
@@ -301,17 +305,13 @@
         connection.write(LAST_CHUNK);
     }
 
-    private static String text(Plan plan, EngineAnswer answer) {
-        return plan.isHead() ? answer.head() : answer.whole();
-    }
-
     private void writeLate(Plan plan, Connection connection, EngineAnswer answer) {
         Duration delay = Duration.ofMillis(1 + plan.random().nextInt(MAX_LATE_MS));
         Thread.startVirtualThread(
                 () -> {
                     pause(delay);
                     try {
-                        write(connection, text(plan, answer));
+                        write(connection, answer.whole());
                     } catch (IOException closedByPeer) {
                         // The gateway may have closed the connection in the meantime.
                         return;
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EmulatorClient.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EmulatorClient.java
@@ -45,7 +45,7 @@
     public Response call(String method, String path, Map<String, String> headers, String body)
             throws IOException {
         try (Socket socket = open(method, path, headers, body)) {
-            return read(new BufferedInputStream(socket.getInputStream()));
+            return read(new BufferedInputStream(socket.getInputStream()), !method.equals("HEAD"));
         }
     }
 
@@ -67,8 +67,12 @@
         return socket;
     }
 
-    /** Reads one response from a connection. */
+    /** Reads one response from a connection; it is not the response to HEAD. */
     public static Response read(InputStream in) throws IOException {
+        return read(in, true);
+    }
+
+    private static Response read(InputStream in, boolean hasBody) throws IOException {
         String statusLine = readLine(in);
         if (statusLine.isEmpty()) {
             return new Response(0, Map.of(), "", false);
@@ -81,7 +85,7 @@
             headers.put(line.substring(0, colon), line.substring(colon + 1).strip());
         }
         ByteArrayOutputStream body = new ByteArrayOutputStream();
-        boolean complete = readBody(in, headers, body);
+        boolean complete = !hasBody || readBody(in, headers, body);
         return new Response(status, headers, body.toString(StandardCharsets.UTF_8), complete);
     }
 
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineAnswer.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineAnswer.java
@@ -10,8 +10,9 @@
  * @param status the HTTP status
  * @param headers the header lines, each with its line end
  * @param body the body
+ * @param isToHead whether it answers HEAD, so that it declares a length but has no body
  */
-record EngineAnswer(int status, String headers, String body) {
+record EngineAnswer(int status, String headers, String body, boolean isToHead) {
 
     private static final int MISSING_BYTES = 5;
 
@@ -20,12 +21,6 @@
         checkNotNull(body, "body");
     }
 
-    /** Returns the head, which declares the length of the body. */
-    String head() {
-        int length = body.getBytes(StandardCharsets.UTF_8).length;
-        return statusAndHeaders() + "Content-Length: " + length + "\r\n\r\n";
-    }
-
     /** Returns the head of an answer whose body follows in chunks. */
     String chunkedHead() {
         return statusAndHeaders() + "Transfer-Encoding: chunked\r\n\r\n";
@@ -33,18 +28,23 @@
 
     /** Returns the whole answer with its length. */
     String whole() {
-        return head() + body;
+        int length = body.getBytes(StandardCharsets.UTF_8).length;
+        return statusAndHeaders() + "Content-Length: " + length + "\r\n\r\n" + writtenBody();
     }
 
     /** Returns the whole answer without a length, so that it ends with its connection. */
     String unframed() {
-        return statusAndHeaders() + "\r\n" + body;
+        return statusAndHeaders() + "\r\n" + writtenBody();
     }
 
     /** Returns the answer without the last bytes of its declared length. */
     String truncated() {
         String whole = whole();
-        return whole.substring(0, whole.length() - Math.min(MISSING_BYTES, body.length()));
+        return whole.substring(0, whole.length() - Math.min(MISSING_BYTES, writtenBody().length()));
+    }
+
+    private String writtenBody() {
+        return isToHead ? "" : body;
     }
 
     private String statusAndHeaders() {
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/fleet/DaemonProcess.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/fleet/DaemonProcess.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
+import org.fuchsiaspindle.platform.settings.SettingsFile;
 
 /** A daemon that runs in a separate JVM and is killed when this JVM exits. Thread-safe. */
 public final class DaemonProcess implements AutoCloseable {
@@ -32,6 +33,8 @@
     private static final List<String> ENTRY_HEAP = List.of("-Xms64m", "-Xmx512m");
 
     private static final List<String> AGENT_HEAP = List.of("-Xms16m", "-Xmx96m");
+    private static final String DAEMON_MAIN = "org.fuchsiaspindle.daemon.Main";
+    private static final String GATEWAY_MAIN = "org.fuchsiaspindle.gateway.GatewayMain";
     private static final int MAX_LOG_LINES = 50_000;
     private static final Duration KILL_TIMEOUT = Duration.ofSeconds(10);
     private static final Duration POLL_INTERVAL = Duration.ofMillis(10);
@@ -55,9 +58,34 @@
 
     static DaemonProcess start(
             String name, ImmutableList<String> arguments, Map<String, String> environment) {
+        List<String> heap = arguments.getFirst().equals("agent") ? AGENT_HEAP : ENTRY_HEAP;
+        return launch(name, heap, DAEMON_MAIN, arguments, environment);
+    }
+
+    /**
+     * Starts a gateway of the platform.
+     *
+     * @param name the name of the process, for messages
+     * @param settings the settings file that it reads
+     */
+    public static DaemonProcess startGateway(String name, Path settings) {
+        return launch(
+                name,
+                ENTRY_HEAP,
+                GATEWAY_MAIN,
+                ImmutableList.of(),
+                Map.of(SettingsFile.ENVIRONMENT_VARIABLE, settings.toString()));
+    }
+
+    private static DaemonProcess launch(
+            String name,
+            List<String> heap,
+            String mainClass,
+            List<String> arguments,
+            Map<String, String> environment) {
         List<String> command = new ArrayList<>();
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(arguments.getFirst().equals("agent") ? AGENT_HEAP : ENTRY_HEAP);
+        command.addAll(heap);
         command.addAll(
                 List.of(
                         "-XX:+UseSerialGC",
@@ -70,7 +98,7 @@
                         "--sun-misc-unsafe-memory-access=allow",
                         "-cp",
                         classPath(),
-                        "org.fuchsiaspindle.daemon.Main"));
+                        mainClass));
         command.addAll(arguments);
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("MALLOC_ARENA_MAX", "1");
