Count the irregular answers of an emulated engine

A play whose engines answer soundly would break no rule and prove nothing. The ledger counts the answers that are not the one sound answer of their run; the experiment prints the count and the soak test requires some.

--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/DuplicatesBench.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/DuplicatesBench.java
@@ -78,6 +78,7 @@
             cells.add(rule.name().toLowerCase(Locale.ROOT));
         }
         cells.add("runs");
+        cells.add("irregular");
         figures.row(cells.toArray());
     }
 
@@ -100,6 +101,7 @@
             figures.atMost(name + "_" + rule.name().toLowerCase(Locale.ROOT), count, 0);
         }
         cells.add(result.runs());
+        cells.add(result.irregularAnswers());
         figures.row(cells.toArray());
         figures.figure(name + "_refused_share", (double) refusals / result.outcomes().size());
     }
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/DuplicatesPlay.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/DuplicatesPlay.java
@@ -39,6 +39,7 @@
      * @param outcomes what the callers of online requests got
      * @param items what the readers of batch jobs got
      * @param runs number of runs of the engines
+     * @param irregularAnswers number of answers that are not the one sound answer of their run
      * @param violations the rules that were broken
      * @param log the logs of the gateways
      */
@@ -46,6 +47,7 @@
             ImmutableList<DuplicatesLoad.Outcome> outcomes,
             ImmutableList<DuplicatesLoad.ItemOutcome> items,
             int runs,
+            int irregularAnswers,
             ImmutableList<Violation> violations,
             ImmutableList<String> log) {
 
@@ -109,6 +111,7 @@
                 ImmutableList.copyOf(load.outcomes()),
                 ImmutableList.copyOf(load.items()),
                 ledger.runs().size(),
+                ledger.irregularAnswers(),
                 ImmutableList.copyOf(violations),
                 gateways.stream()
                         .flatMap(gateway -> gateway.log().stream())
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/AnswerLedger.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/AnswerLedger.java
@@ -36,6 +36,7 @@
     }
 
     private final List<AnsweredRun> runs = new CopyOnWriteArrayList<>();
+    private final AtomicInteger irregularAnswers = new AtomicInteger();
     private final AtomicInteger numbers = new AtomicInteger();
 
     /** Returns a snapshot of all runs. */
@@ -43,6 +44,15 @@
         return List.copyOf(runs);
     }
 
+    /** Returns how many answers were written that are not the one sound answer of their run. */
+    public int irregularAnswers() {
+        return irregularAnswers.get();
+    }
+
+    void countIrregularAnswer() {
+        irregularAnswers.incrementAndGet();
+    }
+
     int nextRun() {
         return numbers.incrementAndGet();
     }
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswers.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswers.java
@@ -136,6 +136,7 @@
             return false;
         }
         Plan plan = plan(head, connection, random, false);
+        ledger.countIrregularAnswer();
         writeOwn(plan, connection);
         pause(BODY_DELAY);
         return true;
@@ -219,18 +220,22 @@
                 writeLate(plan, connection, plan.success());
             }
             case FAILS_UNNAMED_THEN_SUCCEEDS -> {
-                write(connection, plan.unnamedFailure().whole());
+                writeIrregular(connection, plan.unnamedFailure().whole());
                 writeLate(plan, connection, plan.success());
             }
-            case FAILS_UNNAMED -> write(connection, plan.unnamedFailure().whole());
+            case FAILS_UNNAMED -> writeIrregular(connection, plan.unnamedFailure().whole());
             case REPEATS_UNFRAMED -> {
                 EngineAnswer earlier = earlier(plan, connection);
-                write(connection, earlier == null ? "" : earlier.unframed());
+                if (earlier != null) {
+                    writeIrregular(connection, earlier.unframed());
+                }
                 writeOwn(plan, connection);
             }
             case REPEATS_TRUNCATED -> {
                 EngineAnswer earlier = earlier(plan, connection);
-                write(connection, earlier == null ? "" : earlier.truncated());
+                if (earlier != null) {
+                    writeIrregular(connection, earlier.truncated());
+                }
                 writeOwn(plan, connection);
             }
             case REFUSES_LATE -> {
@@ -244,7 +249,7 @@
                     EngineAnswer second =
                             new EngineAnswer(
                                     SUCCESS, plan.answer().headers(), plan.run().body(), !hasBody);
-                    write(connection, second.whole());
+                    writeIrregular(connection, second.whole());
                 }
             }
             case ANSWERS_BEFORE_BODY -> writeOwn(plan, connection);
@@ -260,7 +265,7 @@
         }
         switch (plan.random().nextInt(3)) {
             case 0 -> {
-                write(connection, earlier.whole());
+                writeIrregular(connection, earlier.whole());
                 writeOwn(plan, connection);
             }
             case 1 -> {
@@ -269,7 +274,7 @@
             }
             default -> {
                 writeOwn(plan, connection);
-                write(connection, earlier.whole());
+                writeIrregular(connection, earlier.whole());
                 writeOwn(plan, connection);
             }
         }
@@ -311,7 +316,7 @@
                 () -> {
                     pause(delay);
                     try {
-                        write(connection, answer.whole());
+                        writeIrregular(connection, answer.whole());
                     } catch (IOException closedByPeer) {
                         // The gateway may have closed the connection in the meantime.
                         return;
@@ -319,6 +324,11 @@
                 });
     }
 
+    private void writeIrregular(Connection connection, String text) throws IOException {
+        write(connection, text);
+        ledger.countIrregularAnswer();
+    }
+
     private static void write(Connection connection, String text) throws IOException {
         synchronized (connection) {
             connection.write(text);
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/bench/DuplicateAnswersSoakTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/bench/DuplicateAnswersSoakTest.java
@@ -23,6 +23,7 @@
     void callersGetOnlyWhatTheirOwnRunsGave(AnswerHabit habit) throws Exception {
         DuplicatesPlay.Spec spec = new DuplicatesPlay.Spec(habit, SEED, REQUESTS, GATEWAYS);
         DuplicatesPlay.Result result = DuplicatesPlay.play(spec);
+        assertThat(result.irregularAnswers()).isPositive();
         assertThat(result.violations()).isEmpty();
         assertThat(result.outcomes().stream().filter(Outcome::isSuccess).count())
                 .isGreaterThan(MIN_SUCCESSES);
