Send each request to an agent's target on a connection of its own

Callers could have got another call's answer: a target of the own interface that answers a request twice, the second time when the next request was already read, answered that next request with the old answer. It applied to runs, probes, load reads, orders and cancellations.

Cause: TargetClient reused a connection at once after an answer, and the answers of these targets carry no identifier. No idle time is long enough for an answer that is late by any time, so a pool cannot be made safe.

Change: a connection carries one request and is closed after its answer; the pool, its clock and closeIdle are gone. The request doesn't say "Connection: close", so that targets still frame their answers and a truncated answer is noticed.

--- a/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/AdmissionController.java
+++ b/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/AdmissionController.java
@@ -311,7 +311,6 @@
         targetUp = false;
         LOG.warn("admit: target down reason=\"{}\" running={}", reason, registry.runs().size());
         updateOpen();
-        client.closeIdle();
         peers.values().forEach(EntryPeer::scheduleCacheReset);
         for (Work work : registry.all()) {
             if (work.run() == null) {
--- a/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/AgentDaemon.java
+++ b/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/AgentDaemon.java
@@ -60,7 +60,7 @@
         PrometheusRegistry registry = new PrometheusRegistry();
         metrics = AgentMetrics.create(registry);
         loop = AgentLoop.start(platform.clock());
-        client = TargetClient.create(settings.targetUrl(), platform.clock());
+        client = TargetClient.create(settings.targetUrl());
         transport = FleetTransport.create(identity(settings), 1);
         FrameDispatcher dispatcher = FrameDispatcher.create();
         config = config(platform, dispatcher);
--- a/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/TargetClient.java
+++ b/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/TargetClient.java
@@ -11,42 +11,32 @@
 import java.io.IOException;
 import java.net.URI;
 import java.time.Duration;
-import java.util.ArrayDeque;
-import java.util.Deque;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
-import org.fuchsiaspindle.core.time.Clock;
 import org.fuchsiaspindle.platform.channel.HttpConnection;
 
 /**
  * Sends requests to one target over HTTP with a single event loop.
  *
- * <p>Thread-safe and non-blocking. A connection is reused only after a complete exchange and within
- * a short idle time: if a target closed an idle connection while a request was being sent on it,
- * the outcome of that request would be unknown.
+ * <p>Thread-safe and non-blocking. Each connection carries one request: the responses of these
+ * targets do not name the request that they belong to, so a duplicate or late response on a
+ * connection that is used again could not be told from that of the next request.
  */
 public final class TargetClient implements AutoCloseable {
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(5);
-    private static final Duration MAX_IDLE = Duration.ofSeconds(2);
     private static final Duration CLOSE_TIMEOUT = Duration.ofSeconds(1);
-    private static final int MAX_IDLE_CONNECTIONS = 64;
     private static final int DEFAULT_PORT = 80;
 
     private final URI base;
     private final HostAndPort address;
-    private final Clock clock;
     private final EventLoopGroup group;
     private final EventLoop loop;
-    private final Deque<IdleConnection> idle = new ArrayDeque<>();
 
-    private record IdleConnection(HttpConnection connection, long sinceNanos) {}
-
-    private TargetClient(URI base, Clock clock) {
+    private TargetClient(URI base) {
         this.base = base;
         this.address = HostAndPort.fromString(base.getRawAuthority()).withDefaultPort(DEFAULT_PORT);
-        this.clock = clock;
         this.group =
                 new MultiThreadIoEventLoopGroup(
                         1,
@@ -59,10 +49,9 @@
      * Creates a client with its event loop.
      *
      * @param base base URL of the target, not null
-     * @param clock measures the idle time of connections, not null
      */
-    public static TargetClient create(URI base, Clock clock) {
-        return new TargetClient(checkNotNull(base, "base"), checkNotNull(clock, "clock"));
+    public static TargetClient create(URI base) {
+        return new TargetClient(checkNotNull(base, "base"));
     }
 
     /**
@@ -96,18 +85,8 @@
                                 failure -> result.accept(false)));
     }
 
-    /** Closes the idle connections, for example after the target was lost. */
-    public void closeIdle() {
-        execute(
-                () -> {
-                    idle.forEach(idleConnection -> idleConnection.connection().close());
-                    idle.clear();
-                });
-    }
-
     @Override
     public void close() {
-        closeIdle();
         group.shutdownGracefully(0, CLOSE_TIMEOUT.toMillis(), TimeUnit.MILLISECONDS);
     }
 
@@ -123,23 +102,10 @@
         return base.getAuthority();
     }
 
-    void release(HttpConnection connection) {
-        if (!connection.isIdle() || idle.size() >= MAX_IDLE_CONNECTIONS) {
-            connection.close();
-            return;
-        }
-        idle.push(new IdleConnection(connection, clock.nanoTime()));
-    }
-
     private void open(TargetExchange exchange) {
         if (exchange.isClosed()) {
             return;
         }
-        HttpConnection reusable = takeIdle();
-        if (reusable != null) {
-            exchange.start(reusable);
-            return;
-        }
         connect(
                 connection -> {
                     if (exchange.isClosed() || !connection.isIdle()) {
@@ -156,18 +122,4 @@
             Consumer<HttpConnection> openListener, Consumer<Throwable> failureListener) {
         HttpConnection.open(loop, address, CONNECT_TIMEOUT, openListener, failureListener);
     }
-
-    private HttpConnection takeIdle() {
-        long now = clock.nanoTime();
-        IdleConnection idleConnection = idle.poll();
-        while (idleConnection != null) {
-            if (idleConnection.connection().isIdle()
-                    && now - idleConnection.sinceNanos() < MAX_IDLE.toNanos()) {
-                return idleConnection.connection();
-            }
-            idleConnection.connection().close();
-            idleConnection = idle.poll();
-        }
-        return null;
-    }
 }
--- a/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/TargetExchange.java
+++ b/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/TargetExchange.java
@@ -61,7 +61,6 @@
     public void abort() {
         client.execute(
                 () -> {
-                    // After its end the connection may already serve another exchange.
                     if (!closed) {
                         closed = true;
                         closeConnection();
@@ -88,19 +87,22 @@
         try {
             httpRequest = toHttpRequest();
         } catch (IllegalArgumentException invalid) {
-            client.release(opened);
+            opened.close();
             fail(new IOException("request cannot be sent: " + invalid.getMessage(), invalid));
             return;
         }
         if (!listener.onSending()) {
             closed = true;
             httpRequest.release();
-            client.release(opened);
+            opened.close();
             return;
         }
         connection = opened;
         connection.setReading(!paused);
         connection.send(httpRequest, new ConnectionListener());
+        // Without "Connection: close" in the request, so that the target still declares the length
+        // of its response, and a truncated one is detected.
+        connection.closeAfterExchange();
     }
 
     void fail(IOException cause) {
@@ -184,8 +186,6 @@
         @Override
         public void onComplete() {
             closed = true;
-            connection.setReading(true);
-            client.release(connection);
             listener.onEnd();
         }
 
--- a/daemon/src/test/java/org/fuchsiaspindle/daemon/agent/TargetConnectionTest.java
+++ b/daemon/src/test/java/org/fuchsiaspindle/daemon/agent/TargetConnectionTest.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.CompletableFuture;
-import org.fuchsiaspindle.core.time.Clock;
 import org.fuchsiaspindle.daemon.agent.target.ResponseListener;
 import org.fuchsiaspindle.daemon.agent.target.TargetClient;
 import org.fuchsiaspindle.daemon.agent.target.TargetExchange;
@@ -15,7 +14,7 @@
 import org.fuchsiaspindle.wire.proto.Header;
 import org.junit.jupiter.api.Test;
 
-/** Guards against exchanges that affect others on the same connection to the target. */
+/** Guards against an exchange that affects another one with the same target. */
 final class TargetConnectionTest {
 
     private static final TargetRequest CALL =
@@ -28,9 +27,9 @@
                             "{\"prompt\":\"hold\",\"max_tokens\":1,\"request_id\":\"s\"}"));
 
     @Test
-    void abort_afterTheEnd_doesNotAffectTheNextExchangeOfTheConnection() {
+    void abort_afterTheEnd_doesNotAffectTheNextExchange() {
         try (FakeTarget target = new FakeTarget(0);
-                TargetClient client = TargetClient.create(target.url(), Clock.system())) {
+                TargetClient client = TargetClient.create(target.url())) {
             Outcome first = new Outcome();
             TargetExchange ended = client.send(CALL, first);
             assertThat(first.ended.join()).isTrue();
@@ -46,7 +45,7 @@
     @Test
     void abort_ofARunningExchange_closesItsConnectionWithoutFurtherEvents() {
         try (FakeTarget target = new FakeTarget(0);
-                TargetClient client = TargetClient.create(target.url(), Clock.system())) {
+                TargetClient client = TargetClient.create(target.url())) {
             Outcome first = new Outcome();
             TargetExchange running = client.send(STREAM, first);
             Await.until(() -> target.requests().size() == 1);
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/EndlessTargetTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/EndlessTargetTest.java
@@ -9,7 +9,6 @@
 import java.nio.ByteBuffer;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import org.fuchsiaspindle.core.time.Clock;
 import org.fuchsiaspindle.daemon.agent.target.ResponseListener;
 import org.fuchsiaspindle.daemon.agent.target.TargetClient;
 import org.fuchsiaspindle.daemon.agent.target.TargetRequest;
@@ -71,9 +70,7 @@
 
     private void assertExchangeFails(String start, String filler) throws Exception {
         server = EndlessServer.start(TARGET_IP, start, filler);
-        client =
-                TargetClient.create(
-                        URI.create("http://" + TARGET_IP + ":" + server.port()), Clock.system());
+        client = TargetClient.create(URI.create("http://" + TARGET_IP + ":" + server.port()));
         Outcome outcome = new Outcome();
         client.send(TargetRequest.withoutBody("GET", "/"), outcome);
         await("the exchange has ended", MAX_TIME, outcome.failed::isDone);
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/HeadRequestTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/HeadRequestTest.java
@@ -2,35 +2,47 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import com.google.common.collect.ImmutableList;
+import com.google.common.net.HostAndPort;
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
 import java.io.IOException;
-import java.net.URI;
-import java.nio.ByteBuffer;
+import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
-import org.fuchsiaspindle.core.time.Clock;
-import org.fuchsiaspindle.daemon.agent.target.ResponseListener;
-import org.fuchsiaspindle.daemon.agent.target.TargetClient;
-import org.fuchsiaspindle.daemon.agent.target.TargetRequest;
-import org.fuchsiaspindle.wire.proto.Header;
+import org.fuchsiaspindle.platform.channel.ExchangeFailure;
+import org.fuchsiaspindle.platform.channel.ExchangeListener;
+import org.fuchsiaspindle.platform.channel.HttpConnection;
+import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
 /** Guards against waiting for the body of an answer to HEAD, which has a length but no body. */
 final class HeadRequestTest {
 
     private static final String TARGET_IP = "127.0.2.11";
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(3);
     private static final int TIMEOUT_SECONDS = 3;
 
+    private final EventLoopGroup group =
+            new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
     @Test
     void answerToHead_endsWithItsHeadAndTheNextAnswerHasItsBody() throws Exception {
         try (BlockingHttpServer server =
-                        BlockingHttpServer.start(TARGET_IP, 0, HeadRequestTest::respond);
-                TargetClient client =
-                        TargetClient.create(
-                                URI.create("http://" + TARGET_IP + ":" + server.port()),
-                                Clock.system())) {
-            assertThat(bodyBytes(client, "HEAD")).isZero();
-            assertThat(bodyBytes(client, "GET")).isEqualTo(5);
+                BlockingHttpServer.start(TARGET_IP, 0, HeadRequestTest::respond)) {
+            HttpConnection connection = connect(server);
+            assertThat(bodyBytes(connection, HttpMethod.HEAD)).isZero();
+            assertThat(bodyBytes(connection, HttpMethod.GET)).isEqualTo(5);
         }
     }
 
@@ -42,36 +54,53 @@
         return true;
     }
 
-    private static int bodyBytes(TargetClient client, String method) throws Exception {
+    private HttpConnection connect(BlockingHttpServer server) throws Exception {
+        CompletableFuture<HttpConnection> opened = new CompletableFuture<>();
+        HttpConnection.open(
+                group.next(),
+                HostAndPort.fromParts(TARGET_IP, server.port()),
+                CONNECT_TIMEOUT,
+                opened::complete,
+                opened::completeExceptionally);
+        return opened.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
+    private int bodyBytes(HttpConnection connection, HttpMethod method) throws Exception {
         Answer answer = new Answer();
-        client.send(TargetRequest.withoutBody(method, "/"), answer);
+        group.next()
+                .execute(
+                        () ->
+                                connection.send(
+                                        new DefaultFullHttpRequest(
+                                                HttpVersion.HTTP_1_1, method, "/"),
+                                        answer));
         return answer.ended.get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
     }
 
     /** Counts the bytes of a body. */
-    private static final class Answer implements ResponseListener {
+    private static final class Answer implements ExchangeListener {
 
         private final CompletableFuture<Integer> ended = new CompletableFuture<>();
         private int bytes;
 
         @Override
-        public void onHead(int status, ImmutableList<Header> headers) {
-            // Only the body counts.
+        public boolean onHead(HttpResponse head) {
+            return true;
         }
 
         @Override
-        public void onBody(ByteBuffer data) {
-            bytes += data.remaining();
+        public void onData(ByteBuf data) {
+            bytes += data.readableBytes();
         }
 
         @Override
-        public void onEnd() {
+        public void onComplete() {
             ended.complete(bytes);
         }
 
         @Override
-        public void onFailure(IOException cause) {
-            ended.completeExceptionally(cause);
+        public void onFailure(ExchangeFailure failure) {
+            ended.completeExceptionally(new IOException("exchange failed: " + failure));
         }
     }
 }
