--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/HeadRequestTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/HeadRequestTest.java
@@ -15,6 +15,7 @@
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.platform.channel.Attribution;
 import org.fuchsiaspindle.platform.channel.ExchangeFailure;
 import org.fuchsiaspindle.platform.channel.ExchangeListener;
 import org.fuchsiaspindle.platform.channel.HttpConnection;
@@ -84,8 +85,8 @@
         private int bytes;
 
         @Override
-        public boolean onHead(HttpResponse head) {
-            return true;
+        public Attribution onHead(HttpResponse head) {
+            return Attribution.OWN;
         }
 
         @Override
