Close connections on any byte that arrives between two responses

A late answer that breaks off within its head ("HTTP/1.1 200 O", or within the value of a header) stays in the decoder, and the status line of the next answer, a 500, becomes the rest of it.

Cause: only decoded messages were looked at, so the start of a head on an idle connection neither closed it nor was counted.

Change: data that arrives while no exchange is in progress closes the connection before it is decoded, and so does data that follows a complete response in the same read.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -220,6 +220,9 @@
             if (connection.isIdle()) {
                 connection.setReading(true);
                 target.returnToPool(connection, description.requestId());
+            } else if (connection.receivedUnexpectedData()) {
+                fleet.answerEvents()
+                        .dataAfterComplete(instance().id(), description.requestId(), connection);
             }
             target.health().responseCompleted();
             if (response.meaning() == TargetResponse.Meaning.SUCCESS && suspicion.recordSuccess()) {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswersTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswersTest.java
@@ -14,6 +14,7 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
@@ -25,6 +26,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
 /** Guards against answers that are taken for those of another run or hold their caller. */
@@ -178,6 +180,52 @@
         assertThat(call(UNSAFE, "e").status()).isEqualTo(502);
     }
 
+    /** Guards against a failure whose head is taken for the rest of an earlier, broken one. */
+    @ParameterizedTest
+    @MethodSource("partsOfAHead")
+    void failureAfterAPartOfAHead_isNoSuccess(String part) throws Exception {
+        startServers(
+                (request, connection) -> {
+                    connection.write(part);
+                    connection.write(
+                            failure("Attempt-Id: " + request.header("Attempt-Id") + "\r\n"));
+                    return true;
+                });
+        assertThat(call(UNSAFE, "i").status()).isEqualTo(502);
+        assertThat(call(STREAM, "j").status()).isEqualTo(502);
+    }
+
+    /** Guards against the same part of a head that arrives between two requests. */
+    @ParameterizedTest
+    @MethodSource("partsOfAHead")
+    void partOfAHeadAfterAnAnswer_isNotTheStartOfTheNextAnswer(String part) throws Exception {
+        AtomicInteger connections = new AtomicInteger();
+        Set<Connection> answered = ConcurrentHashMap.newKeySet();
+        startServers(
+                (request, connection) -> {
+                    String id = request.header("Attempt-Id");
+                    if (answered.add(connection)) {
+                        connections.incrementAndGet();
+                        connection.write(success(id) + part);
+                    } else {
+                        connection.write(failure("Attempt-Id: " + id + "\r\n"));
+                    }
+                    return true;
+                });
+        for (int i = 0; i < 5; i++) {
+            assertThat(call(UNSAFE, "k" + i).body()).isEqualTo(EVENT);
+        }
+        assertThat(connections.get()).isEqualTo(5);
+    }
+
+    static List<String> partsOfAHead() {
+        return List.of(
+                "HTTP/1.1 200 O",
+                "HTTP/1.1 200 OK\r\n",
+                "HTTP/1.1 200 OK\r\nServer-St",
+                "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nX-Other: a");
+    }
+
     /** Guards against a sound answer that is given up because of what comes before it. */
     @ParameterizedTest
     @ValueSource(strings = {SAFE, UNSAFE, STREAM, RESUMABLE})
