--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -4,6 +4,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -140,8 +141,13 @@
         connection = newConnection;
         sent = true;
         sentNanos = System.nanoTime();
-        newConnection.send(description.requestId(), request.get(), new ResponseReader());
+        FullHttpRequest newRequest = request.get();
         request = null;
+        newConnection.send(description.requestId(), newRequest, new ResponseReader());
+        if (newRequest.method().equals(HttpMethod.HEAD)) {
+            // A second answer to HEAD announces a body that does not follow.
+            newConnection.closeAfterExchange();
+        }
     }
 
     void connectFailed() {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswersTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswersTest.java
@@ -226,6 +226,57 @@
                 "HTTP/1.1 200 OK\r\nServer-Stamp: s\r\nX-Other: a");
     }
 
+    /** Guards against an answer that is taken for the body of an earlier one, and never found. */
+    @ParameterizedTest
+    @ValueSource(ints = {10, 100, 300})
+    void answerBehindAHeadWithoutItsBody_doesNotHoldItsCall(int length) throws Exception {
+        startServers(
+                (request, connection) -> {
+                    connection.write(headWithoutBody(length));
+                    connection.write(
+                            success(request.header("Attempt-Id"))
+                                    .replace(
+                                            "Content-Length: " + EVENT.length(),
+                                            "Content-Length: 600")
+                                    .replace(EVENT, "x".repeat(600)));
+                    return true;
+                });
+        assertThat(call(UNSAFE, "l").status()).isEqualTo(502);
+    }
+
+    /** Guards against a failure that is taken for the body of an earlier answer. */
+    @Test
+    void failureBehindAHeadWithoutItsBody_isNotReplacedByALateSuccess() throws Exception {
+        startServers(
+                (request, connection) -> {
+                    String id = request.header("Attempt-Id");
+                    String failure = failure("Attempt-Id: " + id + "\r\n");
+                    connection.write(headWithoutBody(failure.length()));
+                    connection.write(failure);
+                    connection.write(success(id));
+                    return true;
+                });
+        assertThat(call(UNSAFE, "m").status()).isEqualTo(502);
+    }
+
+    /** Guards against a call that waits for the rest of a head until its time limit. */
+    @ParameterizedTest
+    @MethodSource("partsOfAHead")
+    void partOfAHeadAndNothingMore_endsItsCallSoon(String part) throws Exception {
+        startServers(
+                (request, connection) -> {
+                    connection.write(part);
+                    return true;
+                });
+        assertThat(call(UNSAFE, "n").status()).isEqualTo(502);
+    }
+
+    private static String headWithoutBody(int length) {
+        return "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Stamp: s\r\nContent-Length: "
+                + length
+                + "\r\n\r\n";
+    }
+
     /** Guards against a sound answer that is given up because of what comes before it. */
     @ParameterizedTest
     @ValueSource(strings = {SAFE, UNSAFE, STREAM, RESUMABLE})
