Send again on a new connection after an answer that could not be attributed

Cause: on a connection that has carried another request nothing without an identifier is attributed, so neither failures nor refusals there were counted as such, and the next run could get such a connection again.

Change: after an answer that could not be attributed, the next runs of an item and the next attempts of a request are the first on their connections, where failures and refusals without an identifier are attributed by elimination. A refusal that cannot be attributed makes its target wait as a full one does; it is no violation.

What remains: a request that may not run again and is refused without an identifier on a kept connection gets 502. It may be a late refusal of an earlier request, and a promise that it has not run could be untrue.

Measured: itemThatAlwaysFailsWithoutIdentifier_* and refusalWithoutIdentifier_isFollowedBy* of DuplicateAnswersTest pass, with GatewayOnlineTest, FaultyAnswersTest, ItemRunTest, LayeringTest. The test of late refusals asserts now that a connection was used again.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -40,6 +40,7 @@
     private TargetCall call;
     private boolean completed;
     private boolean quarantined;
+    private boolean needsNewConnection;
     private long startedNanos;
     private long lastEventAtStart;
     private long earliestStartNanos = System.nanoTime();
@@ -83,6 +84,19 @@
         return quarantined;
     }
 
+    /**
+     * Makes all further runs the first requests on their connections, because a target sends
+     * answers that cannot be attributed otherwise; failures among them must be counted.
+     */
+    void requireNewConnection() {
+        needsNewConnection = true;
+    }
+
+    /** Returns whether a run must be the first request on its connection. */
+    boolean needsNewConnection() {
+        return needsNewConnection;
+    }
+
     /** Returns the time since the item was last tried in spite of a quarantine. */
     Duration timeSinceTrial(long now) {
         return lastTrialNanos.isEmpty()
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -447,7 +447,8 @@
                 fleet.call(
                         target,
                         lease,
-                        new CallDescription(item.id(), true, run.promptParts()),
+                        new CallDescription(
+                                item.id(), true, run.promptParts(), run.needsNewConnection()),
                         () ->
                                 TargetProtocol.itemRequest(
                                         item.id(),
@@ -568,6 +569,9 @@
             if (failure == CallFailure.FAILED) {
                 failed(now, "failure without identifier");
             } else {
+                if (failure == CallFailure.UNATTRIBUTED) {
+                    run.requireNewConnection();
+                }
                 retryLater(run, now, failure.name());
             }
         }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -74,6 +74,10 @@
     private int attempts;
     private int refusals;
     private boolean mayHaveRun;
+
+    /** Whether an attempt ended with an answer that could not be attributed. */
+    private boolean unattributed;
+
     private SlotAcquisition acquisition;
     private boolean finished;
     private OptionalLong lastEvent = OptionalLong.empty();
@@ -170,7 +174,8 @@
                                 new CallDescription(
                                         exchange.request().id(),
                                         route.kind() == RouteKind.STREAM,
-                                        promptParts),
+                                        promptParts,
+                                        unattributed),
                                 () ->
                                         TargetProtocol.forwardRequest(
                                                 exchange.request(),
@@ -487,7 +492,10 @@
                 case NOT_SENT -> refusedByTarget("no connection");
                 case LOST -> attemptLost("connection lost");
                 case MALFORMED -> attemptLost("malformed answer");
-                case UNATTRIBUTED -> attemptLost("unattributed answer");
+                case UNATTRIBUTED -> {
+                    unattributed = true;
+                    attemptLost("unattributed answer");
+                }
                 case FAILED -> attemptLost("failure without identifier");
                 default -> throw new AssertionError(failure);
             }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/CallDescription.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/CallDescription.java
@@ -10,9 +10,14 @@
  * @param requestId the identifier that the response must carry, not null
  * @param isStream whether the response is a stream of events
  * @param promptParts the parts of its prompt that other requests may share, in order; not null
+ * @param newConnection whether it must be the first request on its connection, so that also a
+ *     response without an identifier can be attributed
  */
 public record CallDescription(
-        String requestId, boolean isStream, ImmutableList<String> promptParts) {
+        String requestId,
+        boolean isStream,
+        ImmutableList<String> promptParts,
+        boolean newConnection) {
 
     /** Validates the components. */
     public CallDescription {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -178,18 +178,24 @@
     private final class ResponseReader implements ExchangeListener {
 
         private int passedOver;
-        private boolean ownFailure;
+
+        /** What a response says that could not be attributed; null before one. */
+        private TargetResponse.Meaning unattributed;
+
+        private boolean firstExchange;
 
         @Override
         public Attribution onHead(HttpResponse head) {
             fleet.dataReceived(target);
-            boolean firstExchange = connection.exchanges() == 1 && passedOver == 0;
+            firstExchange = connection.exchanges() == 1 && passedOver == 0;
             Attribution attribution =
                     TargetProtocol.attribute(head, description.requestId(), firstExchange);
             if (attribution == Attribution.OWN) {
                 startResponse(head);
             } else {
-                ownFailure = firstExchange && TargetProtocol.isFailureWithoutIdentifier(head);
+                if (attribution == Attribution.UNKNOWN) {
+                    unattributed = TargetProtocol.decode(head).meaning();
+                }
                 passedOver++;
                 fleet.answerEvents().notOwn(TargetCall.this, head, attribution);
             }
@@ -243,10 +249,14 @@
         public void onFailure(ExchangeFailure failure) {
             CallFailure callFailure = callFailure(failure);
             boolean connectionLost = callFailure == CallFailure.LOST;
-            if (!connectionLost) {
+            boolean full = unattributed == TargetResponse.Meaning.NOT_RUN;
+            if (full) {
+                // Sound targets may refuse without an identifier.
+                target.health().refusedAsFull(System.nanoTime());
+            } else if (!connectionLost) {
                 target.health().protocolViolated(System.nanoTime());
             }
-            if (end(LeaseOutcome.FAILED)) {
+            if (end(full ? LeaseOutcome.TARGET_FULL : LeaseOutcome.FAILED)) {
                 if (connectionLost) {
                     fleet.connectionLost(TargetCall.this);
                 }
@@ -259,8 +269,15 @@
                 case CLOSED_BEFORE_ANSWER, CLOSED_WITHIN_ANSWER -> CallFailure.LOST;
                 case MALFORMED_ANSWER -> CallFailure.MALFORMED;
                 case UNATTRIBUTED_ANSWER ->
-                        ownFailure ? CallFailure.FAILED : CallFailure.UNATTRIBUTED;
+                        firstExchange && saysFailure()
+                                ? CallFailure.FAILED
+                                : CallFailure.UNATTRIBUTED;
             };
         }
+
+        private boolean saysFailure() {
+            return unattributed == TargetResponse.Meaning.FAILED
+                    || unattributed == TargetResponse.Meaning.IMPOSSIBLE;
+        }
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -175,7 +175,10 @@
         long now = System.nanoTime();
         state.add(call);
         state.health().callStarted(now);
-        HttpConnection pooled = state.pollIdleConnection(description.requestId(), now);
+        HttpConnection pooled =
+                description.newConnection()
+                        ? null
+                        : state.pollIdleConnection(description.requestId(), now);
         if (pooled != null) {
             call.sendOn(pooled);
             return call;
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswersTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswersTest.java
@@ -12,12 +12,16 @@
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.headers;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.fuchsiaspindle.testbed.emulator.BlockingHttpServer.Connection;
 import org.fuchsiaspindle.testbed.emulator.BlockingHttpServer.Handler;
@@ -133,10 +137,12 @@
     void lateRefusalWithoutIdentifier_isNotTheAnswerToALaterRequest() throws Exception {
         Set<Connection> answered = ConcurrentHashMap.newKeySet();
         Map<String, Integer> runs = new ConcurrentHashMap<>();
+        AtomicBoolean reused = new AtomicBoolean();
         startServers(
                 (request, connection) -> {
                     String id = request.header("Attempt-Id");
                     if (!answered.add(connection)) {
+                        reused.set(true);
                         connection.write(
                                 "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
                     }
@@ -144,7 +150,7 @@
                     connection.write(success(id));
                     return true;
                 });
-        for (int i = 0; i < 10; i++) {
+        for (int i = 0; i < 10 || !reused.get(); i++) {
             assertThat(call(UNSAFE, "h" + i).status()).isNotEqualTo(503);
         }
         assertThat(runs.values()).containsOnly(1);
@@ -277,6 +283,62 @@
                 + "\r\n\r\n";
     }
 
+    /** Guards against an item whose failures are never counted, so that it runs without end. */
+    @Test
+    void itemThatAlwaysFailsWithoutIdentifier_runsAboutAsOftenAsItsAttempts() throws Exception {
+        AtomicInteger runs = new AtomicInteger();
+        startServers(
+                (request, connection) -> {
+                    String id = request.header("Attempt-Id");
+                    if (id.startsWith("job-2")) {
+                        runs.incrementAndGet();
+                        connection.write(failure(""));
+                    } else {
+                        connection.write(success(id));
+                    }
+                    return true;
+                });
+        String body = EmulatorJobs.submission("job-2", 1, 1);
+        assertThat(platform.client(ip).call("POST", "/batch/x", headers("job-2"), body).status())
+                .isEqualTo(202);
+        AtomicInteger requests = new AtomicInteger();
+        await(
+                "item given up",
+                () -> {
+                    // Leaves connections for the item that have carried other requests.
+                    List<CompletableFuture<Void>> calls = new ArrayList<>();
+                    for (int i = 0; i < 3; i++) {
+                        String id = "o" + requests.incrementAndGet();
+                        calls.add(CompletableFuture.runAsync(() -> callUnchecked(STREAM, id)));
+                    }
+                    calls.forEach(CompletableFuture::join);
+                    return results("job-2").contains("dead_letter");
+                });
+        // The rule is three times the attempts of the route.
+        assertThat(runs.get()).isLessThanOrEqualTo(9);
+    }
+
+    /** Guards against a refusal without an identifier that fails a request that may run again. */
+    @Test
+    void refusalWithoutIdentifier_isFollowedByAnotherRunOfAnIdempotentRequest() throws Exception {
+        Set<Connection> answered = ConcurrentHashMap.newKeySet();
+        AtomicInteger refusals = new AtomicInteger();
+        startServers(
+                (request, connection) -> {
+                    if (answered.add(connection)) {
+                        connection.write(success(request.header("Attempt-Id")));
+                    } else {
+                        refusals.incrementAndGet();
+                        connection.write(
+                                "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n");
+                    }
+                    return true;
+                });
+        for (int i = 0; refusals.get() < 3; i++) {
+            assertThat(call(SAFE, "p" + i).status()).isEqualTo(200);
+        }
+    }
+
     /** Guards against a sound answer that is given up because of what comes before it. */
     @ParameterizedTest
     @ValueSource(strings = {SAFE, UNSAFE, STREAM, RESUMABLE})
@@ -343,6 +405,14 @@
         return response;
     }
 
+    private void callUnchecked(String path, String id) {
+        try {
+            call(path, id);
+        } catch (IOException failure) {
+            throw new UncheckedIOException(failure);
+        }
+    }
+
     private String results(String job) throws IOException {
         return platform.client(ip).call("GET", "/lots/" + job, headers("read"), "").body();
     }
