--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -566,7 +566,7 @@
         @Override
         public void onFailure(CallFailure failure) {
             long now = System.nanoTime();
-            if (failure == CallFailure.FAILED) {
+            if (failure == CallFailure.FAILURE_REPORTED) {
                 failed(now, "failure without identifier");
             } else {
                 if (failure == CallFailure.UNATTRIBUTED) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -75,8 +75,8 @@
     private int refusals;
     private boolean mayHaveRun;
 
-    /** Whether an attempt ended with an answer that could not be attributed. */
-    private boolean unattributed;
+    /** Set after an answer that could not be attributed, see {@link CallDescription}. */
+    private boolean needsNewConnection;
 
     private SlotAcquisition acquisition;
     private boolean finished;
@@ -175,7 +175,7 @@
                                         exchange.request().id(),
                                         route.kind() == RouteKind.STREAM,
                                         promptParts,
-                                        unattributed),
+                                        needsNewConnection),
                                 () ->
                                         TargetProtocol.forwardRequest(
                                                 exchange.request(),
@@ -493,10 +493,10 @@
                 case LOST -> attemptLost("connection lost");
                 case MALFORMED -> attemptLost("malformed answer");
                 case UNATTRIBUTED -> {
-                    unattributed = true;
+                    needsNewConnection = true;
                     attemptLost("unattributed answer");
                 }
-                case FAILED -> attemptLost("failure without identifier");
+                case FAILURE_REPORTED -> attemptLost("failure without identifier");
                 default -> throw new AssertionError(failure);
             }
         }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/CallFailure.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/CallFailure.java
@@ -14,5 +14,5 @@
      * The target sent a failure that names no request, on a connection that has carried no other
      * request, so this request has failed.
      */
-    FAILED
+    FAILURE_REPORTED
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -182,6 +182,7 @@
         /** What a response says that could not be attributed; null before one. */
         private TargetResponse.Meaning unattributed;
 
+        /** Whether no other request or answer was seen on the connection before the last head. */
         private boolean firstExchange;
 
         @Override
@@ -270,7 +271,7 @@
                 case MALFORMED_ANSWER -> CallFailure.MALFORMED;
                 case UNATTRIBUTED_ANSWER ->
                         firstExchange && saysFailure()
-                                ? CallFailure.FAILED
+                                ? CallFailure.FAILURE_REPORTED
                                 : CallFailure.UNATTRIBUTED;
             };
         }
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswersTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/DuplicateAnswersTest.java
@@ -41,6 +41,9 @@
     /** The deadline of the requests is 4 s; an answer that cannot be used is known at once. */
     private static final Duration MAX_TIME = Duration.ofMillis(1500);
 
+    /** So long that the connections of the callers are idle most of the time. */
+    private static final Duration CALL_INTERVAL = Duration.ofMillis(40);
+
     private static final String EVENTS = "Content-Type: text/event-stream\r\n";
     private static final String EVENT = "id: 1\ndata: late\n\n";
 
@@ -287,6 +290,7 @@
     @Test
     void itemThatAlwaysFailsWithoutIdentifier_runsAboutAsOftenAsItsAttempts() throws Exception {
         AtomicInteger runs = new AtomicInteger();
+        AtomicInteger served = new AtomicInteger();
         startServers(
                 (request, connection) -> {
                     String id = request.header("Attempt-Id");
@@ -294,26 +298,27 @@
                         runs.incrementAndGet();
                         connection.write(failure(""));
                     } else {
+                        served.incrementAndGet();
                         connection.write(success(id));
                     }
                     return true;
                 });
-        String body = EmulatorJobs.submission("job-2", 1, 1);
-        assertThat(platform.client(ip).call("POST", "/batch/x", headers("job-2"), body).status())
-                .isEqualTo(202);
-        AtomicInteger requests = new AtomicInteger();
-        await(
-                "item given up",
-                () -> {
-                    // Leaves connections for the item that have carried other requests.
-                    List<CompletableFuture<Void>> calls = new ArrayList<>();
-                    for (int i = 0; i < 3; i++) {
-                        String id = "o" + requests.incrementAndGet();
-                        calls.add(CompletableFuture.runAsync(() -> callUnchecked(STREAM, id)));
-                    }
-                    calls.forEach(CompletableFuture::join);
-                    return results("job-2").contains("dead_letter");
-                });
+        // Keeps connections in use that have carried other requests.
+        AtomicBoolean stopped = new AtomicBoolean();
+        List<CompletableFuture<Void>> callers = new ArrayList<>();
+        for (int caller = 0; caller < 3; caller++) {
+            String prefix = "o" + caller + "-";
+            callers.add(CompletableFuture.runAsync(() -> callUntil(stopped, prefix)));
+        }
+        try {
+            await("connections in use", () -> served.get() > 10);
+            String body = EmulatorJobs.submission("job-2", 1, 1);
+            platform.client(ip).call("POST", "/batch/x", headers("job-2"), body);
+            await("item given up", () -> results("job-2").contains("dead_letter"));
+        } finally {
+            stopped.set(true);
+            callers.forEach(CompletableFuture::join);
+        }
         // The rule is three times the attempts of the route.
         assertThat(runs.get()).isLessThanOrEqualTo(9);
     }
@@ -405,11 +410,16 @@
         return response;
     }
 
-    private void callUnchecked(String path, String id) {
+    private void callUntil(AtomicBoolean stopped, String prefix) {
         try {
-            call(path, id);
+            for (int i = 0; !stopped.get(); i++) {
+                call(STREAM, prefix + i);
+                Thread.sleep(CALL_INTERVAL);
+            }
         } catch (IOException failure) {
             throw new UncheckedIOException(failure);
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
         }
     }
 
