--- a/core/src/main/java/org/fuchsiaspindle/core/serving/Route.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/Route.java
@@ -22,6 +22,7 @@
  * @param resumable whether an interrupted stream may be resumed at another target after its last
  *     event
  * @param batch the limits of batch jobs, present for batch routes
+ * @param isPublic whether callers need no key although there are workspaces
  */
 public record Route(
         String name,
@@ -34,7 +35,8 @@
         int priority,
         int maxAttempts,
         boolean resumable,
-        Optional<BatchLimits> batch) {
+        Optional<BatchLimits> batch,
+        boolean isPublic) {
 
     private static final Duration MIN_PATIENCE = Duration.ofSeconds(2);
 
@@ -46,8 +48,8 @@
      *
      * @param completionTarget the time from the first submission until all results are due
      * @param retention the time from the first submission after which an item may be abandoned
-     * @param maxWaitingTokens the largest number of tokens of waiting items on the route over all
-     *     clients, 0 for no limit
+     * @param maxWaitingTokens the largest number of tokens of waiting items on the route of each
+     *     workspace, or of all clients together if there are no workspaces; 0 for no limit
      */
     public record BatchLimits(
             Duration completionTarget, Duration retention, long maxWaitingTokens) {
--- a/core/src/main/java/org/fuchsiaspindle/core/serving/ServingConfig.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/ServingConfig.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import com.google.common.collect.ImmutableMap;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -9,29 +10,56 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import org.fuchsiaspindle.core.workspace.WorkspaceDirectory;
 
-/** One version of the routes and limits. Immutable and thread-safe. */
+/** One version of the routes, workspaces and limits. Immutable and thread-safe. */
 public final class ServingConfig {
 
     private final long version;
     private final Map<String, List<Route>> routesByHost;
     private final ClientLimits limits;
+    private final WorkspaceDirectory workspaces;
+    private final ImmutableMap<String, TargetModel> models;
 
     private ServingConfig(
-            long version, Map<String, List<Route>> routesByHost, ClientLimits limits) {
+            long version,
+            Map<String, List<Route>> routesByHost,
+            ClientLimits limits,
+            WorkspaceDirectory workspaces,
+            ImmutableMap<String, TargetModel> models) {
         this.version = version;
         this.routesByHost = routesByHost;
         this.limits = limits;
+        this.workspaces = workspaces;
+        this.models = models;
     }
 
     /**
-     * Creates a configuration.
+     * Creates a configuration without workspaces and model engines.
      *
      * @param version the version, larger than that of every earlier configuration
      * @param routes all routes, not null
      * @param limits the limits for clients, not null
      */
     public static ServingConfig of(long version, List<Route> routes, ClientLimits limits) {
+        return of(version, routes, limits, WorkspaceDirectory.NONE, ImmutableMap.of());
+    }
+
+    /**
+     * Creates a configuration.
+     *
+     * @param version the version, larger than that of every earlier configuration
+     * @param routes all routes, not null
+     * @param limits the limits for clients, not null
+     * @param workspaces the workspaces, not null
+     * @param models the model engines by service, without the services that have none
+     */
+    public static ServingConfig of(
+            long version,
+            List<Route> routes,
+            ClientLimits limits,
+            WorkspaceDirectory workspaces,
+            ImmutableMap<String, TargetModel> models) {
         Map<String, List<Route>> byHost = new HashMap<>();
         for (Route route : routes) {
             byHost.computeIfAbsent(hostKey(route.host()), host -> new ArrayList<>()).add(route);
@@ -39,7 +67,12 @@
         Comparator<Route> longestFirst =
                 Comparator.comparingInt((Route route) -> -route.pathPrefix().length());
         byHost.values().forEach(list -> list.sort(longestFirst));
-        return new ServingConfig(version, byHost, checkNotNull(limits, "limits"));
+        return new ServingConfig(
+                version,
+                byHost,
+                checkNotNull(limits, "limits"),
+                checkNotNull(workspaces, "workspaces"),
+                checkNotNull(models, "models"));
     }
 
     /** Returns the version. */
@@ -52,6 +85,16 @@
         return limits;
     }
 
+    /** Returns the workspaces, never null. */
+    public WorkspaceDirectory workspaces() {
+        return workspaces;
+    }
+
+    /** Returns the model engines of a service, empty if it has none. */
+    public Optional<TargetModel> model(String service) {
+        return Optional.ofNullable(models.get(service));
+    }
+
     /**
      * Returns the route with the longest prefix that matches a path.
      *
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -120,8 +120,8 @@
     }
 
     /** Handles the release of a slot, or the withdrawal of a waiting request. */
-    public List<SlotDecision> release(String holder, long ticket, LeaseOutcome outcome, long now) {
-        checkNotNull(outcome, "outcome");
+    public List<SlotDecision> release(String holder, long ticket, RunReport report, long now) {
+        checkNotNull(report, "report");
         waiting.removeIf(request -> request.ticket() == ticket && request.holder().equals(holder));
         Holder state = holders.get(holder);
         Lease lease = state == null ? null : state.leases.remove(ticket);
@@ -129,7 +129,7 @@
             return List.of();
         }
         lease.target().remove(lease);
-        recordOutcome(lease, outcome, now);
+        recordOutcome(lease, report.outcome(), now);
         removeUnusedTargets();
         return assignFreeSlots(now);
     }
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotRequest.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotRequest.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableSet;
+import org.fuchsiaspindle.core.work.RequestSize;
 
 /**
  * A request of a gateway for a slot for one online request.
@@ -10,7 +11,9 @@
  * @param holder the gateway that will hold the slot, not null
  * @param ticket identifies the request among those of the gateway
  * @param mayWait whether the request waits for a slot if none is available now
- * @param priority the priority of its route, 0 is the most urgent
+ * @param priority the priority of its workspace or route, 0 is the most urgent
+ * @param workspace the workspace of its caller, empty if there are no workspaces
+ * @param size what is known of its size, not null
  * @param onTimeUntilNanos the latest start for a response within the latency target, in monotonic
  *     nanoseconds
  * @param startUntilNanos the latest useful start, in monotonic nanoseconds
@@ -22,6 +25,8 @@
         long ticket,
         boolean mayWait,
         int priority,
+        String workspace,
+        RequestSize size,
         long onTimeUntilNanos,
         long startUntilNanos,
         ImmutableSet<String> avoided,
@@ -30,6 +35,8 @@
     /** Validates the components. */
     public SlotRequest {
         checkNotNull(holder, "holder");
+        checkNotNull(workspace, "workspace");
+        checkNotNull(size, "size");
         checkNotNull(avoided, "avoided");
     }
 }
--- a/core/src/test/java/org/fuchsiaspindle/core/serving/RouteTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/serving/RouteTest.java
@@ -30,6 +30,7 @@
                 0,
                 1,
                 false,
-                Optional.empty());
+                Optional.empty(),
+                false);
     }
 }
--- a/core/src/test/java/org/fuchsiaspindle/core/serving/ServingConfigTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/serving/ServingConfigTest.java
@@ -38,7 +38,8 @@
                         0,
                         1,
                         false,
-                        Optional.empty());
+                        Optional.empty(),
+                        false);
         assertThat(route.chooseService(0.0)).isEqualTo("big");
         assertThat(route.chooseService(0.89)).isEqualTo("big");
         assertThat(route.chooseService(0.91)).isEqualTo("small");
@@ -95,8 +96,8 @@
                 0,
                 1,
                 false,
-                Optional.of(
-                        new Route.BatchLimits(Duration.ofSeconds(1), Duration.ofSeconds(1), 0)));
+                Optional.of(new Route.BatchLimits(Duration.ofSeconds(1), Duration.ofSeconds(1), 0)),
+                false);
     }
 
     private static Route route(String name, String prefix, String service) {
@@ -111,6 +112,7 @@
                 0,
                 1,
                 false,
-                Optional.empty());
+                Optional.empty(),
+                false);
     }
 }
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -18,6 +18,7 @@
 import org.fuchsiaspindle.core.slot.SlotDecision.Preempted;
 import org.fuchsiaspindle.core.slot.SlotDecision.Queued;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refused;
+import org.fuchsiaspindle.core.work.RequestSize;
 import org.junit.jupiter.api.Test;
 
 /** Guards against slots that are assigned twice, stay free, or go to the wrong request. */
@@ -51,7 +52,7 @@
             Granted grant = granted(request("g1", false));
             assertThat(grant.targetLimited()).isEqualTo(grant.target().equals("a"));
             granted.merge(grant.target(), 1, Integer::sum);
-            pool.release("g1", grant.ticket(), LeaseOutcome.DONE, now);
+            pool.release("g1", grant.ticket(), RunReport.unused(LeaseOutcome.DONE), now);
         }
         assertThat(granted.get("a")).isBetween(15, 20);
     }
@@ -88,7 +89,9 @@
         for (int i = 0; i < 20; i++) {
             now += Duration.ofMillis(500).toNanos();
             Granted grant = granted(request("g1", false));
-            started += pool.release("g1", grant.ticket(), LeaseOutcome.DONE, now).size();
+            started +=
+                    pool.release("g1", grant.ticket(), RunReport.unused(LeaseOutcome.DONE), now)
+                            .size();
         }
         assertThat(started).isEqualTo(1);
     }
@@ -411,7 +414,7 @@
     }
 
     private List<SlotDecision> release(String holder, long ticket, LeaseOutcome outcome) {
-        return pool.release(holder, ticket, outcome, now);
+        return pool.release(holder, ticket, RunReport.unused(outcome), now);
     }
 
     private List<SlotDecision> request(String holder, boolean mayWait) {
@@ -426,6 +429,8 @@
                 nextTicket++,
                 mayWait,
                 0,
+                "",
+                RequestSize.UNKNOWN,
                 now + Duration.ofMillis(300).toNanos(),
                 now + Duration.ofSeconds(3).toNanos(),
                 ImmutableSet.copyOf(avoided),
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -15,7 +15,9 @@
 import org.fuchsiaspindle.core.serving.RouteKind;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
+import org.fuchsiaspindle.core.slot.RunReport;
 import org.fuchsiaspindle.core.slot.SlotDecision;
+import org.fuchsiaspindle.core.work.RequestSize;
 import org.fuchsiaspindle.gateway.slot.SlotAcquisition;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
 import org.fuchsiaspindle.gateway.target.CallDescription;
@@ -64,6 +66,7 @@
     private final Route route;
     private final String service;
     private final ImmutableList<String> promptParts;
+    private final RequestSize size;
     private final long arrivedNanos;
     private final long deadlineNanos;
     private final boolean clientDeadlineFirst;
@@ -89,6 +92,7 @@
         this.route = route;
         this.service = service;
         this.promptParts = PromptHeader.sharedParts(exchange.request().headers());
+        this.size = PromptHeader.size(route.name(), exchange.request().headers());
         this.arrivedNanos = exchange.request().arrivedNanos();
         Duration deadline = exchange.request().deadline().orElse(route.timeout());
         this.clientDeadlineFirst = deadline.compareTo(route.timeout()) < 0;
@@ -128,6 +132,8 @@
                                 new SlotAcquisition.Need(
                                         service,
                                         route.priority(),
+                                        "",
+                                        size,
                                         latestOnTimeStartNanos,
                                         latestUsefulStartNanos(),
                                         retryUntilNanos,
@@ -372,10 +378,10 @@
             // The prompt may have been quarantined while the request waited.
             Optional<Duration> quarantine = promptQuarantine();
             if (quarantine.isPresent()) {
-                lease.release(LeaseOutcome.CANCELLED);
+                lease.release(RunReport.unused(LeaseOutcome.CANCELLED));
                 refuse(ResultCode.PROMPT_QUARANTINED, quarantine.get());
             } else if (!dispatcher.hasTimeFor(dispatcher.serviceTimes().average(service))) {
-                lease.release(LeaseOutcome.CANCELLED);
+                lease.release(RunReport.unused(LeaseOutcome.CANCELLED));
                 refuse(ResultCode.DRAINING, MIN_RETRY_AFTER);
             } else {
                 sendTo(target, lease);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
@@ -13,6 +13,7 @@
 import org.fuchsiaspindle.core.slot.BatchDemand;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
 import org.fuchsiaspindle.core.slot.PoolId;
+import org.fuchsiaspindle.core.slot.RunReport;
 
 /**
  * Tells coordinators how many batch items of this gateway wait, and passes on the granted slots.
@@ -102,7 +103,7 @@
             waitingByService.computeIfPresent(
                     target.service(), (service, waiting) -> waiting.withoutOne());
         } else {
-            lease.release(LeaseOutcome.CANCELLED);
+            lease.release(RunReport.unused(LeaseOutcome.CANCELLED));
         }
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotAcquisition.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotAcquisition.java
@@ -16,6 +16,7 @@
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
 import org.fuchsiaspindle.core.slot.SlotRequest;
 import org.fuchsiaspindle.core.slot.TrafficClass;
+import org.fuchsiaspindle.core.work.RequestSize;
 
 /**
  * Obtains a slot for one online request.
@@ -57,7 +58,9 @@
      * What a slot is needed for.
      *
      * @param service the service, not null
-     * @param priority the priority of the route, 0 is the most urgent
+     * @param priority the priority of the workspace or route, 0 is the most urgent
+     * @param workspace the workspace of the caller, empty if there are no workspaces
+     * @param size what is known of the size of the request, not null
      * @param onTimeUntilNanos the latest start for a response within the latency target, in
      *     monotonic nanoseconds
      * @param startUntilNanos the latest useful start, in monotonic nanoseconds
@@ -68,6 +71,8 @@
     public record Need(
             String service,
             int priority,
+            String workspace,
+            RequestSize size,
             long onTimeUntilNanos,
             long startUntilNanos,
             long retryUntilNanos,
@@ -76,6 +81,8 @@
         /** Validates the components. */
         public Need {
             checkNotNull(service, "service");
+            checkNotNull(workspace, "workspace");
+            checkNotNull(size, "size");
             checkNotNull(avoided, "avoided");
         }
     }
@@ -236,6 +243,8 @@
                         ticket,
                         phase == Phase.WAITING,
                         need.priority(),
+                        need.workspace(),
+                        need.size(),
                         need.onTimeUntilNanos(),
                         need.startUntilNanos(),
                         avoided,
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -22,6 +22,7 @@
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
 import org.fuchsiaspindle.core.slot.PoolId;
 import org.fuchsiaspindle.core.slot.PoolPlan;
+import org.fuchsiaspindle.core.slot.RunReport;
 import org.fuchsiaspindle.core.slot.SlotRequest;
 import org.fuchsiaspindle.core.slot.TrafficClass;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
@@ -259,7 +260,12 @@
                     metrics.countSlotEvent("granted");
                     acquisition.onGranted(reply.getGrantedTarget(), reply.getTargetLimited());
                 } else {
-                    send(ip, SlotCodec.release(pool, reply.getTicket(), LeaseOutcome.CANCELLED));
+                    send(
+                            ip,
+                            SlotCodec.release(
+                                    pool,
+                                    reply.getTicket(),
+                                    RunReport.unused(LeaseOutcome.CANCELLED)));
                 }
             }
             case QUEUED -> {
@@ -285,7 +291,10 @@
         PoolId pool = SlotCodec.decode(grant.getPool());
         PoolHoldings holdings = holdings(pool);
         if (!holdings.coordinator().equals(ip)) {
-            send(ip, SlotCodec.release(pool, grant.getTicket(), LeaseOutcome.CANCELLED));
+            send(
+                    ip,
+                    SlotCodec.release(
+                            pool, grant.getTicket(), RunReport.unused(LeaseOutcome.CANCELLED)));
             return;
         }
         metrics.countSlotEvent("batch_granted");
@@ -481,7 +490,7 @@
     }
 
     void withdraw(PoolId pool, long ticket, String ip) {
-        send(ip, SlotCodec.release(pool, ticket, LeaseOutcome.CANCELLED));
+        send(ip, SlotCodec.release(pool, ticket, RunReport.unused(LeaseOutcome.CANCELLED)));
     }
 
     void forget(PoolId pool, long ticket) {
@@ -498,15 +507,15 @@
     void releaseUnusable(SlotLease lease) {
         metrics.countSlotEvent("unusable");
         unusableUntilNanos.put(lease.target(), System.nanoTime() + UNUSABLE_TIME.toNanos());
-        lease.release(LeaseOutcome.CANCELLED);
+        lease.release(RunReport.unused(LeaseOutcome.CANCELLED));
     }
 
-    private void leaseReleased(SlotLease lease, LeaseOutcome outcome) {
+    private void leaseReleased(SlotLease lease, RunReport report) {
         PoolHoldings holdings = holdings(lease.pool());
         if (holdings.remove(lease)) {
             send(
                     holdings.coordinator(),
-                    SlotCodec.release(lease.pool(), lease.slot().ticket(), outcome));
+                    SlotCodec.release(lease.pool(), lease.slot().ticket(), report));
         }
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
@@ -1,26 +1,32 @@
 package org.fuchsiaspindle.gateway.slot;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.slot.BatchDemand;
 import org.fuchsiaspindle.core.slot.HeldSlot;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
 import org.fuchsiaspindle.core.slot.PoolId;
+import org.fuchsiaspindle.core.slot.RunReport;
 import org.fuchsiaspindle.core.slot.SlotDecision;
 import org.fuchsiaspindle.core.slot.SlotRequest;
 import org.fuchsiaspindle.core.slot.TrafficClass;
+import org.fuchsiaspindle.core.work.RequestSize;
 import org.fuchsiaspindle.wire.peer.BatchDemandMessage;
 import org.fuchsiaspindle.wire.peer.BatchGrant;
 import org.fuchsiaspindle.wire.peer.HeldSlotMessage;
 import org.fuchsiaspindle.wire.peer.HoldingsQuery;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
 import org.fuchsiaspindle.wire.peer.Pool;
+import org.fuchsiaspindle.wire.peer.PromptPartSize;
 import org.fuchsiaspindle.wire.peer.RequestLimit;
 import org.fuchsiaspindle.wire.peer.RequestLimitReport;
+import org.fuchsiaspindle.wire.peer.RequestSizeMessage;
 import org.fuchsiaspindle.wire.peer.SilenceReport;
 import org.fuchsiaspindle.wire.peer.SlotHoldings;
 import org.fuchsiaspindle.wire.peer.SlotRefusal;
@@ -61,10 +67,45 @@
                                 .setOnTimeMillis(millisUntil(request.onTimeUntilNanos(), now))
                                 .setStartMillis(millisUntil(request.startUntilNanos(), now))
                                 .addAllAvoidedTargets(request.avoided())
-                                .setLastResort(request.lastResort()))
+                                .setLastResort(request.lastResort())
+                                .setWorkspace(request.workspace())
+                                .setSize(encode(request.size())))
                 .build();
     }
 
+    private static RequestSizeMessage encode(RequestSize size) {
+        RequestSizeMessage.Builder message =
+                RequestSizeMessage.newBuilder()
+                        .setKind(size.kind())
+                        .setPromptTokens(size.promptTokens())
+                        .setMaxOutputTokens(size.maxOutputTokens())
+                        .setHintedOutputTokens(size.hintedOutputTokens());
+        for (RequestSize.Part part : size.sharedParts()) {
+            message.addSharedParts(
+                    PromptPartSize.newBuilder().setId(part.id()).setTokens(part.tokens()));
+        }
+        return message.build();
+    }
+
+    private static RequestSize decode(RequestSizeMessage message) {
+        return new RequestSize(
+                message.getKind(),
+                nonNegative(message.getPromptTokens()),
+                nonNegative(message.getMaxOutputTokens()),
+                nonNegative(message.getHintedOutputTokens()),
+                message.getSharedPartsList().stream()
+                        .map(
+                                part ->
+                                        new RequestSize.Part(
+                                                part.getId(), nonNegative(part.getTokens())))
+                        .collect(ImmutableList.toImmutableList()));
+    }
+
+    /** Returns an unsigned number, or the largest integer if it is too large. */
+    private static int nonNegative(int unsigned) {
+        return unsigned < 0 ? Integer.MAX_VALUE : unsigned;
+    }
+
     /** Decodes the request of a holder; its relative times start when it arrives. */
     static SlotRequest decode(String holder, SlotRequestMessage message, long now) {
         return new SlotRequest(
@@ -72,20 +113,38 @@
                 message.getTicket(),
                 message.getMayWait(),
                 message.getPriority(),
+                message.getWorkspace(),
+                decode(message.getSize()),
                 now + TimeUnit.MILLISECONDS.toNanos(message.getOnTimeMillis()),
                 now + TimeUnit.MILLISECONDS.toNanos(message.getStartMillis()),
                 ImmutableSet.copyOf(message.getAvoidedTargetsList()),
                 message.getLastResort());
     }
 
-    static PeerFrame release(PoolId pool, long ticket, LeaseOutcome outcome) {
-        return PeerFrame.newBuilder()
-                .setSlotRelease(
-                        SlotRelease.newBuilder()
-                                .setPool(encode(pool))
-                                .setTicket(ticket)
-                                .setOutcome(encode(outcome)))
-                .build();
+    static PeerFrame release(PoolId pool, long ticket, RunReport report) {
+        SlotRelease.Builder release =
+                SlotRelease.newBuilder()
+                        .setPool(encode(pool))
+                        .setTicket(ticket)
+                        .setOutcome(encode(report.outcome()))
+                        .setEvents(report.events())
+                        .setHeldMillis(millis(report.timeHeld()));
+        report.timeToFirstEvent().ifPresent(time -> release.setFirstEventMillis(millis(time)));
+        return PeerFrame.newBuilder().setSlotRelease(release).build();
+    }
+
+    private static int millis(Duration time) {
+        return (int) Math.min(time.toMillis(), Integer.MAX_VALUE);
+    }
+
+    static RunReport decode(SlotRelease release) {
+        return new RunReport(
+                decode(release.getOutcome()),
+                nonNegative(release.getEvents()),
+                release.hasFirstEventMillis()
+                        ? Optional.of(Duration.ofMillis(nonNegative(release.getFirstEventMillis())))
+                        : Optional.empty(),
+                Duration.ofMillis(nonNegative(release.getHeldMillis())));
     }
 
     private static SlotRelease.Outcome encode(LeaseOutcome outcome) {
@@ -98,7 +157,7 @@
         };
     }
 
-    static LeaseOutcome decode(SlotRelease.Outcome outcome) {
+    private static LeaseOutcome decode(SlotRelease.Outcome outcome) {
         return switch (outcome) {
             case DONE -> LeaseOutcome.DONE;
             case FAILED -> LeaseOutcome.FAILED;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
@@ -126,7 +126,7 @@
                             pool.release(
                                     holder,
                                     frame.getSlotRelease().getTicket(),
-                                    SlotCodec.decode(frame.getSlotRelease().getOutcome()),
+                                    SlotCodec.decode(frame.getSlotRelease()),
                                     now));
             case BATCH_DEMAND ->
                     send(id, pool.demand(holder, SlotCodec.decode(frame.getBatchDemand()), now));
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotLease.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotLease.java
@@ -3,8 +3,8 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import org.fuchsiaspindle.core.slot.HeldSlot;
-import org.fuchsiaspindle.core.slot.LeaseOutcome;
 import org.fuchsiaspindle.core.slot.PoolId;
+import org.fuchsiaspindle.core.slot.RunReport;
 import org.fuchsiaspindle.core.slot.TrafficClass;
 
 /**
@@ -19,7 +19,7 @@
     interface ReleaseListener {
 
         /** Called once, unless the coordinator took the slot back before. */
-        void onRelease(SlotLease lease, LeaseOutcome outcome);
+        void onRelease(SlotLease lease, RunReport report);
     }
 
     private final PoolId pool;
@@ -60,11 +60,11 @@
     }
 
     /** Releases the slot; has no effect if it was released or taken back before. */
-    public void release(LeaseOutcome outcome) {
-        checkNotNull(outcome, "outcome");
+    public void release(RunReport report) {
+        checkNotNull(report, "report");
         if (!ended) {
             ended = true;
-            releaseListener.onRelease(this, outcome);
+            releaseListener.onRelease(this, report);
         }
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -6,11 +6,15 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
+import java.time.Duration;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.fuchsiaspindle.core.prompt.CrashSuspicion;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
+import org.fuchsiaspindle.core.slot.RunReport;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
 import org.fuchsiaspindle.platform.channel.Attribution;
 import org.fuchsiaspindle.platform.channel.ExchangeFailure;
@@ -38,6 +42,8 @@
     private boolean sent;
     private long sentNanos;
     private boolean ended;
+    private int events;
+    private OptionalLong firstEventNanos = OptionalLong.empty();
     private final CrashSuspicion suspicion = new CrashSuspicion();
 
     TargetCall(
@@ -162,10 +168,35 @@
         }
         ended = true;
         fleet.callEnded(this);
-        lease.release(outcome);
+        lease.release(report(outcome));
         return true;
     }
 
+    private RunReport report(LeaseOutcome outcome) {
+        if (!sent) {
+            return RunReport.unused(outcome);
+        }
+        return new RunReport(
+                outcome,
+                events,
+                firstEventNanos.isPresent()
+                        ? Optional.of(Duration.ofNanos(firstEventNanos.getAsLong() - sentNanos))
+                        : Optional.empty(),
+                Duration.ofNanos(System.nanoTime() - sentNanos));
+    }
+
+    /**
+     * Counts events of the response that the caller of this method decoded.
+     *
+     * @param count how many, not negative
+     */
+    public void countEvents(int count) {
+        if (count > 0 && firstEventNanos.isEmpty()) {
+            firstEventNanos = OptionalLong.of(System.nanoTime());
+        }
+        events += count;
+    }
+
     private static LeaseOutcome outcome(TargetResponse.Meaning meaning) {
         return switch (meaning) {
             case SUCCESS, IMPOSSIBLE -> LeaseOutcome.DONE;
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRelease.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRelease.java
@@ -262,6 +262,132 @@
     outcome_ = 0;
   }
 
+  public static final int EVENTS_FIELD_NUMBER = 4;
+  private int events_;
+  /**
+   * <pre>
+   * Number of events received.
+   * </pre>
+   *
+   * <code>uint32 events = 4;</code>
+   * @return The events.
+   */
+  @java.lang.Override
+  public int getEvents() {
+    return events_;
+  }
+  /**
+   * <pre>
+   * Number of events received.
+   * </pre>
+   *
+   * <code>uint32 events = 4;</code>
+   * @param value The events to set.
+   */
+  private void setEvents(int value) {
+    
+    events_ = value;
+  }
+  /**
+   * <pre>
+   * Number of events received.
+   * </pre>
+   *
+   * <code>uint32 events = 4;</code>
+   */
+  private void clearEvents() {
+
+    events_ = 0;
+  }
+
+  public static final int FIRST_EVENT_MILLIS_FIELD_NUMBER = 5;
+  private int firstEventMillis_;
+  /**
+   * <pre>
+   * Time from sending the request to the first event, in milliseconds; absent if there was none.
+   * </pre>
+   *
+   * <code>optional uint32 first_event_millis = 5;</code>
+   * @return Whether the firstEventMillis field is set.
+   */
+  @java.lang.Override
+  public boolean hasFirstEventMillis() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <pre>
+   * Time from sending the request to the first event, in milliseconds; absent if there was none.
+   * </pre>
+   *
+   * <code>optional uint32 first_event_millis = 5;</code>
+   * @return The firstEventMillis.
+   */
+  @java.lang.Override
+  public int getFirstEventMillis() {
+    return firstEventMillis_;
+  }
+  /**
+   * <pre>
+   * Time from sending the request to the first event, in milliseconds; absent if there was none.
+   * </pre>
+   *
+   * <code>optional uint32 first_event_millis = 5;</code>
+   * @param value The firstEventMillis to set.
+   */
+  private void setFirstEventMillis(int value) {
+    bitField0_ |= 0x00000002;
+    firstEventMillis_ = value;
+  }
+  /**
+   * <pre>
+   * Time from sending the request to the first event, in milliseconds; absent if there was none.
+   * </pre>
+   *
+   * <code>optional uint32 first_event_millis = 5;</code>
+   */
+  private void clearFirstEventMillis() {
+    bitField0_ = (bitField0_ & ~0x00000002);
+    firstEventMillis_ = 0;
+  }
+
+  public static final int HELD_MILLIS_FIELD_NUMBER = 6;
+  private int heldMillis_;
+  /**
+   * <pre>
+   * Time from sending the request to its end, in milliseconds; 0 if it was not sent.
+   * </pre>
+   *
+   * <code>uint32 held_millis = 6;</code>
+   * @return The heldMillis.
+   */
+  @java.lang.Override
+  public int getHeldMillis() {
+    return heldMillis_;
+  }
+  /**
+   * <pre>
+   * Time from sending the request to its end, in milliseconds; 0 if it was not sent.
+   * </pre>
+   *
+   * <code>uint32 held_millis = 6;</code>
+   * @param value The heldMillis to set.
+   */
+  private void setHeldMillis(int value) {
+    
+    heldMillis_ = value;
+  }
+  /**
+   * <pre>
+   * Time from sending the request to its end, in milliseconds; 0 if it was not sent.
+   * </pre>
+   *
+   * <code>uint32 held_millis = 6;</code>
+   */
+  private void clearHeldMillis() {
+
+    heldMillis_ = 0;
+  }
+
   public static org.fuchsiaspindle.wire.peer.SlotRelease parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -485,6 +611,138 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Number of events received.
+     * </pre>
+     *
+     * <code>uint32 events = 4;</code>
+     * @return The events.
+     */
+    @java.lang.Override
+    public int getEvents() {
+      return instance.getEvents();
+    }
+    /**
+     * <pre>
+     * Number of events received.
+     * </pre>
+     *
+     * <code>uint32 events = 4;</code>
+     * @param value The events to set.
+     * @return This builder for chaining.
+     */
+    public Builder setEvents(int value) {
+      copyOnWrite();
+      instance.setEvents(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of events received.
+     * </pre>
+     *
+     * <code>uint32 events = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearEvents() {
+      copyOnWrite();
+      instance.clearEvents();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Time from sending the request to the first event, in milliseconds; absent if there was none.
+     * </pre>
+     *
+     * <code>optional uint32 first_event_millis = 5;</code>
+     * @return Whether the firstEventMillis field is set.
+     */
+    @java.lang.Override
+    public boolean hasFirstEventMillis() {
+      return instance.hasFirstEventMillis();
+    }
+    /**
+     * <pre>
+     * Time from sending the request to the first event, in milliseconds; absent if there was none.
+     * </pre>
+     *
+     * <code>optional uint32 first_event_millis = 5;</code>
+     * @return The firstEventMillis.
+     */
+    @java.lang.Override
+    public int getFirstEventMillis() {
+      return instance.getFirstEventMillis();
+    }
+    /**
+     * <pre>
+     * Time from sending the request to the first event, in milliseconds; absent if there was none.
+     * </pre>
+     *
+     * <code>optional uint32 first_event_millis = 5;</code>
+     * @param value The firstEventMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setFirstEventMillis(int value) {
+      copyOnWrite();
+      instance.setFirstEventMillis(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Time from sending the request to the first event, in milliseconds; absent if there was none.
+     * </pre>
+     *
+     * <code>optional uint32 first_event_millis = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearFirstEventMillis() {
+      copyOnWrite();
+      instance.clearFirstEventMillis();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Time from sending the request to its end, in milliseconds; 0 if it was not sent.
+     * </pre>
+     *
+     * <code>uint32 held_millis = 6;</code>
+     * @return The heldMillis.
+     */
+    @java.lang.Override
+    public int getHeldMillis() {
+      return instance.getHeldMillis();
+    }
+    /**
+     * <pre>
+     * Time from sending the request to its end, in milliseconds; 0 if it was not sent.
+     * </pre>
+     *
+     * <code>uint32 held_millis = 6;</code>
+     * @param value The heldMillis to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeldMillis(int value) {
+      copyOnWrite();
+      instance.setHeldMillis(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Time from sending the request to its end, in milliseconds; 0 if it was not sent.
+     * </pre>
+     *
+     * <code>uint32 held_millis = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeldMillis() {
+      copyOnWrite();
+      instance.clearHeldMillis();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.SlotRelease)
   }
   @java.lang.Override
@@ -505,10 +763,13 @@
             "pool_",
             "ticket_",
             "outcome_",
+            "events_",
+            "firstEventMillis_",
+            "heldMillis_",
           };
           java.lang.String info =
-              "\u0000\u0003\u0000\u0001\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0005\u0003\f";
+              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0005\u0003\f\u0004\u000b\u0005\u100b\u0001\u0006\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotReleaseOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotReleaseOrBuilder.java
@@ -37,4 +37,43 @@
    * @return The outcome.
    */
   org.fuchsiaspindle.wire.peer.SlotRelease.Outcome getOutcome();
+
+  /**
+   * <pre>
+   * Number of events received.
+   * </pre>
+   *
+   * <code>uint32 events = 4;</code>
+   * @return The events.
+   */
+  int getEvents();
+
+  /**
+   * <pre>
+   * Time from sending the request to the first event, in milliseconds; absent if there was none.
+   * </pre>
+   *
+   * <code>optional uint32 first_event_millis = 5;</code>
+   * @return Whether the firstEventMillis field is set.
+   */
+  boolean hasFirstEventMillis();
+  /**
+   * <pre>
+   * Time from sending the request to the first event, in milliseconds; absent if there was none.
+   * </pre>
+   *
+   * <code>optional uint32 first_event_millis = 5;</code>
+   * @return The firstEventMillis.
+   */
+  int getFirstEventMillis();
+
+  /**
+   * <pre>
+   * Time from sending the request to its end, in milliseconds; 0 if it was not sent.
+   * </pre>
+   *
+   * <code>uint32 held_millis = 6;</code>
+   * @return The heldMillis.
+   */
+  int getHeldMillis();
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRequestMessage.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRequestMessage.java
@@ -20,6 +20,7 @@
     SlotRequestMessageOrBuilder {
   private SlotRequestMessage() {
     avoidedTargets_ = emptyProtobufList();
+    workspace_ = "";
   }
   private int bitField0_;
   public static final int POOL_FIELD_NUMBER = 1;
@@ -405,6 +406,120 @@
     lastResort_ = false;
   }
 
+  public static final int WORKSPACE_FIELD_NUMBER = 9;
+  private java.lang.String workspace_;
+  /**
+   * <pre>
+   * Workspace of the caller, empty if there are no workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 9;</code>
+   * @return The workspace.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkspace() {
+    return workspace_;
+  }
+  /**
+   * <pre>
+   * Workspace of the caller, empty if there are no workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 9;</code>
+   * @return The bytes for workspace.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkspaceBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(workspace_);
+  }
+  /**
+   * <pre>
+   * Workspace of the caller, empty if there are no workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 9;</code>
+   * @param value The workspace to set.
+   */
+  private void setWorkspace(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    workspace_ = value;
+  }
+  /**
+   * <pre>
+   * Workspace of the caller, empty if there are no workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 9;</code>
+   */
+  private void clearWorkspace() {
+
+    workspace_ = getDefaultInstance().getWorkspace();
+  }
+  /**
+   * <pre>
+   * Workspace of the caller, empty if there are no workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 9;</code>
+   * @param value The bytes for workspace to set.
+   */
+  private void setWorkspaceBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    workspace_ = value.toStringUtf8();
+
+  }
+
+  public static final int SIZE_FIELD_NUMBER = 10;
+  private org.fuchsiaspindle.wire.peer.RequestSizeMessage size_;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+   */
+  @java.lang.Override
+  public boolean hasSize() {
+    return ((bitField0_ & 0x00000002) != 0);
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.RequestSizeMessage getSize() {
+    return size_ == null ? org.fuchsiaspindle.wire.peer.RequestSizeMessage.getDefaultInstance() : size_;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+   */
+  private void setSize(org.fuchsiaspindle.wire.peer.RequestSizeMessage value) {
+    java.util.Objects.requireNonNull(value);
+    size_ = value;
+    bitField0_ |= 0x00000002;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+   */
+  @java.lang.SuppressWarnings("ReferenceEquality")
+  private void mergeSize(org.fuchsiaspindle.wire.peer.RequestSizeMessage value) {
+    java.util.Objects.requireNonNull(value);
+    if (size_ != null &&
+        size_ != org.fuchsiaspindle.wire.peer.RequestSizeMessage.getDefaultInstance()) {
+      size_ =
+        org.fuchsiaspindle.wire.peer.RequestSizeMessage.newBuilder(size_).mergeFrom(value).buildPartial();
+    } else {
+      size_ = value;
+    }
+    bitField0_ |= 0x00000002;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+   */
+  private void clearSize() {
+    size_ = null;
+    bitField0_ = (bitField0_ & ~0x00000002);
+  }
+
   public static org.fuchsiaspindle.wire.peer.SlotRequestMessage parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -900,6 +1015,122 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Workspace of the caller, empty if there are no workspaces.
+     * </pre>
+     *
+     * <code>string workspace = 9;</code>
+     * @return The workspace.
+     */
+    @java.lang.Override
+    public java.lang.String getWorkspace() {
+      return instance.getWorkspace();
+    }
+    /**
+     * <pre>
+     * Workspace of the caller, empty if there are no workspaces.
+     * </pre>
+     *
+     * <code>string workspace = 9;</code>
+     * @return The bytes for workspace.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getWorkspaceBytes() {
+      return instance.getWorkspaceBytes();
+    }
+    /**
+     * <pre>
+     * Workspace of the caller, empty if there are no workspaces.
+     * </pre>
+     *
+     * <code>string workspace = 9;</code>
+     * @param value The workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspace(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setWorkspace(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Workspace of the caller, empty if there are no workspaces.
+     * </pre>
+     *
+     * <code>string workspace = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkspace() {
+      copyOnWrite();
+      instance.clearWorkspace();
+      return this;
+    }
+    /**
+     * <pre>
+     * Workspace of the caller, empty if there are no workspaces.
+     * </pre>
+     *
+     * <code>string workspace = 9;</code>
+     * @param value The bytes for workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspaceBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setWorkspaceBytes(value);
+      return this;
+    }
+
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+     */
+    @java.lang.Override
+    public boolean hasSize() {
+      return instance.hasSize();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.RequestSizeMessage getSize() {
+      return instance.getSize();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+     */
+    public Builder setSize(org.fuchsiaspindle.wire.peer.RequestSizeMessage value) {
+      copyOnWrite();
+      instance.setSize(value);
+      return this;
+      }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+     */
+    public Builder setSize(
+        org.fuchsiaspindle.wire.peer.RequestSizeMessage.Builder builderForValue) {
+      copyOnWrite();
+      instance.setSize(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+     */
+    public Builder mergeSize(org.fuchsiaspindle.wire.peer.RequestSizeMessage value) {
+      copyOnWrite();
+      instance.mergeSize(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+     */
+    public Builder clearSize() {  copyOnWrite();
+      instance.clearSize();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.SlotRequestMessage)
   }
   @java.lang.Override
@@ -925,10 +1156,13 @@
             "startMillis_",
             "avoidedTargets_",
             "lastResort_",
+            "workspace_",
+            "size_",
           };
           java.lang.String info =
-              "\u0000\b\u0000\u0001\u0001\b\b\u0000\u0001\u0000\u0001\u1009\u0000\u0002\u0005\u0003" +
-              "\u0007\u0004\u000b\u0005\u000f\u0006\u000f\u0007\u021a\b\u0007";
+              "\u0000\n\u0000\u0001\u0001\n\n\u0000\u0001\u0000\u0001\u1009\u0000\u0002\u0005\u0003" +
+              "\u0007\u0004\u000b\u0005\u000f\u0006\u000f\u0007\u021a\b\u0007\t\u0208\n\u1009\u0001" +
+              "";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRequestMessageOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRequestMessageOrBuilder.java
@@ -114,4 +114,35 @@
    * @return The lastResort.
    */
   boolean getLastResort();
+
+  /**
+   * <pre>
+   * Workspace of the caller, empty if there are no workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 9;</code>
+   * @return The workspace.
+   */
+  java.lang.String getWorkspace();
+  /**
+   * <pre>
+   * Workspace of the caller, empty if there are no workspaces.
+   * </pre>
+   *
+   * <code>string workspace = 9;</code>
+   * @return The bytes for workspace.
+   */
+  com.google.protobuf.ByteString
+      getWorkspaceBytes();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+   * @return Whether the size field is set.
+   */
+  boolean hasSize();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.RequestSizeMessage size = 10;</code>
+   * @return The size.
+   */
+  org.fuchsiaspindle.wire.peer.RequestSizeMessage getSize();
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredFailure.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredFailure.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * How often an item failed at a target.
+ * Number of failures of an item at targets.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.peer.StoredFailure}
@@ -157,7 +157,7 @@
 
   /**
    * <pre>
-   * How often an item failed at a target.
+   * Number of failures of an item at targets.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.peer.StoredFailure}
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredJob.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredJob.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * A batch job without the texts of its results.
+ * A batch job without the text of its results.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.peer.StoredJob}
@@ -172,7 +172,7 @@
   private java.lang.String ownerIp_;
   /**
    * <pre>
-   * Address and incarnation of the gateway that runs the items, empty if none does.
+   * Address and incarnation of the gateway that runs the items, empty if no gateway does.
    * </pre>
    *
    * <code>string owner_ip = 4;</code>
@@ -184,7 +184,7 @@
   }
   /**
    * <pre>
-   * Address and incarnation of the gateway that runs the items, empty if none does.
+   * Address and incarnation of the gateway that runs the items, empty if no gateway does.
    * </pre>
    *
    * <code>string owner_ip = 4;</code>
@@ -197,7 +197,7 @@
   }
   /**
    * <pre>
-   * Address and incarnation of the gateway that runs the items, empty if none does.
+   * Address and incarnation of the gateway that runs the items, empty if no gateway does.
    * </pre>
    *
    * <code>string owner_ip = 4;</code>
@@ -211,7 +211,7 @@
   }
   /**
    * <pre>
-   * Address and incarnation of the gateway that runs the items, empty if none does.
+   * Address and incarnation of the gateway that runs the items, empty if no gateway does.
    * </pre>
    *
    * <code>string owner_ip = 4;</code>
@@ -222,7 +222,7 @@
   }
   /**
    * <pre>
-   * Address and incarnation of the gateway that runs the items, empty if none does.
+   * Address and incarnation of the gateway that runs the items, empty if no gateway does.
    * </pre>
    *
    * <code>string owner_ip = 4;</code>
@@ -286,7 +286,7 @@
   private long epoch_;
   /**
    * <pre>
-   * Grows with each change of the owner.
+   * Incremented with each change of the owner.
    * </pre>
    *
    * <code>int64 epoch = 6;</code>
@@ -298,7 +298,7 @@
   }
   /**
    * <pre>
-   * Grows with each change of the owner.
+   * Incremented with each change of the owner.
    * </pre>
    *
    * <code>int64 epoch = 6;</code>
@@ -310,7 +310,7 @@
   }
   /**
    * <pre>
-   * Grows with each change of the owner.
+   * Incremented with each change of the owner.
    * </pre>
    *
    * <code>int64 epoch = 6;</code>
@@ -350,7 +350,7 @@
   private long waitingTokens_;
   /**
    * <pre>
-   * Tokens of the items that are not listed.
+   * Tokens of the items that have no result yet.
    * </pre>
    *
    * <code>int64 waiting_tokens = 8;</code>
@@ -362,7 +362,7 @@
   }
   /**
    * <pre>
-   * Tokens of the items that are not listed.
+   * Tokens of the items that have no result yet.
    * </pre>
    *
    * <code>int64 waiting_tokens = 8;</code>
@@ -374,7 +374,7 @@
   }
   /**
    * <pre>
-   * Tokens of the items that are not listed.
+   * Tokens of the items that have no result yet.
    * </pre>
    *
    * <code>int64 waiting_tokens = 8;</code>
@@ -388,7 +388,7 @@
   private long acceptedAtMillis_;
   /**
    * <pre>
-   * Steady clock of the store when the job was accepted, in milliseconds.
+   * Time at which the job was accepted on the store's steady clock, in milliseconds.
    * </pre>
    *
    * <code>int64 accepted_at_millis = 9;</code>
@@ -400,7 +400,7 @@
   }
   /**
    * <pre>
-   * Steady clock of the store when the job was accepted, in milliseconds.
+   * Time at which the job was accepted on the store's steady clock, in milliseconds.
    * </pre>
    *
    * <code>int64 accepted_at_millis = 9;</code>
@@ -412,7 +412,7 @@
   }
   /**
    * <pre>
-   * Steady clock of the store when the job was accepted, in milliseconds.
+   * Time at which the job was accepted on the store's steady clock, in milliseconds.
    * </pre>
    *
    * <code>int64 accepted_at_millis = 9;</code>
@@ -452,7 +452,7 @@
   private com.google.protobuf.Internal.ProtobufList<org.fuchsiaspindle.wire.peer.StoredResult> listed_;
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -463,7 +463,7 @@
   }
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -474,7 +474,7 @@
   }
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -485,7 +485,7 @@
   }
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -496,7 +496,7 @@
   }
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -515,7 +515,7 @@
 
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -528,7 +528,7 @@
   }
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -540,7 +540,7 @@
   }
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -553,7 +553,7 @@
   }
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -566,7 +566,7 @@
   }
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -576,7 +576,7 @@
   }
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -765,7 +765,7 @@
 
   /**
    * <pre>
-   * A batch job without the texts of its results.
+   * A batch job without the text of its results.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.peer.StoredJob}
@@ -930,7 +930,7 @@
 
     /**
      * <pre>
-     * Address and incarnation of the gateway that runs the items, empty if none does.
+     * Address and incarnation of the gateway that runs the items, empty if no gateway does.
      * </pre>
      *
      * <code>string owner_ip = 4;</code>
@@ -942,7 +942,7 @@
     }
     /**
      * <pre>
-     * Address and incarnation of the gateway that runs the items, empty if none does.
+     * Address and incarnation of the gateway that runs the items, empty if no gateway does.
      * </pre>
      *
      * <code>string owner_ip = 4;</code>
@@ -955,7 +955,7 @@
     }
     /**
      * <pre>
-     * Address and incarnation of the gateway that runs the items, empty if none does.
+     * Address and incarnation of the gateway that runs the items, empty if no gateway does.
      * </pre>
      *
      * <code>string owner_ip = 4;</code>
@@ -970,7 +970,7 @@
     }
     /**
      * <pre>
-     * Address and incarnation of the gateway that runs the items, empty if none does.
+     * Address and incarnation of the gateway that runs the items, empty if no gateway does.
      * </pre>
      *
      * <code>string owner_ip = 4;</code>
@@ -983,7 +983,7 @@
     }
     /**
      * <pre>
-     * Address and incarnation of the gateway that runs the items, empty if none does.
+     * Address and incarnation of the gateway that runs the items, empty if no gateway does.
      * </pre>
      *
      * <code>string owner_ip = 4;</code>
@@ -1048,7 +1048,7 @@
 
     /**
      * <pre>
-     * Grows with each change of the owner.
+     * Incremented with each change of the owner.
      * </pre>
      *
      * <code>int64 epoch = 6;</code>
@@ -1060,7 +1060,7 @@
     }
     /**
      * <pre>
-     * Grows with each change of the owner.
+     * Incremented with each change of the owner.
      * </pre>
      *
      * <code>int64 epoch = 6;</code>
@@ -1074,7 +1074,7 @@
     }
     /**
      * <pre>
-     * Grows with each change of the owner.
+     * Incremented with each change of the owner.
      * </pre>
      *
      * <code>int64 epoch = 6;</code>
@@ -1116,7 +1116,7 @@
 
     /**
      * <pre>
-     * Tokens of the items that are not listed.
+     * Tokens of the items that have no result yet.
      * </pre>
      *
      * <code>int64 waiting_tokens = 8;</code>
@@ -1128,7 +1128,7 @@
     }
     /**
      * <pre>
-     * Tokens of the items that are not listed.
+     * Tokens of the items that have no result yet.
      * </pre>
      *
      * <code>int64 waiting_tokens = 8;</code>
@@ -1142,7 +1142,7 @@
     }
     /**
      * <pre>
-     * Tokens of the items that are not listed.
+     * Tokens of the items that have no result yet.
      * </pre>
      *
      * <code>int64 waiting_tokens = 8;</code>
@@ -1156,7 +1156,7 @@
 
     /**
      * <pre>
-     * Steady clock of the store when the job was accepted, in milliseconds.
+     * Time at which the job was accepted on the store's steady clock, in milliseconds.
      * </pre>
      *
      * <code>int64 accepted_at_millis = 9;</code>
@@ -1168,7 +1168,7 @@
     }
     /**
      * <pre>
-     * Steady clock of the store when the job was accepted, in milliseconds.
+     * Time at which the job was accepted on the store's steady clock, in milliseconds.
      * </pre>
      *
      * <code>int64 accepted_at_millis = 9;</code>
@@ -1182,7 +1182,7 @@
     }
     /**
      * <pre>
-     * Steady clock of the store when the job was accepted, in milliseconds.
+     * Time at which the job was accepted on the store's steady clock, in milliseconds.
      * </pre>
      *
      * <code>int64 accepted_at_millis = 9;</code>
@@ -1224,7 +1224,7 @@
 
     /**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -1236,7 +1236,7 @@
     }
     /**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -1246,7 +1246,7 @@
       return instance.getListedCount();
     }/**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -1257,7 +1257,7 @@
     }
     /**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -1270,7 +1270,7 @@
     }
     /**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -1284,7 +1284,7 @@
     }
     /**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -1296,7 +1296,7 @@
     }
     /**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -1309,7 +1309,7 @@
     }
     /**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -1322,7 +1322,7 @@
     }
     /**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -1336,7 +1336,7 @@
     }
     /**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -1349,7 +1349,7 @@
     }
     /**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -1361,7 +1361,7 @@
     }
     /**
      * <pre>
-     * Items in the order of their positions in the results.
+     * Items that have results, in the order of their results.
      * </pre>
      *
      * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredJobOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredJobOrBuilder.java
@@ -48,7 +48,7 @@
 
   /**
    * <pre>
-   * Address and incarnation of the gateway that runs the items, empty if none does.
+   * Address and incarnation of the gateway that runs the items, empty if no gateway does.
    * </pre>
    *
    * <code>string owner_ip = 4;</code>
@@ -57,7 +57,7 @@
   java.lang.String getOwnerIp();
   /**
    * <pre>
-   * Address and incarnation of the gateway that runs the items, empty if none does.
+   * Address and incarnation of the gateway that runs the items, empty if no gateway does.
    * </pre>
    *
    * <code>string owner_ip = 4;</code>
@@ -80,7 +80,7 @@
 
   /**
    * <pre>
-   * Grows with each change of the owner.
+   * Incremented with each change of the owner.
    * </pre>
    *
    * <code>int64 epoch = 6;</code>
@@ -96,7 +96,7 @@
 
   /**
    * <pre>
-   * Tokens of the items that are not listed.
+   * Tokens of the items that have no result yet.
    * </pre>
    *
    * <code>int64 waiting_tokens = 8;</code>
@@ -106,7 +106,7 @@
 
   /**
    * <pre>
-   * Steady clock of the store when the job was accepted, in milliseconds.
+   * Time at which the job was accepted on the store's steady clock, in milliseconds.
    * </pre>
    *
    * <code>int64 accepted_at_millis = 9;</code>
@@ -122,7 +122,7 @@
 
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -131,7 +131,7 @@
       getListedList();
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
@@ -139,7 +139,7 @@
   org.fuchsiaspindle.wire.peer.StoredResult getListed(int index);
   /**
    * <pre>
-   * Items in the order of their positions in the results.
+   * Items that have results, in the order of their results.
    * </pre>
    *
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredResult listed = 11;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredProgress.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredProgress.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * What a run of an item has made so far, so that another gateway can go on behind it.
+ * Partial output of a run of an item, from which another gateway can resume.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.peer.StoredProgress}
@@ -159,7 +159,7 @@
 
   /**
    * <pre>
-   * What a run of an item has made so far, so that another gateway can go on behind it.
+   * Partial output of a run of an item, from which another gateway can resume.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.peer.StoredProgress}
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredResult.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredResult.java
@@ -120,7 +120,7 @@
   private int chunks_;
   /**
    * <pre>
-   * Rows that hold the text.
+   * Number of rows that hold the result text.
    * </pre>
    *
    * <code>uint32 chunks = 4;</code>
@@ -132,7 +132,7 @@
   }
   /**
    * <pre>
-   * Rows that hold the text.
+   * Number of rows that hold the result text.
    * </pre>
    *
    * <code>uint32 chunks = 4;</code>
@@ -144,7 +144,7 @@
   }
   /**
    * <pre>
-   * Rows that hold the text.
+   * Number of rows that hold the result text.
    * </pre>
    *
    * <code>uint32 chunks = 4;</code>
@@ -358,7 +358,7 @@
 
     /**
      * <pre>
-     * Rows that hold the text.
+     * Number of rows that hold the result text.
      * </pre>
      *
      * <code>uint32 chunks = 4;</code>
@@ -370,7 +370,7 @@
     }
     /**
      * <pre>
-     * Rows that hold the text.
+     * Number of rows that hold the result text.
      * </pre>
      *
      * <code>uint32 chunks = 4;</code>
@@ -384,7 +384,7 @@
     }
     /**
      * <pre>
-     * Rows that hold the text.
+     * Number of rows that hold the result text.
      * </pre>
      *
      * <code>uint32 chunks = 4;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredResultOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredResultOrBuilder.java
@@ -36,7 +36,7 @@
 
   /**
    * <pre>
-   * Rows that hold the text.
+   * Number of rows that hold the result text.
    * </pre>
    *
    * <code>uint32 chunks = 4;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/BatchItem.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/BatchItem.java
@@ -527,7 +527,8 @@
   private boolean suspect_;
   /**
    * <pre>
-   * Runs with no other suspect on the same target.
+   * True if the item is suspected of crashing targets and must not run on a target together with
+   * another such item.
    * </pre>
    *
    * <code>bool suspect = 15;</code>
@@ -539,7 +540,8 @@
   }
   /**
    * <pre>
-   * Runs with no other suspect on the same target.
+   * True if the item is suspected of crashing targets and must not run on a target together with
+   * another such item.
    * </pre>
    *
    * <code>bool suspect = 15;</code>
@@ -551,7 +553,8 @@
   }
   /**
    * <pre>
-   * Runs with no other suspect on the same target.
+   * True if the item is suspected of crashing targets and must not run on a target together with
+   * another such item.
    * </pre>
    *
    * <code>bool suspect = 15;</code>
@@ -1191,7 +1194,8 @@
 
     /**
      * <pre>
-     * Runs with no other suspect on the same target.
+     * True if the item is suspected of crashing targets and must not run on a target together with
+     * another such item.
      * </pre>
      *
      * <code>bool suspect = 15;</code>
@@ -1203,7 +1207,8 @@
     }
     /**
      * <pre>
-     * Runs with no other suspect on the same target.
+     * True if the item is suspected of crashing targets and must not run on a target together with
+     * another such item.
      * </pre>
      *
      * <code>bool suspect = 15;</code>
@@ -1217,7 +1222,8 @@
     }
     /**
      * <pre>
-     * Runs with no other suspect on the same target.
+     * True if the item is suspected of crashing targets and must not run on a target together with
+     * another such item.
      * </pre>
      *
      * <code>bool suspect = 15;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/BatchItemOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/BatchItemOrBuilder.java
@@ -137,7 +137,8 @@
 
   /**
    * <pre>
-   * Runs with no other suspect on the same target.
+   * True if the item is suspected of crashing targets and must not run on a target together with
+   * another such item.
    * </pre>
    *
    * <code>bool suspect = 15;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/BatchResult.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/BatchResult.java
@@ -176,7 +176,7 @@
   private int status_;
   /**
    * <pre>
-   * HTTP status of the target's answer, 200 on success.
+   * HTTP status of the target's response, 200 on success.
    * </pre>
    *
    * <code>uint32 status = 6;</code>
@@ -188,7 +188,7 @@
   }
   /**
    * <pre>
-   * HTTP status of the target's answer, 200 on success.
+   * HTTP status of the target's response, 200 on success.
    * </pre>
    *
    * <code>uint32 status = 6;</code>
@@ -200,7 +200,7 @@
   }
   /**
    * <pre>
-   * HTTP status of the target's answer, 200 on success.
+   * HTTP status of the target's response, 200 on success.
    * </pre>
    *
    * <code>uint32 status = 6;</code>
@@ -658,7 +658,7 @@
 
     /**
      * <pre>
-     * HTTP status of the target's answer, 200 on success.
+     * HTTP status of the target's response, 200 on success.
      * </pre>
      *
      * <code>uint32 status = 6;</code>
@@ -670,7 +670,7 @@
     }
     /**
      * <pre>
-     * HTTP status of the target's answer, 200 on success.
+     * HTTP status of the target's response, 200 on success.
      * </pre>
      *
      * <code>uint32 status = 6;</code>
@@ -684,7 +684,7 @@
     }
     /**
      * <pre>
-     * HTTP status of the target's answer, 200 on success.
+     * HTTP status of the target's response, 200 on success.
      * </pre>
      *
      * <code>uint32 status = 6;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/BatchResultOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/BatchResultOrBuilder.java
@@ -48,7 +48,7 @@
 
   /**
    * <pre>
-   * HTTP status of the target's answer, 200 on success.
+   * HTTP status of the target's response, 200 on success.
    * </pre>
    *
    * <code>uint32 status = 6;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigEntry.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigEntry.java
@@ -257,7 +257,8 @@
   private java.lang.String operator_;
   /**
    * <pre>
-   * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+   * Short digest of the operator's key, and the time at which the change was accepted, in
+   * milliseconds since the Unix epoch.
    * </pre>
    *
    * <code>string operator = 7;</code>
@@ -269,7 +270,8 @@
   }
   /**
    * <pre>
-   * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+   * Short digest of the operator's key, and the time at which the change was accepted, in
+   * milliseconds since the Unix epoch.
    * </pre>
    *
    * <code>string operator = 7;</code>
@@ -282,7 +284,8 @@
   }
   /**
    * <pre>
-   * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+   * Short digest of the operator's key, and the time at which the change was accepted, in
+   * milliseconds since the Unix epoch.
    * </pre>
    *
    * <code>string operator = 7;</code>
@@ -296,7 +299,8 @@
   }
   /**
    * <pre>
-   * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+   * Short digest of the operator's key, and the time at which the change was accepted, in
+   * milliseconds since the Unix epoch.
    * </pre>
    *
    * <code>string operator = 7;</code>
@@ -307,7 +311,8 @@
   }
   /**
    * <pre>
-   * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+   * Short digest of the operator's key, and the time at which the change was accepted, in
+   * milliseconds since the Unix epoch.
    * </pre>
    *
    * <code>string operator = 7;</code>
@@ -688,7 +693,8 @@
 
     /**
      * <pre>
-     * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+     * Short digest of the operator's key, and the time at which the change was accepted, in
+     * milliseconds since the Unix epoch.
      * </pre>
      *
      * <code>string operator = 7;</code>
@@ -700,7 +706,8 @@
     }
     /**
      * <pre>
-     * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+     * Short digest of the operator's key, and the time at which the change was accepted, in
+     * milliseconds since the Unix epoch.
      * </pre>
      *
      * <code>string operator = 7;</code>
@@ -713,7 +720,8 @@
     }
     /**
      * <pre>
-     * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+     * Short digest of the operator's key, and the time at which the change was accepted, in
+     * milliseconds since the Unix epoch.
      * </pre>
      *
      * <code>string operator = 7;</code>
@@ -728,7 +736,8 @@
     }
     /**
      * <pre>
-     * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+     * Short digest of the operator's key, and the time at which the change was accepted, in
+     * milliseconds since the Unix epoch.
      * </pre>
      *
      * <code>string operator = 7;</code>
@@ -741,7 +750,8 @@
     }
     /**
      * <pre>
-     * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+     * Short digest of the operator's key, and the time at which the change was accepted, in
+     * milliseconds since the Unix epoch.
      * </pre>
      *
      * <code>string operator = 7;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigEntryOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigEntryOrBuilder.java
@@ -70,7 +70,8 @@
 
   /**
    * <pre>
-   * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+   * Short digest of the operator's key, and the time at which the change was accepted, in
+   * milliseconds since the Unix epoch.
    * </pre>
    *
    * <code>string operator = 7;</code>
@@ -79,7 +80,8 @@
   java.lang.String getOperator();
   /**
    * <pre>
-   * Short digest of the operator's key, and when the change was accepted (milliseconds since 1970).
+   * Short digest of the operator's key, and the time at which the change was accepted, in
+   * milliseconds since the Unix epoch.
    * </pre>
    *
    * <code>string operator = 7;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigRequest.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigRequest.java
@@ -46,7 +46,7 @@
   private boolean targetsOnly_;
   /**
    * <pre>
-   * True if only documents that concern targets are wanted.
+   * True to request only the documents that concern targets.
    * </pre>
    *
    * <code>bool targets_only = 2;</code>
@@ -58,7 +58,7 @@
   }
   /**
    * <pre>
-   * True if only documents that concern targets are wanted.
+   * True to request only the documents that concern targets.
    * </pre>
    *
    * <code>bool targets_only = 2;</code>
@@ -70,7 +70,7 @@
   }
   /**
    * <pre>
-   * True if only documents that concern targets are wanted.
+   * True to request only the documents that concern targets.
    * </pre>
    *
    * <code>bool targets_only = 2;</code>
@@ -207,7 +207,7 @@
 
     /**
      * <pre>
-     * True if only documents that concern targets are wanted.
+     * True to request only the documents that concern targets.
      * </pre>
      *
      * <code>bool targets_only = 2;</code>
@@ -219,7 +219,7 @@
     }
     /**
      * <pre>
-     * True if only documents that concern targets are wanted.
+     * True to request only the documents that concern targets.
      * </pre>
      *
      * <code>bool targets_only = 2;</code>
@@ -233,7 +233,7 @@
     }
     /**
      * <pre>
-     * True if only documents that concern targets are wanted.
+     * True to request only the documents that concern targets.
      * </pre>
      *
      * <code>bool targets_only = 2;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigRequestOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigRequestOrBuilder.java
@@ -18,7 +18,7 @@
 
   /**
    * <pre>
-   * True if only documents that concern targets are wanted.
+   * True to request only the documents that concern targets.
    * </pre>
    *
    * <code>bool targets_only = 2;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigUpdate.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigUpdate.java
@@ -205,7 +205,7 @@
   private int page_;
   /**
    * <pre>
-   * A full state larger than one message comes in pages, in order, on one stream.
+   * A full state larger than one message is sent as pages, in order, on one stream.
    * </pre>
    *
    * <code>uint32 page = 5;</code>
@@ -217,7 +217,7 @@
   }
   /**
    * <pre>
-   * A full state larger than one message comes in pages, in order, on one stream.
+   * A full state larger than one message is sent as pages, in order, on one stream.
    * </pre>
    *
    * <code>uint32 page = 5;</code>
@@ -229,7 +229,7 @@
   }
   /**
    * <pre>
-   * A full state larger than one message comes in pages, in order, on one stream.
+   * A full state larger than one message is sent as pages, in order, on one stream.
    * </pre>
    *
    * <code>uint32 page = 5;</code>
@@ -562,7 +562,7 @@
 
     /**
      * <pre>
-     * A full state larger than one message comes in pages, in order, on one stream.
+     * A full state larger than one message is sent as pages, in order, on one stream.
      * </pre>
      *
      * <code>uint32 page = 5;</code>
@@ -574,7 +574,7 @@
     }
     /**
      * <pre>
-     * A full state larger than one message comes in pages, in order, on one stream.
+     * A full state larger than one message is sent as pages, in order, on one stream.
      * </pre>
      *
      * <code>uint32 page = 5;</code>
@@ -588,7 +588,7 @@
     }
     /**
      * <pre>
-     * A full state larger than one message comes in pages, in order, on one stream.
+     * A full state larger than one message is sent as pages, in order, on one stream.
      * </pre>
      *
      * <code>uint32 page = 5;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigUpdateOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/ConfigUpdateOrBuilder.java
@@ -48,7 +48,7 @@
 
   /**
    * <pre>
-   * A full state larger than one message comes in pages, in order, on one stream.
+   * A full state larger than one message is sent as pages, in order, on one stream.
    * </pre>
    *
    * <code>uint32 page = 5;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/CustomerDemand.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/CustomerDemand.java
@@ -68,7 +68,7 @@
   private double rate_;
   /**
    * <pre>
-   * Requests per second asked for by this entry's callers.
+   * Requests per second that callers send to this entry, admitted or not.
    * </pre>
    *
    * <code>double rate = 2;</code>
@@ -80,7 +80,7 @@
   }
   /**
    * <pre>
-   * Requests per second asked for by this entry's callers.
+   * Requests per second that callers send to this entry, admitted or not.
    * </pre>
    *
    * <code>double rate = 2;</code>
@@ -92,7 +92,7 @@
   }
   /**
    * <pre>
-   * Requests per second asked for by this entry's callers.
+   * Requests per second that callers send to this entry, admitted or not.
    * </pre>
    *
    * <code>double rate = 2;</code>
@@ -132,7 +132,7 @@
   private int running_;
   /**
    * <pre>
-   * Requests that run at this entry now; they count against the limit whatever is granted.
+   * Requests running at this entry; they count against the limit regardless of the grant.
    * </pre>
    *
    * <code>uint32 running = 4;</code>
@@ -144,7 +144,7 @@
   }
   /**
    * <pre>
-   * Requests that run at this entry now; they count against the limit whatever is granted.
+   * Requests running at this entry; they count against the limit regardless of the grant.
    * </pre>
    *
    * <code>uint32 running = 4;</code>
@@ -156,7 +156,7 @@
   }
   /**
    * <pre>
-   * Requests that run at this entry now; they count against the limit whatever is granted.
+   * Requests running at this entry; they count against the limit regardless of the grant.
    * </pre>
    *
    * <code>uint32 running = 4;</code>
@@ -314,7 +314,7 @@
 
     /**
      * <pre>
-     * Requests per second asked for by this entry's callers.
+     * Requests per second that callers send to this entry, admitted or not.
      * </pre>
      *
      * <code>double rate = 2;</code>
@@ -326,7 +326,7 @@
     }
     /**
      * <pre>
-     * Requests per second asked for by this entry's callers.
+     * Requests per second that callers send to this entry, admitted or not.
      * </pre>
      *
      * <code>double rate = 2;</code>
@@ -340,7 +340,7 @@
     }
     /**
      * <pre>
-     * Requests per second asked for by this entry's callers.
+     * Requests per second that callers send to this entry, admitted or not.
      * </pre>
      *
      * <code>double rate = 2;</code>
@@ -382,7 +382,7 @@
 
     /**
      * <pre>
-     * Requests that run at this entry now; they count against the limit whatever is granted.
+     * Requests running at this entry; they count against the limit regardless of the grant.
      * </pre>
      *
      * <code>uint32 running = 4;</code>
@@ -394,7 +394,7 @@
     }
     /**
      * <pre>
-     * Requests that run at this entry now; they count against the limit whatever is granted.
+     * Requests running at this entry; they count against the limit regardless of the grant.
      * </pre>
      *
      * <code>uint32 running = 4;</code>
@@ -408,7 +408,7 @@
     }
     /**
      * <pre>
-     * Requests that run at this entry now; they count against the limit whatever is granted.
+     * Requests running at this entry; they count against the limit regardless of the grant.
      * </pre>
      *
      * <code>uint32 running = 4;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/CustomerDemandOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/CustomerDemandOrBuilder.java
@@ -24,7 +24,7 @@
 
   /**
    * <pre>
-   * Requests per second asked for by this entry's callers.
+   * Requests per second that callers send to this entry, admitted or not.
    * </pre>
    *
    * <code>double rate = 2;</code>
@@ -40,7 +40,7 @@
 
   /**
    * <pre>
-   * Requests that run at this entry now; they count against the limit whatever is granted.
+   * Requests running at this entry; they count against the limit regardless of the grant.
    * </pre>
    *
    * <code>uint32 running = 4;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/Execute.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/Execute.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * A request to the agent's target. Answered by Started, Chunk* and Finished, or by Refused.
+ * A request to the agent's target. The reply is Started, any number of Chunk messages and Finished,
+ * or Refused.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.Execute}
@@ -262,7 +263,7 @@
   private com.google.protobuf.ByteString body_;
   /**
    * <pre>
-   * JSON body of the caller for chat and text; the raw body for services.
+   * JSON body sent by the caller for chat and text requests; the raw body for services.
    * </pre>
    *
    * <code>bytes body = 6;</code>
@@ -274,7 +275,7 @@
   }
   /**
    * <pre>
-   * JSON body of the caller for chat and text; the raw body for services.
+   * JSON body sent by the caller for chat and text requests; the raw body for services.
    * </pre>
    *
    * <code>bytes body = 6;</code>
@@ -287,7 +288,7 @@
   }
   /**
    * <pre>
-   * JSON body of the caller for chat and text; the raw body for services.
+   * JSON body sent by the caller for chat and text requests; the raw body for services.
    * </pre>
    *
    * <code>bytes body = 6;</code>
@@ -377,7 +378,7 @@
   private long timeLeftMs_;
   /**
    * <pre>
-   * Time left until the caller's deadline, in milliseconds; 0 means none.
+   * Time left until the caller's deadline, in milliseconds; 0 means no deadline.
    * </pre>
    *
    * <code>uint64 time_left_ms = 9;</code>
@@ -389,7 +390,7 @@
   }
   /**
    * <pre>
-   * Time left until the caller's deadline, in milliseconds; 0 means none.
+   * Time left until the caller's deadline, in milliseconds; 0 means no deadline.
    * </pre>
    *
    * <code>uint64 time_left_ms = 9;</code>
@@ -401,7 +402,7 @@
   }
   /**
    * <pre>
-   * Time left until the caller's deadline, in milliseconds; 0 means none.
+   * Time left until the caller's deadline, in milliseconds; 0 means no deadline.
    * </pre>
    *
    * <code>uint64 time_left_ms = 9;</code>
@@ -441,7 +442,7 @@
   private java.lang.String resumeText_;
   /**
    * <pre>
-   * Output already delivered by an earlier attempt, and its token count.
+   * Output that an earlier attempt has already delivered, and its number of tokens.
    * </pre>
    *
    * <code>string resume_text = 11;</code>
@@ -453,7 +454,7 @@
   }
   /**
    * <pre>
-   * Output already delivered by an earlier attempt, and its token count.
+   * Output that an earlier attempt has already delivered, and its number of tokens.
    * </pre>
    *
    * <code>string resume_text = 11;</code>
@@ -466,7 +467,7 @@
   }
   /**
    * <pre>
-   * Output already delivered by an earlier attempt, and its token count.
+   * Output that an earlier attempt has already delivered, and its number of tokens.
    * </pre>
    *
    * <code>string resume_text = 11;</code>
@@ -480,7 +481,7 @@
   }
   /**
    * <pre>
-   * Output already delivered by an earlier attempt, and its token count.
+   * Output that an earlier attempt has already delivered, and its number of tokens.
    * </pre>
    *
    * <code>string resume_text = 11;</code>
@@ -491,7 +492,7 @@
   }
   /**
    * <pre>
-   * Output already delivered by an earlier attempt, and its token count.
+   * Output that an earlier attempt has already delivered, and its number of tokens.
    * </pre>
    *
    * <code>string resume_text = 11;</code>
@@ -572,7 +573,7 @@
   private java.lang.String method_;
   /**
    * <pre>
-   * Service calls: method, path with query, headers.
+   * For service calls: method, path with query, and headers.
    * </pre>
    *
    * <code>string method = 14;</code>
@@ -584,7 +585,7 @@
   }
   /**
    * <pre>
-   * Service calls: method, path with query, headers.
+   * For service calls: method, path with query, and headers.
    * </pre>
    *
    * <code>string method = 14;</code>
@@ -597,7 +598,7 @@
   }
   /**
    * <pre>
-   * Service calls: method, path with query, headers.
+   * For service calls: method, path with query, and headers.
    * </pre>
    *
    * <code>string method = 14;</code>
@@ -611,7 +612,7 @@
   }
   /**
    * <pre>
-   * Service calls: method, path with query, headers.
+   * For service calls: method, path with query, and headers.
    * </pre>
    *
    * <code>string method = 14;</code>
@@ -622,7 +623,7 @@
   }
   /**
    * <pre>
-   * Service calls: method, path with query, headers.
+   * For service calls: method, path with query, and headers.
    * </pre>
    *
    * <code>string method = 14;</code>
@@ -780,7 +781,7 @@
   private int promptTokens_;
   /**
    * <pre>
-   * Expected size, for admission.
+   * Expected size of the request, for admission control.
    * </pre>
    *
    * <code>uint32 prompt_tokens = 17;</code>
@@ -792,7 +793,7 @@
   }
   /**
    * <pre>
-   * Expected size, for admission.
+   * Expected size of the request, for admission control.
    * </pre>
    *
    * <code>uint32 prompt_tokens = 17;</code>
@@ -804,7 +805,7 @@
   }
   /**
    * <pre>
-   * Expected size, for admission.
+   * Expected size of the request, for admission control.
    * </pre>
    *
    * <code>uint32 prompt_tokens = 17;</code>
@@ -925,7 +926,8 @@
 
   /**
    * <pre>
-   * A request to the agent's target. Answered by Started, Chunk* and Finished, or by Refused.
+   * A request to the agent's target. The reply is Started, any number of Chunk messages and Finished,
+   * or Refused.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.Execute}
@@ -1185,7 +1187,7 @@
 
     /**
      * <pre>
-     * JSON body of the caller for chat and text; the raw body for services.
+     * JSON body sent by the caller for chat and text requests; the raw body for services.
      * </pre>
      *
      * <code>bytes body = 6;</code>
@@ -1197,7 +1199,7 @@
     }
     /**
      * <pre>
-     * JSON body of the caller for chat and text; the raw body for services.
+     * JSON body sent by the caller for chat and text requests; the raw body for services.
      * </pre>
      *
      * <code>bytes body = 6;</code>
@@ -1211,7 +1213,7 @@
     }
     /**
      * <pre>
-     * JSON body of the caller for chat and text; the raw body for services.
+     * JSON body sent by the caller for chat and text requests; the raw body for services.
      * </pre>
      *
      * <code>bytes body = 6;</code>
@@ -1305,7 +1307,7 @@
 
     /**
      * <pre>
-     * Time left until the caller's deadline, in milliseconds; 0 means none.
+     * Time left until the caller's deadline, in milliseconds; 0 means no deadline.
      * </pre>
      *
      * <code>uint64 time_left_ms = 9;</code>
@@ -1317,7 +1319,7 @@
     }
     /**
      * <pre>
-     * Time left until the caller's deadline, in milliseconds; 0 means none.
+     * Time left until the caller's deadline, in milliseconds; 0 means no deadline.
      * </pre>
      *
      * <code>uint64 time_left_ms = 9;</code>
@@ -1331,7 +1333,7 @@
     }
     /**
      * <pre>
-     * Time left until the caller's deadline, in milliseconds; 0 means none.
+     * Time left until the caller's deadline, in milliseconds; 0 means no deadline.
      * </pre>
      *
      * <code>uint64 time_left_ms = 9;</code>
@@ -1373,7 +1375,7 @@
 
     /**
      * <pre>
-     * Output already delivered by an earlier attempt, and its token count.
+     * Output that an earlier attempt has already delivered, and its number of tokens.
      * </pre>
      *
      * <code>string resume_text = 11;</code>
@@ -1385,7 +1387,7 @@
     }
     /**
      * <pre>
-     * Output already delivered by an earlier attempt, and its token count.
+     * Output that an earlier attempt has already delivered, and its number of tokens.
      * </pre>
      *
      * <code>string resume_text = 11;</code>
@@ -1398,7 +1400,7 @@
     }
     /**
      * <pre>
-     * Output already delivered by an earlier attempt, and its token count.
+     * Output that an earlier attempt has already delivered, and its number of tokens.
      * </pre>
      *
      * <code>string resume_text = 11;</code>
@@ -1413,7 +1415,7 @@
     }
     /**
      * <pre>
-     * Output already delivered by an earlier attempt, and its token count.
+     * Output that an earlier attempt has already delivered, and its number of tokens.
      * </pre>
      *
      * <code>string resume_text = 11;</code>
@@ -1426,7 +1428,7 @@
     }
     /**
      * <pre>
-     * Output already delivered by an earlier attempt, and its token count.
+     * Output that an earlier attempt has already delivered, and its number of tokens.
      * </pre>
      *
      * <code>string resume_text = 11;</code>
@@ -1510,7 +1512,7 @@
 
     /**
      * <pre>
-     * Service calls: method, path with query, headers.
+     * For service calls: method, path with query, and headers.
      * </pre>
      *
      * <code>string method = 14;</code>
@@ -1522,7 +1524,7 @@
     }
     /**
      * <pre>
-     * Service calls: method, path with query, headers.
+     * For service calls: method, path with query, and headers.
      * </pre>
      *
      * <code>string method = 14;</code>
@@ -1535,7 +1537,7 @@
     }
     /**
      * <pre>
-     * Service calls: method, path with query, headers.
+     * For service calls: method, path with query, and headers.
      * </pre>
      *
      * <code>string method = 14;</code>
@@ -1550,7 +1552,7 @@
     }
     /**
      * <pre>
-     * Service calls: method, path with query, headers.
+     * For service calls: method, path with query, and headers.
      * </pre>
      *
      * <code>string method = 14;</code>
@@ -1563,7 +1565,7 @@
     }
     /**
      * <pre>
-     * Service calls: method, path with query, headers.
+     * For service calls: method, path with query, and headers.
      * </pre>
      *
      * <code>string method = 14;</code>
@@ -1730,7 +1732,7 @@
 
     /**
      * <pre>
-     * Expected size, for admission.
+     * Expected size of the request, for admission control.
      * </pre>
      *
      * <code>uint32 prompt_tokens = 17;</code>
@@ -1742,7 +1744,7 @@
     }
     /**
      * <pre>
-     * Expected size, for admission.
+     * Expected size of the request, for admission control.
      * </pre>
      *
      * <code>uint32 prompt_tokens = 17;</code>
@@ -1756,7 +1758,7 @@
     }
     /**
      * <pre>
-     * Expected size, for admission.
+     * Expected size of the request, for admission control.
      * </pre>
      *
      * <code>uint32 prompt_tokens = 17;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/ExecuteOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/ExecuteOrBuilder.java
@@ -73,7 +73,7 @@
 
   /**
    * <pre>
-   * JSON body of the caller for chat and text; the raw body for services.
+   * JSON body sent by the caller for chat and text requests; the raw body for services.
    * </pre>
    *
    * <code>bytes body = 6;</code>
@@ -103,7 +103,7 @@
 
   /**
    * <pre>
-   * Time left until the caller's deadline, in milliseconds; 0 means none.
+   * Time left until the caller's deadline, in milliseconds; 0 means no deadline.
    * </pre>
    *
    * <code>uint64 time_left_ms = 9;</code>
@@ -119,7 +119,7 @@
 
   /**
    * <pre>
-   * Output already delivered by an earlier attempt, and its token count.
+   * Output that an earlier attempt has already delivered, and its number of tokens.
    * </pre>
    *
    * <code>string resume_text = 11;</code>
@@ -128,7 +128,7 @@
   java.lang.String getResumeText();
   /**
    * <pre>
-   * Output already delivered by an earlier attempt, and its token count.
+   * Output that an earlier attempt has already delivered, and its number of tokens.
    * </pre>
    *
    * <code>string resume_text = 11;</code>
@@ -155,7 +155,7 @@
 
   /**
    * <pre>
-   * Service calls: method, path with query, headers.
+   * For service calls: method, path with query, and headers.
    * </pre>
    *
    * <code>string method = 14;</code>
@@ -164,7 +164,7 @@
   java.lang.String getMethod();
   /**
    * <pre>
-   * Service calls: method, path with query, headers.
+   * For service calls: method, path with query, and headers.
    * </pre>
    *
    * <code>string method = 14;</code>
@@ -201,7 +201,7 @@
 
   /**
    * <pre>
-   * Expected size, for admission.
+   * Expected size of the request, for admission control.
    * </pre>
    *
    * <code>uint32 prompt_tokens = 17;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/Finished.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/Finished.java
@@ -144,7 +144,7 @@
   private int status_;
   /**
    * <pre>
-   * Service calls only.
+   * For service calls only.
    * </pre>
    *
    * <code>uint32 status = 4;</code>
@@ -156,7 +156,7 @@
   }
   /**
    * <pre>
-   * Service calls only.
+   * For service calls only.
    * </pre>
    *
    * <code>uint32 status = 4;</code>
@@ -168,7 +168,7 @@
   }
   /**
    * <pre>
-   * Service calls only.
+   * For service calls only.
    * </pre>
    *
    * <code>uint32 status = 4;</code>
@@ -522,7 +522,7 @@
 
     /**
      * <pre>
-     * Service calls only.
+     * For service calls only.
      * </pre>
      *
      * <code>uint32 status = 4;</code>
@@ -534,7 +534,7 @@
     }
     /**
      * <pre>
-     * Service calls only.
+     * For service calls only.
      * </pre>
      *
      * <code>uint32 status = 4;</code>
@@ -548,7 +548,7 @@
     }
     /**
      * <pre>
-     * Service calls only.
+     * For service calls only.
      * </pre>
      *
      * <code>uint32 status = 4;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/FinishedOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/FinishedOrBuilder.java
@@ -41,7 +41,7 @@
 
   /**
    * <pre>
-   * Service calls only.
+   * For service calls only.
    * </pre>
    *
    * <code>uint32 status = 4;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/Hello.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/Hello.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * First message of both sides. `min_version` and `max_version` bound the protocol versions spoken.
+ * First message of both sides. The sender supports the protocol versions from `min_version` to
+ * `max_version`.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.Hello}
@@ -420,7 +421,8 @@
 
   /**
    * <pre>
-   * First message of both sides. `min_version` and `max_version` bound the protocol versions spoken.
+   * First message of both sides. The sender supports the protocol versions from `min_version` to
+   * `max_version`.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.Hello}
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/LoadReport.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/LoadReport.java
@@ -158,7 +158,7 @@
   private int capacity_;
   /**
    * <pre>
-   * Streams that may run at once without breaking the inter-token target.
+   * Streams that may run concurrently without exceeding the inter-token target.
    * </pre>
    *
    * <code>uint32 capacity = 6;</code>
@@ -170,7 +170,7 @@
   }
   /**
    * <pre>
-   * Streams that may run at once without breaking the inter-token target.
+   * Streams that may run concurrently without exceeding the inter-token target.
    * </pre>
    *
    * <code>uint32 capacity = 6;</code>
@@ -182,7 +182,7 @@
   }
   /**
    * <pre>
-   * Streams that may run at once without breaking the inter-token target.
+   * Streams that may run concurrently without exceeding the inter-token target.
    * </pre>
    *
    * <code>uint32 capacity = 6;</code>
@@ -341,7 +341,8 @@
   private int batchWant_;
   /**
    * <pre>
-   * Standing want: batch items that this entry may have outstanding at the agent.
+   * Number of batch items that the receiving entry may have outstanding at the agent until the next
+   * report.
    * </pre>
    *
    * <code>uint32 batch_want = 10;</code>
@@ -353,7 +354,8 @@
   }
   /**
    * <pre>
-   * Standing want: batch items that this entry may have outstanding at the agent.
+   * Number of batch items that the receiving entry may have outstanding at the agent until the next
+   * report.
    * </pre>
    *
    * <code>uint32 batch_want = 10;</code>
@@ -365,7 +367,8 @@
   }
   /**
    * <pre>
-   * Standing want: batch items that this entry may have outstanding at the agent.
+   * Number of batch items that the receiving entry may have outstanding at the agent until the next
+   * report.
    * </pre>
    *
    * <code>uint32 batch_want = 10;</code>
@@ -587,7 +590,7 @@
   private boolean prefixesReset_;
   /**
    * <pre>
-   * True if events were lost; the receiver forgets what it knew of this target's cache.
+   * True if cache events were lost; the receiver then discards its record of this target's cache.
    * </pre>
    *
    * <code>bool prefixes_reset = 14;</code>
@@ -599,7 +602,7 @@
   }
   /**
    * <pre>
-   * True if events were lost; the receiver forgets what it knew of this target's cache.
+   * True if cache events were lost; the receiver then discards its record of this target's cache.
    * </pre>
    *
    * <code>bool prefixes_reset = 14;</code>
@@ -611,7 +614,7 @@
   }
   /**
    * <pre>
-   * True if events were lost; the receiver forgets what it knew of this target's cache.
+   * True if cache events were lost; the receiver then discards its record of this target's cache.
    * </pre>
    *
    * <code>bool prefixes_reset = 14;</code>
@@ -677,7 +680,7 @@
   private com.google.protobuf.Internal.ProtobufList<java.lang.String> modelVersions_;
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -689,7 +692,7 @@
   }
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -701,7 +704,7 @@
   }
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -714,7 +717,7 @@
   }
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -736,7 +739,7 @@
   }
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -751,7 +754,7 @@
   }
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -765,7 +768,7 @@
   }
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -779,7 +782,7 @@
   }
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -789,7 +792,7 @@
   }
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -1045,7 +1048,7 @@
 
     /**
      * <pre>
-     * Streams that may run at once without breaking the inter-token target.
+     * Streams that may run concurrently without exceeding the inter-token target.
      * </pre>
      *
      * <code>uint32 capacity = 6;</code>
@@ -1057,7 +1060,7 @@
     }
     /**
      * <pre>
-     * Streams that may run at once without breaking the inter-token target.
+     * Streams that may run concurrently without exceeding the inter-token target.
      * </pre>
      *
      * <code>uint32 capacity = 6;</code>
@@ -1071,7 +1074,7 @@
     }
     /**
      * <pre>
-     * Streams that may run at once without breaking the inter-token target.
+     * Streams that may run concurrently without exceeding the inter-token target.
      * </pre>
      *
      * <code>uint32 capacity = 6;</code>
@@ -1233,7 +1236,8 @@
 
     /**
      * <pre>
-     * Standing want: batch items that this entry may have outstanding at the agent.
+     * Number of batch items that the receiving entry may have outstanding at the agent until the next
+     * report.
      * </pre>
      *
      * <code>uint32 batch_want = 10;</code>
@@ -1245,7 +1249,8 @@
     }
     /**
      * <pre>
-     * Standing want: batch items that this entry may have outstanding at the agent.
+     * Number of batch items that the receiving entry may have outstanding at the agent until the next
+     * report.
      * </pre>
      *
      * <code>uint32 batch_want = 10;</code>
@@ -1259,7 +1264,8 @@
     }
     /**
      * <pre>
-     * Standing want: batch items that this entry may have outstanding at the agent.
+     * Number of batch items that the receiving entry may have outstanding at the agent until the next
+     * report.
      * </pre>
      *
      * <code>uint32 batch_want = 10;</code>
@@ -1479,7 +1485,7 @@
 
     /**
      * <pre>
-     * True if events were lost; the receiver forgets what it knew of this target's cache.
+     * True if cache events were lost; the receiver then discards its record of this target's cache.
      * </pre>
      *
      * <code>bool prefixes_reset = 14;</code>
@@ -1491,7 +1497,7 @@
     }
     /**
      * <pre>
-     * True if events were lost; the receiver forgets what it knew of this target's cache.
+     * True if cache events were lost; the receiver then discards its record of this target's cache.
      * </pre>
      *
      * <code>bool prefixes_reset = 14;</code>
@@ -1505,7 +1511,7 @@
     }
     /**
      * <pre>
-     * True if events were lost; the receiver forgets what it knew of this target's cache.
+     * True if cache events were lost; the receiver then discards its record of this target's cache.
      * </pre>
      *
      * <code>bool prefixes_reset = 14;</code>
@@ -1575,7 +1581,7 @@
 
     /**
      * <pre>
-     * Versions of `models`, in the same order; empty where the target names none.
+     * Versions of `models`, in the same order; empty where the target reports none.
      * </pre>
      *
      * <code>repeated string model_versions = 17;</code>
@@ -1589,7 +1595,7 @@
     }
     /**
      * <pre>
-     * Versions of `models`, in the same order; empty where the target names none.
+     * Versions of `models`, in the same order; empty where the target reports none.
      * </pre>
      *
      * <code>repeated string model_versions = 17;</code>
@@ -1601,7 +1607,7 @@
     }
     /**
      * <pre>
-     * Versions of `models`, in the same order; empty where the target names none.
+     * Versions of `models`, in the same order; empty where the target reports none.
      * </pre>
      *
      * <code>repeated string model_versions = 17;</code>
@@ -1614,7 +1620,7 @@
     }
     /**
      * <pre>
-     * Versions of `models`, in the same order; empty where the target names none.
+     * Versions of `models`, in the same order; empty where the target reports none.
      * </pre>
      *
      * <code>repeated string model_versions = 17;</code>
@@ -1628,7 +1634,7 @@
     }
     /**
      * <pre>
-     * Versions of `models`, in the same order; empty where the target names none.
+     * Versions of `models`, in the same order; empty where the target reports none.
      * </pre>
      *
      * <code>repeated string model_versions = 17;</code>
@@ -1644,7 +1650,7 @@
     }
     /**
      * <pre>
-     * Versions of `models`, in the same order; empty where the target names none.
+     * Versions of `models`, in the same order; empty where the target reports none.
      * </pre>
      *
      * <code>repeated string model_versions = 17;</code>
@@ -1659,7 +1665,7 @@
     }
     /**
      * <pre>
-     * Versions of `models`, in the same order; empty where the target names none.
+     * Versions of `models`, in the same order; empty where the target reports none.
      * </pre>
      *
      * <code>repeated string model_versions = 17;</code>
@@ -1674,7 +1680,7 @@
     }
     /**
      * <pre>
-     * Versions of `models`, in the same order; empty where the target names none.
+     * Versions of `models`, in the same order; empty where the target reports none.
      * </pre>
      *
      * <code>repeated string model_versions = 17;</code>
@@ -1687,7 +1693,7 @@
     }
     /**
      * <pre>
-     * Versions of `models`, in the same order; empty where the target names none.
+     * Versions of `models`, in the same order; empty where the target reports none.
      * </pre>
      *
      * <code>repeated string model_versions = 17;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/LoadReportOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/LoadReportOrBuilder.java
@@ -42,7 +42,7 @@
 
   /**
    * <pre>
-   * Streams that may run at once without breaking the inter-token target.
+   * Streams that may run concurrently without exceeding the inter-token target.
    * </pre>
    *
    * <code>uint32 capacity = 6;</code>
@@ -89,7 +89,8 @@
 
   /**
    * <pre>
-   * Standing want: batch items that this entry may have outstanding at the agent.
+   * Number of batch items that the receiving entry may have outstanding at the agent until the next
+   * report.
    * </pre>
    *
    * <code>uint32 batch_want = 10;</code>
@@ -155,7 +156,7 @@
 
   /**
    * <pre>
-   * True if events were lost; the receiver forgets what it knew of this target's cache.
+   * True if cache events were lost; the receiver then discards its record of this target's cache.
    * </pre>
    *
    * <code>bool prefixes_reset = 14;</code>
@@ -177,7 +178,7 @@
 
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -187,7 +188,7 @@
       getModelVersionsList();
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -196,7 +197,7 @@
   int getModelVersionsCount();
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
@@ -206,7 +207,7 @@
   java.lang.String getModelVersions(int index);
   /**
    * <pre>
-   * Versions of `models`, in the same order; empty where the target names none.
+   * Versions of `models`, in the same order; empty where the target reports none.
    * </pre>
    *
    * <code>repeated string model_versions = 17;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/PeerStatus.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/PeerStatus.java
@@ -301,7 +301,7 @@
   private long sentMs_;
   /**
    * <pre>
-   * Monotonic time of the sender; differences show the receiver how long a message was held up.
+   * Monotonic time of the sender; the receiver computes the delay of a message from differences.
    * </pre>
    *
    * <code>uint64 sent_ms = 7;</code>
@@ -313,7 +313,7 @@
   }
   /**
    * <pre>
-   * Monotonic time of the sender; differences show the receiver how long a message was held up.
+   * Monotonic time of the sender; the receiver computes the delay of a message from differences.
    * </pre>
    *
    * <code>uint64 sent_ms = 7;</code>
@@ -325,7 +325,7 @@
   }
   /**
    * <pre>
-   * Monotonic time of the sender; differences show the receiver how long a message was held up.
+   * Monotonic time of the sender; the receiver computes the delay of a message from differences.
    * </pre>
    *
    * <code>uint64 sent_ms = 7;</code>
@@ -736,7 +736,7 @@
 
     /**
      * <pre>
-     * Monotonic time of the sender; differences show the receiver how long a message was held up.
+     * Monotonic time of the sender; the receiver computes the delay of a message from differences.
      * </pre>
      *
      * <code>uint64 sent_ms = 7;</code>
@@ -748,7 +748,7 @@
     }
     /**
      * <pre>
-     * Monotonic time of the sender; differences show the receiver how long a message was held up.
+     * Monotonic time of the sender; the receiver computes the delay of a message from differences.
      * </pre>
      *
      * <code>uint64 sent_ms = 7;</code>
@@ -762,7 +762,7 @@
     }
     /**
      * <pre>
-     * Monotonic time of the sender; differences show the receiver how long a message was held up.
+     * Monotonic time of the sender; the receiver computes the delay of a message from differences.
      * </pre>
      *
      * <code>uint64 sent_ms = 7;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/PeerStatusOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/PeerStatusOrBuilder.java
@@ -72,7 +72,7 @@
 
   /**
    * <pre>
-   * Monotonic time of the sender; differences show the receiver how long a message was held up.
+   * Monotonic time of the sender; the receiver computes the delay of a message from differences.
    * </pre>
    *
    * <code>uint64 sent_ms = 7;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/Proof.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/Proof.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * HMAC-SHA256 over both nonces, the roles and the chosen version with the fleet secret.
+ * HMAC-SHA256, keyed with the fleet secret, over the proving side, the negotiated version and both
+ * hellos.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.Proof}
@@ -133,7 +134,8 @@
 
   /**
    * <pre>
-   * HMAC-SHA256 over both nonces, the roles and the chosen version with the fleet secret.
+   * HMAC-SHA256, keyed with the fleet secret, over the proving side, the negotiated version and both
+   * hellos.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.Proof}
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/ReturnedItem.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/ReturnedItem.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * An item that the agent gives back without a result.
+ * An item that the agent returns without a result.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.ReturnedItem}
@@ -395,7 +395,7 @@
 
   /**
    * <pre>
-   * An item that the agent gives back without a result.
+   * An item that the agent returns without a result.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.ReturnedItem}
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/ShareRequest.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/ShareRequest.java
@@ -7,8 +7,8 @@
 
 /**
  * <pre>
- * Sent every second, also without demands: it tells the granter that this entry is not cut off and
- * uses no share of the customers that it does not name.
+ * Sent every second, even without demands, because it shows the granter that this entry is
+ * reachable and uses no share of the customers that it does not list.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.ShareRequest}
@@ -121,7 +121,7 @@
   private com.google.protobuf.Internal.ProtobufList<java.lang.String> gone_;
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -133,7 +133,7 @@
   }
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -145,7 +145,7 @@
   }
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -158,7 +158,7 @@
   }
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -180,7 +180,7 @@
   }
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -195,7 +195,7 @@
   }
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -209,7 +209,7 @@
   }
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -223,7 +223,7 @@
   }
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -233,7 +233,7 @@
   }
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -331,8 +331,8 @@
 
   /**
    * <pre>
-   * Sent every second, also without demands: it tells the granter that this entry is not cut off and
-   * uses no share of the customers that it does not name.
+   * Sent every second, even without demands, because it shows the granter that this entry is
+   * reachable and uses no share of the customers that it does not list.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.ShareRequest}
@@ -452,7 +452,7 @@
 
     /**
      * <pre>
-     * Listed entries that this entry takes as gone when it chooses granters.
+     * Entries of the instance list that this entry considers gone when it chooses granters.
      * </pre>
      *
      * <code>repeated string gone = 2;</code>
@@ -466,7 +466,7 @@
     }
     /**
      * <pre>
-     * Listed entries that this entry takes as gone when it chooses granters.
+     * Entries of the instance list that this entry considers gone when it chooses granters.
      * </pre>
      *
      * <code>repeated string gone = 2;</code>
@@ -478,7 +478,7 @@
     }
     /**
      * <pre>
-     * Listed entries that this entry takes as gone when it chooses granters.
+     * Entries of the instance list that this entry considers gone when it chooses granters.
      * </pre>
      *
      * <code>repeated string gone = 2;</code>
@@ -491,7 +491,7 @@
     }
     /**
      * <pre>
-     * Listed entries that this entry takes as gone when it chooses granters.
+     * Entries of the instance list that this entry considers gone when it chooses granters.
      * </pre>
      *
      * <code>repeated string gone = 2;</code>
@@ -505,7 +505,7 @@
     }
     /**
      * <pre>
-     * Listed entries that this entry takes as gone when it chooses granters.
+     * Entries of the instance list that this entry considers gone when it chooses granters.
      * </pre>
      *
      * <code>repeated string gone = 2;</code>
@@ -521,7 +521,7 @@
     }
     /**
      * <pre>
-     * Listed entries that this entry takes as gone when it chooses granters.
+     * Entries of the instance list that this entry considers gone when it chooses granters.
      * </pre>
      *
      * <code>repeated string gone = 2;</code>
@@ -536,7 +536,7 @@
     }
     /**
      * <pre>
-     * Listed entries that this entry takes as gone when it chooses granters.
+     * Entries of the instance list that this entry considers gone when it chooses granters.
      * </pre>
      *
      * <code>repeated string gone = 2;</code>
@@ -551,7 +551,7 @@
     }
     /**
      * <pre>
-     * Listed entries that this entry takes as gone when it chooses granters.
+     * Entries of the instance list that this entry considers gone when it chooses granters.
      * </pre>
      *
      * <code>repeated string gone = 2;</code>
@@ -564,7 +564,7 @@
     }
     /**
      * <pre>
-     * Listed entries that this entry takes as gone when it chooses granters.
+     * Entries of the instance list that this entry considers gone when it chooses granters.
      * </pre>
      *
      * <code>repeated string gone = 2;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/proto/ShareRequestOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/proto/ShareRequestOrBuilder.java
@@ -26,7 +26,7 @@
 
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -36,7 +36,7 @@
       getGoneList();
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -45,7 +45,7 @@
   int getGoneCount();
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
@@ -55,7 +55,7 @@
   java.lang.String getGone(int index);
   /**
    * <pre>
-   * Listed entries that this entry takes as gone when it chooses granters.
+   * Entries of the instance list that this entry considers gone when it chooses granters.
    * </pre>
    *
    * <code>repeated string gone = 2;</code>
