--- a/core/src/main/java/org/fuchsiaspindle/core/contract/KeyDigest.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/contract/KeyDigest.java
@@ -2,9 +2,9 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
+import com.google.common.base.CharMatcher;
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
-import java.util.regex.Pattern;
 
 /**
  * SHA-256 digest of a bearer key.
@@ -13,13 +13,17 @@
  */
 public record KeyDigest(String hex) {
 
-    private static final Pattern HEX = Pattern.compile("[0-9a-f]{64}");
+    private static final int HEX_DIGITS = 64;
+    private static final CharMatcher HEX =
+            CharMatcher.inRange('0', '9').or(CharMatcher.inRange('a', 'f'));
 
     /** Validates the components. */
     public KeyDigest {
         // The message omits the value, because it may be a key that was given instead of its
         // digest.
-        checkArgument(HEX.matcher(hex).matches(), "not 64 lower-case hexadecimal digits");
+        checkArgument(
+                hex.length() == HEX_DIGITS && HEX.matchesAllOf(hex),
+                "not 64 lower-case hexadecimal digits");
     }
 
     /** Returns the digest of a key; the key is not kept. */
--- a/core/src/main/java/org/fuchsiaspindle/core/job/JobRecord.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/job/JobRecord.java
@@ -18,6 +18,7 @@
  * @param route the name of the route on which it was submitted
  * @param host the host named by the submission
  * @param path the path of the submission request
+ * @param workspace the name of the workspace that submitted it, empty if there was none
  * @param owner the process that runs its items
  * @param epoch the ownership epoch, which increases with each change of the owner
  * @param itemCount the number of its items, positive
@@ -32,6 +33,7 @@
         String route,
         String host,
         String path,
+        String workspace,
         JobOwner owner,
         long epoch,
         int itemCount,
@@ -44,6 +46,7 @@
     /** Validates the components. */
     public JobRecord {
         checkNotNull(id, "id");
+        checkNotNull(workspace, "workspace");
         checkNotNull(owner, "owner");
         checkArgument(itemCount > 0, "items of job %s not positive: %s", id, itemCount);
         checkArgument(listed.size() <= itemCount, "job %s lists %s items", id, listed.size());
@@ -97,6 +100,7 @@
                 route,
                 host,
                 path,
+                workspace,
                 newOwner,
                 newEpoch,
                 itemCount,
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -109,7 +109,13 @@
         this.mesh = PeerMesh.create(requestLoop, peerSelf, viewHolder, storeHealth, slots, metrics);
         this.onlineDispatcher =
                 OnlineDispatcher.create(
-                        requestLoop, fleet, slots, promptGuard, metrics, () -> stopWindow);
+                        requestLoop,
+                        viewHolder,
+                        fleet,
+                        slots,
+                        promptGuard,
+                        metrics,
+                        () -> stopWindow);
         this.jobTable = JobTable.create(requestLoop);
         this.jobStore = JobStore.on(storeClient);
         this.self = new JobOwner(settings.ip(), incarnation);
@@ -230,7 +236,12 @@
         JobCallHandler jobCallHandler =
                 JobCallHandler.create(requestLoop, jobStore, jobTable, relay);
         return new RequestRouter(
-                viewHolder, onlineDispatcher, submissionHandler, jobCallHandler, () -> stopWindow);
+                viewHolder,
+                onlineDispatcher,
+                submissionHandler,
+                jobCallHandler,
+                metrics,
+                () -> stopWindow);
     }
 
     private static HostAndPort required(Optional<HostAndPort> address, String name) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
@@ -11,10 +11,12 @@
 import org.fuchsiaspindle.core.serving.RouteKind;
 import org.fuchsiaspindle.core.serving.ServingConfig;
 import org.fuchsiaspindle.core.serving.StopWindow;
+import org.fuchsiaspindle.core.workspace.CallerAccess;
 import org.fuchsiaspindle.gateway.batch.JobCallHandler;
 import org.fuchsiaspindle.gateway.batch.JobSubmissionHandler;
 import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
 import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
+import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
 import org.fuchsiaspindle.platform.ingress.ClientExchange;
 import org.fuchsiaspindle.platform.ingress.ClientRequest;
@@ -26,6 +28,7 @@
 /** Routes requests to the handlers of online requests, job submissions, and existing jobs. */
 final class RequestRouter implements ClientRequestHandler {
 
+    private static final int STATUS_UNAUTHORIZED = 401;
     private static final int STATUS_NOT_FOUND = 404;
     private static final int STATUS_BAD_REQUEST = 400;
     private static final Duration CONFIG_RETRY_AFTER = Duration.ofMillis(300);
@@ -40,6 +43,7 @@
     private final OnlineDispatcher onlineDispatcher;
     private final JobSubmissionHandler submissionHandler;
     private final JobCallHandler jobCallHandler;
+    private final GatewayMetrics metrics;
     private final Supplier<Optional<StopWindow>> stopWindow;
 
     /**
@@ -49,6 +53,7 @@
      * @param onlineDispatcher handles online requests
      * @param submissionHandler handles submissions of jobs
      * @param jobCallHandler handles calls on existing jobs
+     * @param metrics counts refused requests
      * @param stopWindow the graceful stop in progress, if there is one
      */
     RequestRouter(
@@ -56,11 +61,13 @@
             OnlineDispatcher onlineDispatcher,
             JobSubmissionHandler submissionHandler,
             JobCallHandler jobCallHandler,
+            GatewayMetrics metrics,
             Supplier<Optional<StopWindow>> stopWindow) {
         this.viewHolder = checkNotNull(viewHolder, "viewHolder");
         this.onlineDispatcher = checkNotNull(onlineDispatcher, "onlineDispatcher");
         this.submissionHandler = checkNotNull(submissionHandler, "submissionHandler");
         this.jobCallHandler = checkNotNull(jobCallHandler, "jobCallHandler");
+        this.metrics = checkNotNull(metrics, "metrics");
         this.stopWindow = checkNotNull(stopWindow, "stopWindow");
     }
 
@@ -74,15 +81,19 @@
         }
         Optional<JobCall> jobCall = JobApiCodec.decode(request);
         Optional<Route> route = route(request, jobCall, config.get());
-        if (!isAdmitted(request, route)) {
+        CallerAccess access = access(request, route, config.get());
+        boolean exists = route.isPresent() || jobCall.isPresent();
+        if (exists && access instanceof CallerAccess.Denied) {
+            refuseKey(exchange, route);
+        } else if (!isAdmitted(request, route)) {
             refuse(exchange, route, ResultCode.DRAINING);
-        } else if (submissionHandler.acknowledgeRepeat(exchange)) {
+        } else if (submissionHandler.acknowledgeRepeat(exchange, access)) {
             return;
         } else if (route.isPresent()) {
-            dispatch(exchange, route.get());
+            dispatch(exchange, route.get(), access);
         } else {
             jobCall.ifPresentOrElse(
-                    call -> jobCallHandler.handle(exchange, call),
+                    call -> jobCallHandler.handle(exchange, call, access),
                     () -> refuseNotFound(exchange, config.get()));
         }
     }
@@ -111,7 +122,26 @@
         return isMoreSpecific && config.hasBatchRoute(request.host());
     }
 
+    /** Returns the access of a caller; requests without a route, such as on jobs, need a key. */
+    private static CallerAccess access(
+            ClientRequest request, Optional<Route> route, ServingConfig config) {
+        boolean isPublic = route.map(Route::isPublic).orElse(false);
+        return CallerAccess.of(config.workspaces(), !isPublic, request.key());
+    }
+
+    private void refuseKey(ClientExchange exchange, Optional<Route> route) {
+        logRefusal(exchange, route, ResultCode.INVALID_KEY);
+        metrics.countRefusal(ResultCode.INVALID_KEY);
+        exchange.refuse(Refusal.of(STATUS_UNAUTHORIZED, ResultCode.INVALID_KEY));
+    }
+
     private static void refuse(ClientExchange exchange, Optional<Route> route, ResultCode code) {
+        logRefusal(exchange, route, code);
+        exchange.refuse(Refusal.notRun(code, DRAINING_RETRY_AFTER));
+    }
+
+    private static void logRefusal(
+            ClientExchange exchange, Optional<Route> route, ResultCode code) {
         DecisionLog.online(
                 exchange.request().id(),
                 route.map(Route::name).orElse("-"),
@@ -121,7 +151,6 @@
                 code.name(),
                 0,
                 0);
-        exchange.refuse(Refusal.notRun(code, DRAINING_RETRY_AFTER));
     }
 
     /** Returns whether the process does not end before a request must be answered. */
@@ -138,14 +167,14 @@
                 .orElse(true);
     }
 
-    private void dispatch(ClientExchange exchange, Route route) {
+    private void dispatch(ClientExchange exchange, Route route, CallerAccess access) {
         if (route.kind() == RouteKind.BATCH) {
-            submissionHandler.handle(exchange, route);
+            submissionHandler.handle(exchange, route, access);
         } else if (exchange.request().id().isEmpty()) {
             exchange.refuse(Refusal.of(STATUS_BAD_REQUEST, ResultCode.MALFORMED_REQUEST));
         } else {
             double randomValue = ThreadLocalRandom.current().nextDouble();
-            onlineDispatcher.handle(exchange, route, route.chooseService(randomValue));
+            onlineDispatcher.handle(exchange, route, route.chooseService(randomValue), access);
         }
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCallHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCallHandler.java
@@ -16,6 +16,7 @@
 import java.util.function.Consumer;
 import org.fuchsiaspindle.core.error.ResultCode;
 import org.fuchsiaspindle.core.job.JobRecord;
+import org.fuchsiaspindle.core.workspace.CallerAccess;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
 import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
 import org.fuchsiaspindle.platform.ingress.ClientExchange;
@@ -49,14 +50,17 @@
     private final JobTable jobTable;
     private final JobRelay relay;
     private final Map<String, List<Runnable>> waitersByJob = new HashMap<>();
-    private final Cache<String, ImmutableList<BatchItem>> itemsByJob =
+    private final Cache<String, JobItems> itemsByJob =
             CacheBuilder.newBuilder()
                     .maximumWeight(MAX_CACHE_BYTES)
                     .weigher(
-                            (String id, ImmutableList<BatchItem> items) ->
-                                    items.stream().mapToInt(item -> item.body().length).sum())
+                            (String id, JobItems job) ->
+                                    job.items().stream().mapToInt(item -> item.body().length).sum())
                     .build();
 
+    /** The submitted items of a job, with the workspace whose callers may read them. */
+    private record JobItems(String workspace, ImmutableList<BatchItem> items) {}
+
     private JobCallHandler(EventLoop loop, JobStore jobStore, JobTable jobTable, JobRelay relay) {
         this.loop = loop;
         this.jobStore = jobStore;
@@ -82,17 +86,20 @@
         return jobTable.job(jobId).filter(job -> job.job().host().equals(host)).isPresent();
     }
 
-    /** Handles a request on an existing job. */
-    public void handle(ClientExchange exchange, JobCall call) {
+    /**
+     * Handles a request on an existing job. The job of another workspace is answered like one that
+     * does not exist.
+     */
+    public void handle(ClientExchange exchange, JobCall call, CallerAccess access) {
         switch (call) {
-            case JobCall.Read read -> read(exchange, read);
-            case JobCall.Body body -> body(exchange, body);
-            case JobCall.End end -> end(exchange, end.jobId(), 0);
+            case JobCall.Read read -> read(exchange, read, access);
+            case JobCall.Body body -> body(exchange, body, access);
+            case JobCall.End end -> end(exchange, end.jobId(), access, 0);
         }
     }
 
-    private void read(ClientExchange exchange, JobCall.Read read) {
-        withJob(exchange, read.jobId(), job -> respond(exchange, read, job));
+    private void read(ClientExchange exchange, JobCall.Read read, CallerAccess access) {
+        withJob(exchange, read.jobId(), access, job -> respond(exchange, read, job));
     }
 
     private void respond(ClientExchange exchange, JobCall.Read read, JobRecord job) {
@@ -171,16 +178,18 @@
         }
     }
 
-    private void body(ClientExchange exchange, JobCall.Body call) {
-        ImmutableList<BatchItem> cached = itemsByJob.getIfPresent(call.jobId());
-        if (cached != null) {
-            sendBody(exchange, call, cached);
-            return;
+    private void body(ClientExchange exchange, JobCall.Body call, CallerAccess access) {
+        JobItems cached = itemsByJob.getIfPresent(call.jobId());
+        if (cached == null) {
+            withJob(exchange, call.jobId(), access, job -> loadItems(exchange, call, job));
+        } else if (access.mayUseJob(cached.workspace())) {
+            sendBody(exchange, call, cached.items());
+        } else {
+            refuseNotFound(exchange);
         }
-        withJob(exchange, call.jobId(), job -> loadItems(exchange, call));
     }
 
-    private void loadItems(ClientExchange exchange, JobCall.Body call) {
+    private void loadItems(ClientExchange exchange, JobCall.Body call, JobRecord job) {
         jobStore.submission(call.jobId(), StoreClient.OBJECT_SILENCE_LIMIT)
                 .whenCompleteAsync(
                         (found, failure) -> {
@@ -189,7 +198,7 @@
                                 return;
                             }
                             ImmutableList<BatchItem> items = JobApiCodec.decodeItems(found.get());
-                            itemsByJob.put(call.jobId(), items);
+                            itemsByJob.put(call.jobId(), new JobItems(job.workspace(), items));
                             sendBody(exchange, call, items);
                         },
                         loop);
@@ -205,22 +214,23 @@
                         () -> refuseNotFound(exchange));
     }
 
-    private void end(ClientExchange exchange, String jobId, int conflicts) {
+    private void end(ClientExchange exchange, String jobId, CallerAccess access, int conflicts) {
         jobStore.read(jobId)
                 .whenCompleteAsync(
                         (found, failure) -> {
                             if (failure != null || conflicts > MAX_CONFLICT_RETRIES) {
                                 relay.relay(exchange);
-                            } else if (found.isEmpty()) {
+                            } else if (!isVisible(found, access)) {
                                 refuseNotFound(exchange);
                             } else {
-                                end(exchange, found.get(), conflicts);
+                                end(exchange, found.get(), access, conflicts);
                             }
                         },
                         loop);
     }
 
-    private void end(ClientExchange exchange, VersionedJob job, int conflicts) {
+    private void end(
+            ClientExchange exchange, VersionedJob job, CallerAccess access, int conflicts) {
         jobTable.offer(job);
         if (!job.job().isOpen()) {
             exchange.sendJson(STATUS_OK, EMPTY_OBJECT);
@@ -235,19 +245,27 @@
                                 DecisionLog.batch(ended.id(), "-", "ended", "client");
                                 exchange.sendJson(STATUS_OK, EMPTY_OBJECT);
                             } else {
-                                end(exchange, ended.id(), conflicts + 1);
+                                end(exchange, ended.id(), access, conflicts + 1);
                             }
                         },
                         loop);
     }
 
-    private void withJob(ClientExchange exchange, String jobId, Consumer<JobRecord> action) {
+    private static boolean isVisible(Optional<VersionedJob> found, CallerAccess access) {
+        return found.filter(job -> access.mayUseJob(job.job().workspace())).isPresent();
+    }
+
+    private void withJob(
+            ClientExchange exchange,
+            String jobId,
+            CallerAccess access,
+            Consumer<JobRecord> action) {
         jobStore.read(jobId)
                 .whenCompleteAsync(
                         (found, failure) -> {
                             if (failure != null) {
                                 relay.relay(exchange);
-                            } else if (found.isEmpty()) {
+                            } else if (!isVisible(found, access)) {
                                 refuseNotFound(exchange);
                             } else {
                                 jobTable.offer(found.get());
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCodec.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobCodec.java
@@ -26,6 +26,7 @@
                         .setRoute(job.route())
                         .setHost(job.host())
                         .setPath(job.path())
+                        .setWorkspace(job.workspace())
                         .setOwnerIp(job.owner().ip())
                         .setOwnerIncarnation(job.owner().incarnation())
                         .setEpoch(job.epoch())
@@ -79,6 +80,7 @@
                 stored.getRoute(),
                 stored.getHost(),
                 stored.getPath(),
+                stored.getWorkspace(),
                 new JobOwner(stored.getOwnerIp(), stored.getOwnerIncarnation()),
                 stored.getEpoch(),
                 stored.getItemCount(),
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRelay.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRelay.java
@@ -107,6 +107,9 @@
                         original.uri(),
                         Unpooled.wrappedBuffer(original.body()));
         HttpHeaderUtils.copyEndToEnd(original.headers(), request.headers());
+        // The other gateway looks up the digest; the key itself stays in this process.
+        request.headers().remove(HttpHeaderNames.AUTHORIZATION).remove(ClientRequest.KEY_DIGEST);
+        original.key().ifPresent(key -> request.headers().set(ClientRequest.KEY_DIGEST, key.hex()));
         request.headers()
                 .set(ClientRequest.RELAYED, "1")
                 .set(HttpHeaderNames.CONNECTION, "close")
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -20,7 +20,10 @@
 import org.fuchsiaspindle.core.job.JobOwner;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.serving.Route;
+import org.fuchsiaspindle.core.serving.ServingConfig;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.workspace.TargetIdentity;
+import org.fuchsiaspindle.core.workspace.WorkspaceDirectory;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.BatchDemands;
@@ -455,6 +458,7 @@
                                         item.path(),
                                         route.host(),
                                         item.headers(),
+                                        targetIdentity(run.job().job()),
                                         item.body(),
                                         target,
                                         RUN_TIMEOUT,
@@ -462,6 +466,16 @@
                         new Attempt(run, route)));
     }
 
+    private TargetIdentity targetIdentity(JobRecord job) {
+        WorkspaceDirectory directory =
+                viewHolder
+                        .view()
+                        .config()
+                        .map(ServingConfig::workspaces)
+                        .orElse(WorkspaceDirectory.NONE);
+        return TargetIdentity.ofJob(directory, job.workspace());
+    }
+
     private void finish(ItemRun run, boolean completed, String reason) {
         run.finish(completed);
         metrics.countItem(completed ? "completed" : "given_up");
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
@@ -18,6 +18,7 @@
 import org.fuchsiaspindle.core.job.JobOwner;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.serving.Route;
+import org.fuchsiaspindle.core.workspace.CallerAccess;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
 import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
 import org.fuchsiaspindle.gateway.watch.StoreHealth;
@@ -40,6 +41,7 @@
     private static final int STATUS_ACCEPTED = 202;
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
     private static final int STATUS_BAD_REQUEST = 400;
+    private static final int STATUS_CONFLICT = 409;
     private static final int STATUS_UNAVAILABLE = 503;
 
     /** Deadline of a request without a deadline header. */
@@ -101,7 +103,27 @@
             StoreHealth storeHealth) {}
 
     /** The tokens of a job that is being stored; they count towards the limit of its route. */
-    private record PendingJob(String route, long tokens) {}
+    private record PendingJob(String route, String workspace, long tokens) {}
+
+    /** A decoded submission of a job that is not known yet. */
+    private record Submission(
+            ClientExchange exchange,
+            Route route,
+            CallerAccess access,
+            ImmutableList<BatchItem> items) {
+
+        String id() {
+            return exchange.request().id();
+        }
+
+        String workspace() {
+            return access.workspaceName();
+        }
+
+        long tokens() {
+            return items.stream().mapToLong(BatchItem::tokens).sum();
+        }
+    }
 
     /** Creates a handler of submissions. */
     public static JobSubmissionHandler create(Dependencies dependencies) {
@@ -110,11 +132,11 @@
 
     /**
      * Acknowledges a request if it repeats the submission of a known job, also if its path belongs
-     * to another route by now.
+     * to another route by now. The job of another workspace is not repeated.
      *
      * @return whether the request was acknowledged
      */
-    public boolean acknowledgeRepeat(ClientExchange exchange) {
+    public boolean acknowledgeRepeat(ClientExchange exchange, CallerAccess access) {
         ClientRequest request = exchange.request();
         boolean isRepeat =
                 request.method().equals(HttpMethod.POST)
@@ -122,6 +144,7 @@
                                 .map(VersionedJob::job)
                                 .filter(job -> job.host().equals(request.host()))
                                 .filter(job -> job.path().equals(request.path()))
+                                .filter(job -> access.mayUseJob(job.workspace()))
                                 .isPresent();
         if (isRepeat) {
             acknowledge(exchange, request.id(), "known");
@@ -130,14 +153,15 @@
     }
 
     /** Handles a submission on a route for batch jobs. */
-    public void handle(ClientExchange exchange, Route route) {
+    public void handle(ClientExchange exchange, Route route, CallerAccess access) {
         String id = exchange.request().id();
         if (id.isEmpty()) {
             exchange.refuse(Refusal.of(STATUS_BAD_REQUEST, ResultCode.MALFORMED_REQUEST));
             return;
         }
-        if (jobTable.job(id).isPresent()) {
-            acknowledge(exchange, id, "known");
+        Optional<VersionedJob> known = jobTable.job(id);
+        if (known.isPresent()) {
+            acknowledgeKnown(exchange, id, known, access);
             return;
         }
         ImmutableList<BatchItem> items;
@@ -148,10 +172,11 @@
             exchange.refuse(Refusal.of(STATUS_BAD_REQUEST, failure.code()));
             return;
         }
+        Submission submission = new Submission(exchange, route, access, items);
         if (!storeHealth.isReachable() && !exchange.request().relayed()) {
-            relayOrRetry(exchange, route, items);
+            relayOrRetry(submission);
         } else {
-            submit(exchange, route, items);
+            submit(submission);
         }
     }
 
@@ -159,8 +184,8 @@
      * Forwards a submission that was not stored or, if it cannot be forwarded, retries it while its
      * client waits.
      */
-    private void relayOrRetry(
-            ClientExchange exchange, Route route, ImmutableList<BatchItem> items) {
+    private void relayOrRetry(Submission submission) {
+        ClientExchange exchange = submission.exchange();
         if (relay.canRelay(exchange)) {
             relay.relay(exchange);
             return;
@@ -181,125 +206,114 @@
                     remaining.dividedBy(RETRY_AFTER_DIVISOR));
             return;
         }
-        loop.schedule(
-                () -> retry(exchange, route, items),
-                RETRY_INTERVAL.toMillis(),
-                TimeUnit.MILLISECONDS);
+        loop.schedule(() -> retry(submission), RETRY_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     /**
      * Stores a job if the store is reachable; a write to an unreachable store would have an unknown
      * outcome.
      */
-    private void retry(ClientExchange exchange, Route route, ImmutableList<BatchItem> items) {
-        if (exchange.isDone()) {
+    private void retry(Submission submission) {
+        if (submission.exchange().isDone()) {
             return;
         }
         if (storeHealth.isReachable()) {
-            submit(exchange, route, items);
+            submit(submission);
         } else {
-            relayOrRetry(exchange, route, items);
+            relayOrRetry(submission);
         }
     }
 
-    private void submit(ClientExchange exchange, Route route, ImmutableList<BatchItem> items) {
+    private void submit(Submission submission) {
         OptionalLong storeNow = storeClock.nowMillis();
         if (storeNow.isEmpty()) {
             // The store's clock measures the age of jobs, so no job is created without its time.
-            relayOrRetry(exchange, route, items);
+            relayOrRetry(submission);
             return;
         }
-        String id = exchange.request().id();
-        long tokens = items.stream().mapToLong(BatchItem::tokens).sum();
-        if (exceedsLimit(route, tokens)) {
+        if (exceedsLimit(submission)) {
             refuse(
-                    exchange,
-                    id,
+                    submission.exchange(),
+                    submission.id(),
                     STATUS_TOO_MANY_REQUESTS,
                     ResultCode.JOB_LIMITED,
                     QUOTA_RETRY_AFTER);
             return;
         }
-        create(exchange, route, items, tokens, storeNow.getAsLong());
+        create(submission, storeNow.getAsLong());
     }
 
-    private boolean exceedsLimit(Route route, long tokens) {
+    private boolean exceedsLimit(Submission submission) {
+        Route route = submission.route();
         long limit = route.batch().orElseThrow().maxWaitingTokens();
         if (limit == 0) {
             return false;
         }
-        long total = jobTable.waitingTokens(route.name()) + tokens;
+        String workspace = submission.workspace();
+        long total = jobTable.waitingTokens(route.name(), workspace) + submission.tokens();
         for (PendingJob pendingJob : pendingJobs.values()) {
-            total += pendingJob.route().equals(route.name()) ? pendingJob.tokens() : 0;
+            boolean counts =
+                    pendingJob.route().equals(route.name())
+                            && pendingJob.workspace().equals(workspace);
+            total += counts ? pendingJob.tokens() : 0;
         }
         return total > limit;
     }
 
-    private void create(
-            ClientExchange exchange,
-            Route route,
-            ImmutableList<BatchItem> items,
-            long tokens,
-            long storeNow) {
-        String id = exchange.request().id();
-        pendingJobs.put(id, new PendingJob(route.name(), tokens));
-        JobRecord job = newJob(exchange, route, items, tokens, storeNow);
-        jobStore.create(job, exchange.request().body())
+    private void create(Submission submission, long storeNow) {
+        String id = submission.id();
+        pendingJobs.put(
+                id,
+                new PendingJob(
+                        submission.route().name(), submission.workspace(), submission.tokens()));
+        JobRecord job = newJob(submission, storeNow);
+        jobStore.create(job, submission.exchange().request().body())
                 .whenCompleteAsync(
                         (result, failure) -> {
                             pendingJobs.remove(id);
-                            handleCreateResult(exchange, route, job, items, result);
+                            handleCreateResult(submission, job, result);
                         },
                         loop);
     }
 
-    private JobRecord newJob(
-            ClientExchange exchange,
-            Route route,
-            ImmutableList<BatchItem> items,
-            long tokens,
-            long storeNow) {
+    private JobRecord newJob(Submission submission, long storeNow) {
+        ClientRequest request = submission.exchange().request();
         return new JobRecord(
-                exchange.request().id(),
-                route.name(),
-                exchange.request().host(),
-                exchange.request().path(),
+                request.id(),
+                submission.route().name(),
+                request.host(),
+                request.path(),
+                submission.workspace(),
                 self,
                 1,
-                items.size(),
-                tokens,
+                submission.items().size(),
+                submission.tokens(),
                 storeNow,
                 false,
                 ImmutableList.of(),
                 ImmutableMap.of());
     }
 
-    private void handleCreateResult(
-            ClientExchange exchange,
-            Route route,
-            JobRecord job,
-            ImmutableList<BatchItem> items,
-            CommitResult result) {
+    private void handleCreateResult(Submission submission, JobRecord job, CommitResult result) {
         switch (result) {
             case CommitResult.Committed committed -> {
                 jobTable.offer(new VersionedJob(job, committed.version()));
-                runIfOwn(job.id(), items);
-                acknowledge(exchange, job.id(), "new items=" + items.size());
+                runIfOwn(job.id(), submission.items());
+                acknowledge(
+                        submission.exchange(), job.id(), "new items=" + submission.items().size());
             }
             case CommitResult.Conflict conflict -> {
-                conflict.rows().stream()
-                        .findFirst()
-                        .flatMap(JobStore::decode)
-                        .ifPresent(jobTable::offer);
-                acknowledge(exchange, job.id(), "known");
+                Optional<VersionedJob> stored =
+                        conflict.rows().stream().findFirst().flatMap(JobStore::decode);
+                stored.ifPresent(jobTable::offer);
+                acknowledgeKnown(submission.exchange(), job.id(), stored, submission.access());
             }
             case CommitResult.NotDone notDone -> {
                 DecisionLog.batch(job.id(), "-", "not_stored", notDone.reason());
-                relayOrRetry(exchange, route, items);
+                relayOrRetry(submission);
             }
-            case CommitResult.Unknown unknown ->
-                    resolveOutcome(exchange, job, items, unknown.reason());
-            case null -> resolveOutcome(exchange, job, items, "no result");
+            case CommitResult.Unknown unknown -> resolveOutcome(submission, unknown.reason());
+            case null -> resolveOutcome(submission, "no result");
         }
     }
 
@@ -314,24 +328,49 @@
     }
 
     /** Reads whether a job was created; if the read fails, reports that the outcome is unknown. */
-    private void resolveOutcome(
-            ClientExchange exchange, JobRecord job, ImmutableList<BatchItem> items, String reason) {
-        jobStore.read(job.id())
+    private void resolveOutcome(Submission submission, String reason) {
+        jobStore.read(submission.id())
                 .whenCompleteAsync(
                         (found, failure) -> {
                             if (failure == null && found.isPresent()) {
                                 jobTable.offer(found.get());
-                                runIfOwn(job.id(), items);
-                                acknowledge(exchange, job.id(), "resolved");
+                                runIfOwn(submission.id(), submission.items());
+                                acknowledgeKnown(
+                                        submission.exchange(),
+                                        submission.id(),
+                                        found,
+                                        submission.access());
                             } else {
-                                DecisionLog.batch(job.id(), "-", "open", reason);
-                                exchange.refuse(
-                                        Refusal.mayHaveRun(ResultCode.WRITE_OUTCOME_UNKNOWN));
+                                DecisionLog.batch(submission.id(), "-", "open", reason);
+                                submission
+                                        .exchange()
+                                        .refuse(
+                                                Refusal.mayHaveRun(
+                                                        ResultCode.WRITE_OUTCOME_UNKNOWN));
                             }
                         },
                         loop);
     }
 
+    /**
+     * Acknowledges the submission of a stored job, unless another workspace submitted the job, of
+     * which its caller learns no more than that the identifier is taken.
+     *
+     * @param stored the stored job, empty if its row cannot be decoded
+     */
+    private static void acknowledgeKnown(
+            ClientExchange exchange,
+            String id,
+            Optional<VersionedJob> stored,
+            CallerAccess access) {
+        if (stored.filter(job -> !access.mayUseJob(job.job().workspace())).isPresent()) {
+            DecisionLog.batch(id, "-", "refused", ResultCode.JOB_CONFLICT.name());
+            exchange.refuse(Refusal.of(STATUS_CONFLICT, ResultCode.JOB_CONFLICT));
+        } else {
+            acknowledge(exchange, id, "known");
+        }
+    }
+
     private static void acknowledge(ClientExchange exchange, String id, String reason) {
         DecisionLog.batch(id, "-", "accepted", reason);
         exchange.sendJson(STATUS_ACCEPTED, EMPTY_OBJECT);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobTable.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobTable.java
@@ -64,11 +64,15 @@
         return jobs.values();
     }
 
-    /** Returns the tokens of all items on a route that have no result yet. */
-    public long waitingTokens(String route) {
+    /** Returns the tokens of all items of a workspace on a route that have no result yet. */
+    public long waitingTokens(String route, String workspace) {
         long sum = 0;
         for (VersionedJob job : jobs.values()) {
-            if (job.job().isOpen() && job.job().route().equals(route)) {
+            boolean counts =
+                    job.job().isOpen()
+                            && job.job().route().equals(route)
+                            && job.job().workspace().equals(workspace);
+            if (counts) {
                 sum += job.job().waitingTokens();
             }
         }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -18,6 +18,7 @@
 import org.fuchsiaspindle.core.slot.RunReport;
 import org.fuchsiaspindle.core.slot.SlotDecision;
 import org.fuchsiaspindle.core.work.RequestSize;
+import org.fuchsiaspindle.core.workspace.CallerAccess;
 import org.fuchsiaspindle.gateway.slot.SlotAcquisition;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
 import org.fuchsiaspindle.gateway.target.CallDescription;
@@ -42,6 +43,7 @@
 final class OnlineCall {
 
     private static final int SERVER_ERROR = 500;
+    private static final int UNAUTHORIZED = 401;
 
     /** Number of refusals by targets after which the request is refused with a retry time. */
     private static final int MAX_TARGET_REFUSALS = 6;
@@ -71,6 +73,7 @@
     private final long deadlineNanos;
     private final boolean clientDeadlineFirst;
     private final Set<String> triedTargets = new HashSet<>();
+    private CallerAccess access;
     private ScheduledFuture<?> deadlineTimer;
     private TargetCall call;
     private long startedNanos;
@@ -86,11 +89,17 @@
     private OptionalLong lastEvent = OptionalLong.empty();
     private String lastTarget = "-";
 
-    OnlineCall(OnlineDispatcher dispatcher, ClientExchange exchange, Route route, String service) {
+    OnlineCall(
+            OnlineDispatcher dispatcher,
+            ClientExchange exchange,
+            Route route,
+            String service,
+            CallerAccess access) {
         this.dispatcher = dispatcher;
         this.exchange = exchange;
         this.route = route;
         this.service = service;
+        this.access = access;
         this.promptParts = PromptHeader.sharedParts(exchange.request().headers());
         this.size = PromptHeader.size(route.name(), exchange.request().headers());
         this.arrivedNanos = exchange.request().arrivedNanos();
@@ -131,8 +140,8 @@
                         .acquire(
                                 new SlotAcquisition.Need(
                                         service,
-                                        route.priority(),
-                                        "",
+                                        access.priority(route.priority()),
+                                        access.workspaceName(),
                                         size,
                                         latestOnTimeStartNanos,
                                         latestUsefulStartNanos(),
@@ -185,6 +194,7 @@
                                 () ->
                                         TargetProtocol.forwardRequest(
                                                 exchange.request(),
+                                                access.targetIdentity(),
                                                 target,
                                                 Duration.ofNanos(
                                                         Math.max(
@@ -282,6 +292,25 @@
         }
     }
 
+    /**
+     * Returns whether the configuration in force still accepts the key of the caller. A request
+     * that may have run ends as it was accepted.
+     */
+    private boolean isStillAccepted() {
+        if (!mayHaveRun) {
+            access = dispatcher.access(route, exchange.request().key());
+        }
+        return !(access instanceof CallerAccess.Denied);
+    }
+
+    /** Refuses a request whose key was taken away before a target could run it. */
+    private void refuseKey() {
+        finish();
+        logDecision("refused", ResultCode.INVALID_KEY.name());
+        dispatcher.metrics().countRefusal(ResultCode.INVALID_KEY);
+        exchange.refuse(Refusal.of(UNAUTHORIZED, ResultCode.INVALID_KEY));
+    }
+
     private static Duration clampRetryAfter(Duration time) {
         if (time.compareTo(MIN_RETRY_AFTER) < 0) {
             return MIN_RETRY_AFTER;
@@ -375,6 +404,11 @@
         @Override
         public void onGranted(SlotLease lease, TargetInstance target) {
             acquisition = null;
+            if (!isStillAccepted()) {
+                lease.release(RunReport.unused(LeaseOutcome.CANCELLED));
+                refuseKey();
+                return;
+            }
             // The prompt may have been quarantined while the request waited.
             Optional<Duration> quarantine = promptQuarantine();
             if (quarantine.isPresent()) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
@@ -6,12 +6,17 @@
 import java.time.Duration;
 import java.util.Optional;
 import java.util.function.Supplier;
+import org.fuchsiaspindle.core.contract.KeyDigest;
 import org.fuchsiaspindle.core.serving.Route;
+import org.fuchsiaspindle.core.serving.ServingConfig;
 import org.fuchsiaspindle.core.serving.StopWindow;
+import org.fuchsiaspindle.core.workspace.CallerAccess;
+import org.fuchsiaspindle.core.workspace.WorkspaceDirectory;
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.SlotClient;
 import org.fuchsiaspindle.gateway.target.TargetFleet;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
+import org.fuchsiaspindle.gateway.view.FleetViewHolder;
 import org.fuchsiaspindle.platform.ingress.ClientExchange;
 
 /**
@@ -22,6 +27,7 @@
 public final class OnlineDispatcher {
 
     private final EventLoop loop;
+    private final FleetViewHolder viewHolder;
     private final TargetFleet fleet;
     private final SlotClient slots;
     private final PromptGuard promptGuard;
@@ -31,12 +37,14 @@
 
     private OnlineDispatcher(
             EventLoop loop,
+            FleetViewHolder viewHolder,
             TargetFleet fleet,
             SlotClient slots,
             PromptGuard promptGuard,
             GatewayMetrics metrics,
             Supplier<Optional<StopWindow>> stopWindow) {
         this.loop = loop;
+        this.viewHolder = viewHolder;
         this.fleet = fleet;
         this.slots = slots;
         this.promptGuard = promptGuard;
@@ -48,6 +56,7 @@
      * Creates a dispatcher.
      *
      * @param loop its event loop, not null
+     * @param viewHolder the configuration in force, not null
      * @param fleet the targets, not null
      * @param slots assigns slots of targets, not null
      * @param promptGuard knows the prompts that crash targets, not null
@@ -56,6 +65,7 @@
      */
     public static OnlineDispatcher create(
             EventLoop loop,
+            FleetViewHolder viewHolder,
             TargetFleet fleet,
             SlotClient slots,
             PromptGuard promptGuard,
@@ -63,6 +73,7 @@
             Supplier<Optional<StopWindow>> stopWindow) {
         return new OnlineDispatcher(
                 checkNotNull(loop, "loop"),
+                checkNotNull(viewHolder, "viewHolder"),
                 checkNotNull(fleet, "fleet"),
                 checkNotNull(slots, "slots"),
                 checkNotNull(promptGuard, "promptGuard"),
@@ -71,8 +82,19 @@
     }
 
     /** Handles a request on a route; the response is sent now or later. */
-    public void handle(ClientExchange exchange, Route route, String service) {
-        new OnlineCall(this, exchange, route, service).start();
+    public void handle(ClientExchange exchange, Route route, String service, CallerAccess access) {
+        new OnlineCall(this, exchange, route, service, access).start();
+    }
+
+    /** Returns the access that the configuration in force gives to a caller on a route. */
+    CallerAccess access(Route route, Optional<KeyDigest> key) {
+        WorkspaceDirectory directory =
+                viewHolder
+                        .view()
+                        .config()
+                        .map(ServingConfig::workspaces)
+                        .orElse(WorkspaceDirectory.NONE);
+        return CallerAccess.of(directory, !route.isPublic(), key);
     }
 
     EventLoop loop() {
--- a/gateway/src/test/java/org/fuchsiaspindle/gateway/batch/ItemRunTest.java
+++ b/gateway/src/test/java/org/fuchsiaspindle/gateway/batch/ItemRunTest.java
@@ -57,6 +57,7 @@
                         "batch",
                         "h.example",
                         "/x",
+                        "",
                         JobOwner.NONE,
                         1,
                         1,
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredJob.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredJob.java
@@ -26,6 +26,7 @@
     ownerIncarnation_ = "";
     listed_ = emptyProtobufList();
     failures_ = emptyProtobufList();
+    workspace_ = "";
   }
   public static final int ROUTE_FIELD_NUMBER = 1;
   private java.lang.String route_;
@@ -680,6 +681,73 @@
     failures_.remove(index);
   }
 
+  public static final int WORKSPACE_FIELD_NUMBER = 13;
+  private java.lang.String workspace_;
+  /**
+   * <pre>
+   * Name of the workspace that submitted the job, empty if there was none.
+   * </pre>
+   *
+   * <code>string workspace = 13;</code>
+   * @return The workspace.
+   */
+  @java.lang.Override
+  public java.lang.String getWorkspace() {
+    return workspace_;
+  }
+  /**
+   * <pre>
+   * Name of the workspace that submitted the job, empty if there was none.
+   * </pre>
+   *
+   * <code>string workspace = 13;</code>
+   * @return The bytes for workspace.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getWorkspaceBytes() {
+    return com.google.protobuf.ByteString.copyFromUtf8(workspace_);
+  }
+  /**
+   * <pre>
+   * Name of the workspace that submitted the job, empty if there was none.
+   * </pre>
+   *
+   * <code>string workspace = 13;</code>
+   * @param value The workspace to set.
+   */
+  private void setWorkspace(
+      java.lang.String value) {
+    java.util.Objects.requireNonNull(value);
+
+    workspace_ = value;
+  }
+  /**
+   * <pre>
+   * Name of the workspace that submitted the job, empty if there was none.
+   * </pre>
+   *
+   * <code>string workspace = 13;</code>
+   */
+  private void clearWorkspace() {
+
+    workspace_ = getDefaultInstance().getWorkspace();
+  }
+  /**
+   * <pre>
+   * Name of the workspace that submitted the job, empty if there was none.
+   * </pre>
+   *
+   * <code>string workspace = 13;</code>
+   * @param value The bytes for workspace to set.
+   */
+  private void setWorkspaceBytes(
+      com.google.protobuf.ByteString value) {
+    checkByteStringIsUtf8(value);
+    workspace_ = value.toStringUtf8();
+
+  }
+
   public static org.fuchsiaspindle.wire.peer.StoredJob parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1474,6 +1542,75 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Name of the workspace that submitted the job, empty if there was none.
+     * </pre>
+     *
+     * <code>string workspace = 13;</code>
+     * @return The workspace.
+     */
+    @java.lang.Override
+    public java.lang.String getWorkspace() {
+      return instance.getWorkspace();
+    }
+    /**
+     * <pre>
+     * Name of the workspace that submitted the job, empty if there was none.
+     * </pre>
+     *
+     * <code>string workspace = 13;</code>
+     * @return The bytes for workspace.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString
+        getWorkspaceBytes() {
+      return instance.getWorkspaceBytes();
+    }
+    /**
+     * <pre>
+     * Name of the workspace that submitted the job, empty if there was none.
+     * </pre>
+     *
+     * <code>string workspace = 13;</code>
+     * @param value The workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspace(
+        java.lang.String value) {
+      copyOnWrite();
+      instance.setWorkspace(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the workspace that submitted the job, empty if there was none.
+     * </pre>
+     *
+     * <code>string workspace = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWorkspace() {
+      copyOnWrite();
+      instance.clearWorkspace();
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the workspace that submitted the job, empty if there was none.
+     * </pre>
+     *
+     * <code>string workspace = 13;</code>
+     * @param value The bytes for workspace to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWorkspaceBytes(
+        com.google.protobuf.ByteString value) {
+      copyOnWrite();
+      instance.setWorkspaceBytes(value);
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.StoredJob)
   }
   @java.lang.Override
@@ -1504,11 +1641,12 @@
             org.fuchsiaspindle.wire.peer.StoredResult.class,
             "failures_",
             org.fuchsiaspindle.wire.peer.StoredFailure.class,
+            "workspace_",
           };
           java.lang.String info =
-              "\u0000\f\u0000\u0000\u0001\f\f\u0000\u0002\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
+              "\u0000\r\u0000\u0000\u0001\r\r\u0000\u0002\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
               "\u0004\u0208\u0005\u0208\u0006\u0002\u0007\u000b\b\u0002\t\u0002\n\u0007\u000b\u001b" +
-              "\f\u001b";
+              "\f\u001b\r\u0208";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredJobOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredJobOrBuilder.java
@@ -159,4 +159,24 @@
    * <code>repeated .org.fuchsiaspindle.wire.peer.StoredFailure failures = 12;</code>
    */
   int getFailuresCount();
+
+  /**
+   * <pre>
+   * Name of the workspace that submitted the job, empty if there was none.
+   * </pre>
+   *
+   * <code>string workspace = 13;</code>
+   * @return The workspace.
+   */
+  java.lang.String getWorkspace();
+  /**
+   * <pre>
+   * Name of the workspace that submitted the job, empty if there was none.
+   * </pre>
+   *
+   * <code>string workspace = 13;</code>
+   * @return The bytes for workspace.
+   */
+  com.google.protobuf.ByteString
+      getWorkspaceBytes();
 }
