--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
@@ -27,21 +27,24 @@
     /** One execution of a request. May be read by any thread. */
     public static final class Run {
 
-        private final String requestId;
-        private final String lastEventId;
+        private final Request request;
         private final long startNanos = System.nanoTime();
         private volatile int events;
         private volatile boolean complete;
         private volatile boolean abandoned;
 
-        Run(String requestId, String lastEventId) {
-            this.requestId = requestId;
-            this.lastEventId = lastEventId;
+        Run(Request request) {
+            this.request = request;
+        }
+
+        /** Returns a header of the request, an empty string if it is missing. */
+        public String header(String name) {
+            return request.header(name);
         }
 
         /** Returns the identifier of the request. */
         public String requestId() {
-            return requestId;
+            return header("Attempt-Id");
         }
 
         /**
@@ -49,7 +52,7 @@
          * the first event.
          */
         public String lastEventId() {
-            return lastEventId;
+            return header("Last-Event-Id");
         }
 
         /** Returns the start time of the run, from {@link System#nanoTime()}. */
@@ -299,7 +302,7 @@
                 return false;
             }
         }
-        Run run = new Run(request.header("Attempt-Id"), request.header("Last-Event-Id"));
+        Run run = new Run(request);
         ledger.add(run);
         maxActive.accumulateAndGet(active.incrementAndGet(), Math::max);
         try {
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -45,6 +45,8 @@
     private long itemMemoryBytes = 64L << 20;
     private int incarnations;
     private int configVersion;
+    private String workspaces = "";
+    private Optional<HostAndPort> storeProxy = Optional.empty();
 
     private PlatformEmulator() {}
 
@@ -89,6 +91,16 @@
         itemMemoryBytes = bytes;
     }
 
+    /** Sets the address under which the gateways that start later reach the store. */
+    public void setStoreProxy(HostAndPort address) {
+        storeProxy = Optional.of(address);
+    }
+
+    /** Sets the workspaces of the configurations that are stored later, as JSON. */
+    public void setWorkspaces(String... newWorkspaces) {
+        workspaces = ",\"tenants\":[" + String.join(",", newWorkspaces) + "]";
+    }
+
     /** Starts a gateway on its own loopback address and returns the address. */
     public String startGateway(int number) {
         String ip = "127.0.0." + (10 + number);
@@ -150,11 +162,18 @@
                         + ",\"routes\":["
                         + String.join(",", routes)
                         + "],\"services\":[{\"name\":\"model\",\"maxConns\":150,\"engine\":{}},"
-                        + "{\"name\":\"plain\",\"maxConns\":100}],\"limits\":{}}";
+                        + "{\"name\":\"plain\",\"maxConns\":100}],\"limits\":{}"
+                        + workspaces
+                        + "}";
         store.put("op", "config", document.getBytes(StandardCharsets.UTF_8));
         return configVersion;
     }
 
+    /** Returns a workspace as JSON. */
+    public static String workspace(String name, String... keys) {
+        return "{\"name\":\"%s\",\"apiKeys\":[\"%s\"]}".formatted(name, String.join("\",\"", keys));
+    }
+
     /** Returns a route as JSON. */
     public static String route(
             String name,
@@ -185,7 +204,7 @@
                 Optional.of(HostAndPort.fromParts(ip, statusPort)),
                 peerPort,
                 seeds,
-                HostAndPort.fromParts(STORE_IP, store.port()),
+                storeProxy.orElse(HostAndPort.fromParts(STORE_IP, store.port())),
                 CPU_CAPACITY,
                 resultRetention,
                 STOP_GRACE,
