--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/view/FleetView.java
@@ -10,7 +10,8 @@
  * An immutable snapshot of the configuration and the targets, from which requests are routed.
  *
  * @param config the newest known configuration, empty until one is received
- * @param configDocument the configuration document as received, empty until one is received
+ * @param configDocument the configuration document that peers may receive, which contains no keys;
+ *     empty until one is received
  * @param directory the known targets, not null
  */
 public record FleetView(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/view/FleetViewHolder.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/view/FleetViewHolder.java
@@ -52,11 +52,16 @@
             return;
         }
         ServingConfig config = decoded.get();
+        if (config.version() <= view().configVersion()) {
+            return;
+        }
+        byte[] shareable =
+                config.workspaces().isEmpty() ? document : ConfigDecoder.withoutKeys(document);
         FleetView previous =
                 view.getAndUpdate(
                         old ->
                                 config.version() > old.configVersion()
-                                        ? new FleetView(decoded, document, old.directory())
+                                        ? new FleetView(decoded, shareable, old.directory())
                                         : old);
         if (config.version() > previous.configVersion()) {
             LOG.info(
