--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/ViewShare.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/ViewShare.java
@@ -22,7 +22,8 @@
   private com.google.protobuf.ByteString configDocument_;
   /**
    * <pre>
-   * The operator's configuration document; empty if it is not newer than the requester's version.
+   * The operator's configuration document with digests in place of keys; empty if it is not newer
+   * than the requester's version.
    * </pre>
    *
    * <code>bytes config_document = 1;</code>
@@ -34,7 +35,8 @@
   }
   /**
    * <pre>
-   * The operator's configuration document; empty if it is not newer than the requester's version.
+   * The operator's configuration document with digests in place of keys; empty if it is not newer
+   * than the requester's version.
    * </pre>
    *
    * <code>bytes config_document = 1;</code>
@@ -47,7 +49,8 @@
   }
   /**
    * <pre>
-   * The operator's configuration document; empty if it is not newer than the requester's version.
+   * The operator's configuration document with digests in place of keys; empty if it is not newer
+   * than the requester's version.
    * </pre>
    *
    * <code>bytes config_document = 1;</code>
@@ -276,7 +279,8 @@
 
     /**
      * <pre>
-     * The operator's configuration document; empty if it is not newer than the requester's version.
+     * The operator's configuration document with digests in place of keys; empty if it is not newer
+     * than the requester's version.
      * </pre>
      *
      * <code>bytes config_document = 1;</code>
@@ -288,7 +292,8 @@
     }
     /**
      * <pre>
-     * The operator's configuration document; empty if it is not newer than the requester's version.
+     * The operator's configuration document with digests in place of keys; empty if it is not newer
+     * than the requester's version.
      * </pre>
      *
      * <code>bytes config_document = 1;</code>
@@ -302,7 +307,8 @@
     }
     /**
      * <pre>
-     * The operator's configuration document; empty if it is not newer than the requester's version.
+     * The operator's configuration document with digests in place of keys; empty if it is not newer
+     * than the requester's version.
      * </pre>
      *
      * <code>bytes config_document = 1;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/ViewShareOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/ViewShareOrBuilder.java
@@ -12,7 +12,8 @@
 
   /**
    * <pre>
-   * The operator's configuration document; empty if it is not newer than the requester's version.
+   * The operator's configuration document with digests in place of keys; empty if it is not newer
+   * than the requester's version.
    * </pre>
    *
    * <code>bytes config_document = 1;</code>
