--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -9,13 +9,11 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
 import org.fuchsiaspindle.core.serving.RequestQueue;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
@@ -46,6 +44,7 @@
 
     private final Deque<Long> preemptionNanos = new ArrayDeque<>();
     private final Map<String, TargetSlots> targets = new LinkedHashMap<>();
+    private final TargetChoice choice = new TargetChoice(targets.values());
     private final Map<String, Holder> holders = new LinkedHashMap<>();
     private final RequestQueue<SlotRequest> waiting = new RequestQueue<>();
     private double holdNanos = INITIAL_HOLD_TIME.toNanos();
@@ -93,7 +92,7 @@
     public List<SlotDecision> request(SlotRequest request, long now) {
         checkNotNull(request, "request");
         List<SlotDecision> decisions = new ArrayList<>();
-        Optional<TargetSlots> target = chooseForOnline(request, now);
+        Optional<TargetSlots> target = choice.forOnline(request, now);
         if (target.isPresent()) {
             grant(request, target.get(), now, decisions);
             return decisions;
@@ -322,7 +321,7 @@
 
     private void startWaitingRequests(long now, List<SlotDecision> decisions) {
         for (SlotRequest request : waiting.inStartOrder(now)) {
-            Optional<TargetSlots> target = chooseForOnline(request, now);
+            Optional<TargetSlots> target = choice.forOnline(request, now);
             if (target.isPresent()) {
                 waiting.remove(request);
                 grant(request, target.get(), now, decisions);
@@ -353,7 +352,12 @@
     }
 
     private void startBatchItems(long now, List<SlotDecision> decisions) {
-        List<TargetSlots> free = targetsForBatch(now);
+        List<TargetSlots> free =
+                choice.openToBatchItems(
+                        target ->
+                                waiting.anyMatch(
+                                        request -> !request.avoided().contains(target.id())),
+                        now);
         int startable =
                 free.stream().mapToInt(TargetSlots::freeSlots).sum() - recentPreemptions(now);
         if (startable <= 0) {
@@ -384,34 +388,13 @@
         return preemptionNanos.size();
     }
 
-    private List<TargetSlots> targetsForBatch(long now) {
-        List<TargetSlots> free = new ArrayList<>();
-        Set<TargetSlots> ejected = null;
-        for (TargetSlots target : targets.values()) {
-            if (!target.isOpen() || !target.hasSlotForBatch(now) || target.isUnavailable(now)) {
-                continue;
-            }
-            ejected = ejected == null ? ejectedTargets(now) : ejected;
-            boolean wantedByOnline =
-                    waiting.anyMatch(request -> !request.avoided().contains(target.id()));
-            if (!ejected.contains(target) && !wantedByOnline) {
-                free.add(target);
-            }
-        }
-        return free;
-    }
-
     private boolean startBatchItem(
             String ip,
             Holder holder,
             List<TargetSlots> free,
             long now,
             List<SlotDecision> decisions) {
-        Optional<TargetSlots> chosen =
-                free.stream()
-                        .filter(target -> target.hasSlotForBatch(now))
-                        .filter(target -> !holder.demand.avoided().contains(target.id()))
-                        .min(Comparator.comparingDouble(target -> target.batchCost(now)));
+        Optional<TargetSlots> chosen = choice.forBatchItem(free, holder.demand.avoided(), now);
         if (chosen.isEmpty()) {
             return false;
         }
@@ -435,68 +418,6 @@
         return true;
     }
 
-    private Optional<TargetSlots> chooseForOnline(SlotRequest request, long now) {
-        Set<TargetSlots> ejected = Set.of();
-        if (!request.lastResort()) {
-            ejected = ejectedTargets(now);
-        }
-        TargetSlots best = null;
-        for (TargetSlots target : targets.values()) {
-            boolean acceptable =
-                    target.isOpen()
-                            && target.hasSlotForOnline(now)
-                            && (request.lastResort()
-                                    || !ejected.contains(target)
-                                            && !request.avoided().contains(target.id())
-                                            && !target.isUnavailable(now));
-            if (acceptable && (best == null || isBetterForOnline(target, best))) {
-                best = target;
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
-    /** Prefers free slots, then slots whose batch item loses least, then the lower load. */
-    private static boolean isBetterForOnline(TargetSlots target, TargetSlots other) {
-        if (target.hasFreeSlot() != other.hasFreeSlot()) {
-            return target.hasFreeSlot();
-        }
-        if (!target.hasFreeSlot()) {
-            long due = target.firstToPreempt().map(Lease::dueMillis).orElse(0L);
-            long otherDue = other.firstToPreempt().map(Lease::dueMillis).orElse(0L);
-            if (due != otherDue) {
-                return due > otherDue;
-            }
-        }
-        if (target.total() != other.total()) {
-            return target.total() < other.total();
-        }
-        return target.lastGrantNanos() - other.lastGrantNanos() < 0;
-    }
-
-    /**
-     * Returns the targets that receive no requests because too many fail there, at most half of the
-     * open ones.
-     */
-    private Set<TargetSlots> ejectedTargets(long now) {
-        List<TargetSlots> unreliable = new ArrayList<>();
-        int openTargets = 0;
-        for (TargetSlots target : targets.values()) {
-            openTargets += target.isOpen() ? 1 : 0;
-            if (target.isOpen() && target.reliability().isUnreliable(now)) {
-                unreliable.add(target);
-            }
-        }
-        if (unreliable.isEmpty()) {
-            return Set.of();
-        }
-        unreliable.sort(
-                Comparator.comparingDouble(
-                                (TargetSlots target) -> target.reliability().failureShare(now))
-                        .reversed());
-        return new HashSet<>(unreliable.subList(0, Math.min(unreliable.size(), openTargets / 2)));
-    }
-
     private Refusal refusalReason(SlotRequest request, long now) {
         boolean anyAcceptable =
                 targets.values().stream()
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetChoice.java
@@ -0,0 +1,131 @@
+package org.fuchsiaspindle.core.slot;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import com.google.common.collect.ImmutableSet;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.fuchsiaspindle.core.slot.TargetSlots.Lease;
+
+/**
+ * Chooses the target of a pool on which a request or a batch item runs.
+ *
+ * <p>Each choice looks at every target of the pool once. Not thread-safe; times are monotonic
+ * nanoseconds.
+ */
+final class TargetChoice {
+
+    private final Collection<TargetSlots> targets;
+
+    /**
+     * Creates a choice.
+     *
+     * @param targets a view of the targets of the pool, not null
+     */
+    TargetChoice(Collection<TargetSlots> targets) {
+        this.targets = checkNotNull(targets, "targets");
+    }
+
+    /** Returns the target for an online request, empty if the request must wait. */
+    Optional<TargetSlots> forOnline(SlotRequest request, long now) {
+        Set<TargetSlots> ejected = request.lastResort() ? Set.of() : ejected(now);
+        TargetSlots best = null;
+        for (TargetSlots target : targets) {
+            boolean acceptable =
+                    target.isOpen()
+                            && target.hasSlotForOnline(now)
+                            && (request.lastResort()
+                                    || !ejected.contains(target)
+                                            && !request.avoided().contains(target.id())
+                                            && !target.isUnavailable(now));
+            if (acceptable && (best == null || isBetterForOnline(target, best))) {
+                best = target;
+            }
+        }
+        return Optional.ofNullable(best);
+    }
+
+    /** Prefers free slots, then slots whose batch item loses least, then the lower load. */
+    private static boolean isBetterForOnline(TargetSlots target, TargetSlots other) {
+        if (target.hasFreeSlot() != other.hasFreeSlot()) {
+            return target.hasFreeSlot();
+        }
+        if (!target.hasFreeSlot()) {
+            long due = target.firstToPreempt().map(Lease::dueMillis).orElse(0L);
+            long otherDue = other.firstToPreempt().map(Lease::dueMillis).orElse(0L);
+            if (due != otherDue) {
+                return due > otherDue;
+            }
+        }
+        if (target.total() != other.total()) {
+            return target.total() < other.total();
+        }
+        return target.lastGrantNanos() - other.lastGrantNanos() < 0;
+    }
+
+    /**
+     * Returns the targets with slots for batch items.
+     *
+     * @param wantedByOnline whether an online request waits for a slot of a target
+     * @param now the time
+     */
+    List<TargetSlots> openToBatchItems(Predicate<TargetSlots> wantedByOnline, long now) {
+        List<TargetSlots> open = new ArrayList<>();
+        Set<TargetSlots> ejected = null;
+        for (TargetSlots target : targets) {
+            if (!target.isOpen() || !target.hasSlotForBatch(now) || target.isUnavailable(now)) {
+                continue;
+            }
+            ejected = ejected == null ? ejected(now) : ejected;
+            if (!ejected.contains(target) && !wantedByOnline.test(target)) {
+                open.add(target);
+            }
+        }
+        return open;
+    }
+
+    /**
+     * Returns the target for a batch item, empty if no slot is free.
+     *
+     * @param open the targets that {@link #openToBatchItems} returned, some of which may be full by
+     *     now
+     * @param avoided targets that the gateway of the item does not want
+     * @param now the time
+     */
+    Optional<TargetSlots> forBatchItem(
+            List<TargetSlots> open, ImmutableSet<String> avoided, long now) {
+        return open.stream()
+                .filter(target -> target.hasSlotForBatch(now))
+                .filter(target -> !avoided.contains(target.id()))
+                .min(Comparator.comparingDouble(target -> target.batchCost(now)));
+    }
+
+    /**
+     * Returns the targets that receive no requests because too many fail there, at most half of the
+     * open ones.
+     */
+    private Set<TargetSlots> ejected(long now) {
+        List<TargetSlots> unreliable = new ArrayList<>();
+        int openTargets = 0;
+        for (TargetSlots target : targets) {
+            openTargets += target.isOpen() ? 1 : 0;
+            if (target.isOpen() && target.reliability().isUnreliable(now)) {
+                unreliable.add(target);
+            }
+        }
+        if (unreliable.isEmpty()) {
+            return Set.of();
+        }
+        unreliable.sort(
+                Comparator.comparingDouble(
+                                (TargetSlots target) -> target.reliability().failureShare(now))
+                        .reversed());
+        return new HashSet<>(unreliable.subList(0, Math.min(unreliable.size(), openTargets / 2)));
+    }
+}
