--- a/core/src/main/java/org/fuchsiaspindle/core/routing/PrefixMap.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/routing/PrefixMap.java
@@ -121,7 +121,7 @@
      * Returns the targets known to hold a prefix, the most recently added first. The caller must
      * not modify the array.
      */
-    String[] holders(long hash, long nowNanos) {
+    public String[] holders(long hash, long nowNanos) {
         int slot = find(hash);
         Entry entry = slot < 0 ? null : entries.get(slot);
         return entry == null || entry.hash() != hash || nowNanos - entry.nanos() > EXPIRY_NANOS
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/RunReport.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/RunReport.java
@@ -12,7 +12,8 @@
  * @param events the number of events received, 0 for a response that is no stream
  * @param timeToFirstEvent the time from sending the request to the first event, empty if there was
  *     none
- * @param timeHeld the time from sending the request to the end, zero if it was not sent
+ * @param timeHeld the time from sending the request to the end, zero if it was not sent or if the
+ *     client read too slowly
  */
 public record RunReport(
         LeaseOutcome outcome, int events, Optional<Duration> timeToFirstEvent, Duration timeHeld) {
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -18,6 +18,7 @@
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
 import org.fuchsiaspindle.core.slot.TargetSlots.Lease;
+import org.fuchsiaspindle.core.work.RequestSize;
 
 /**
  * The slots of the targets of one pool, as its coordinator assigns them.
@@ -44,7 +45,8 @@
 
     private final Deque<Long> preemptionNanos = new ArrayDeque<>();
     private final Map<String, TargetSlots> targets = new LinkedHashMap<>();
-    private final TargetChoice choice = new TargetChoice(targets.values());
+    private final PoolWork work = new PoolWork();
+    private final TargetChoice choice = new TargetChoice(targets.values(), work);
     private final Map<String, Holder> holders = new LinkedHashMap<>();
     private final RequestQueue<SlotRequest> waiting = new RequestQueue<>();
     private double holdNanos = INITIAL_HOLD_TIME.toNanos();
@@ -129,6 +131,7 @@
         }
         lease.target().remove(lease);
         recordOutcome(lease, report.outcome(), now);
+        work.end(lease, report, now);
         removeUnusedTargets();
         return assignFreeSlots(now);
     }
@@ -181,7 +184,8 @@
                             slot.trafficClass(),
                             slot.dueMillis(),
                             0,
-                            now));
+                            now,
+                            ExpectedRun.UNKNOWN));
         }
         List<SlotDecision> decisions = new ArrayList<>();
         preemptExcess(decisions);
@@ -263,7 +267,15 @@
     }
 
     private void removeUnusedTargets() {
-        targets.values().removeIf(target -> !target.isOpen() && target.isEmpty());
+        targets.values()
+                .removeIf(
+                        target -> {
+                            boolean unused = !target.isOpen() && target.isEmpty();
+                            if (unused) {
+                                work.forgetPrompts(target);
+                            }
+                            return unused;
+                        });
     }
 
     /** Removes what a gateway holds and wants, but for grants that it had not received. */
@@ -344,7 +356,8 @@
                         TrafficClass.ONLINE,
                         0,
                         0,
-                        now));
+                        now,
+                        work.start(request.size(), target, now)));
         target.requestGranted(now);
         decisions.add(
                 new SlotDecision.Granted(
@@ -410,7 +423,8 @@
                         TrafficClass.BATCH,
                         dueMillis,
                         holder.batchGrants,
-                        now));
+                        now,
+                        work.start(RequestSize.UNKNOWN, chosen.get(), now)));
         chosen.get().requestGranted(now);
         decisions.add(
                 new SlotDecision.BatchGranted(
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetChoice.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetChoice.java
@@ -22,19 +22,23 @@
 final class TargetChoice {
 
     private final Collection<TargetSlots> targets;
+    private final PoolWork work;
 
     /**
      * Creates a choice.
      *
      * @param targets a view of the targets of the pool, not null
+     * @param work what is known of the work of the pool, not null
      */
-    TargetChoice(Collection<TargetSlots> targets) {
+    TargetChoice(Collection<TargetSlots> targets, PoolWork work) {
         this.targets = checkNotNull(targets, "targets");
+        this.work = checkNotNull(work, "work");
     }
 
     /** Returns the target for an online request, empty if the request must wait. */
     Optional<TargetSlots> forOnline(SlotRequest request, long now) {
         Set<TargetSlots> ejected = request.lastResort() ? Set.of() : ejected(now);
+        PoolWork.Forecast forecast = work.forecast(request.size(), now);
         TargetSlots best = null;
         for (TargetSlots target : targets) {
             boolean acceptable =
@@ -44,15 +48,19 @@
                                     || !ejected.contains(target)
                                             && !request.avoided().contains(target.id())
                                             && !target.isUnavailable(now));
-            if (acceptable && (best == null || isBetterForOnline(target, best))) {
+            if (acceptable && (best == null || isBetterForOnline(target, best, forecast))) {
                 best = target;
             }
         }
         return Optional.ofNullable(best);
     }
 
-    /** Prefers free slots, then slots whose batch item loses least, then the lower load. */
-    private static boolean isBetterForOnline(TargetSlots target, TargetSlots other) {
+    /**
+     * Prefers free slots, then slots whose batch item loses least, then the earlier end, then the
+     * lower load.
+     */
+    private static boolean isBetterForOnline(
+            TargetSlots target, TargetSlots other, PoolWork.Forecast forecast) {
         if (target.hasFreeSlot() != other.hasFreeSlot()) {
             return target.hasFreeSlot();
         }
@@ -63,6 +71,11 @@
                 return due > otherDue;
             }
         }
+        long steps = forecast.steps(target);
+        long otherSteps = forecast.steps(other);
+        if (steps != otherSteps) {
+            return steps < otherSteps;
+        }
         if (target.total() != other.total()) {
             return target.total() < other.total();
         }
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
@@ -7,6 +7,7 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import org.fuchsiaspindle.core.work.TargetSpeed;
 
 /** The slots of one target with what occupies them; not thread-safe. */
 final class TargetSlots {
@@ -22,6 +23,7 @@
      * @param grantNumber the number of the grant among the batch slots that the coordinator granted
      *     to the holder, 0 if the holder reported the slot or it is that of an online request
      * @param grantedNanos when it was granted, in monotonic nanoseconds
+     * @param work what was expected of the run when the slot was granted
      */
     record Lease(
             String holder,
@@ -30,7 +32,8 @@
             TrafficClass trafficClass,
             long dueMillis,
             long grantNumber,
-            long grantedNanos) {
+            long grantedNanos,
+            ExpectedRun work) {
 
         @Override
         public boolean equals(Object other) {
@@ -43,8 +46,15 @@
         }
     }
 
+    /**
+     * Smallest share of its duration that a run is expected to have left. One that has outlived the
+     * estimate goes on the longer the longer it has run.
+     */
+    private static final double MIN_REMAINING_SHARE = 0.25;
+
     private final String id;
     private final TargetReliability reliability = new TargetReliability();
+    private final TargetSpeed speed = new TargetSpeed();
     private final Set<Lease> leases = new LinkedHashSet<>();
     private int slots = 1;
     private boolean open;
@@ -64,6 +74,11 @@
         return reliability;
     }
 
+    /** Returns how fast the target works now. */
+    TargetSpeed speed() {
+        return speed;
+    }
+
     int slots() {
         return slots;
     }
@@ -156,6 +171,30 @@
         }
     }
 
+    /**
+     * Returns how many of the present requests run beside a new one on average.
+     *
+     * @param nanos how long the new one is expected to take, positive
+     * @param now the time
+     */
+    double expectedRunning(double nanos, long now) {
+        double running = 0;
+        for (Lease lease : leases) {
+            running += Math.min(1, remainingNanos(lease, now) / nanos);
+        }
+        return running;
+    }
+
+    /** Returns how long a run is expected to go on, infinite if unknown. */
+    private static double remainingNanos(Lease lease, long now) {
+        double expected = lease.work().nanos();
+        if (expected == 0) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double elapsed = now - lease.grantedNanos();
+        return Math.max(expected - elapsed, MIN_REMAINING_SHARE * Math.max(expected, elapsed));
+    }
+
     /** Returns the cost of a further batch item: the load, higher if requests fail here. */
     double batchCost(long now) {
         return leases.size() + slots * reliability.failureShare(now);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -496,7 +496,7 @@
         Attempt(ItemRun run, Route route) {
             this.run = run;
             this.route = route;
-            this.eventSplitter = EventSplitter.to(run::add);
+            this.eventSplitter = EventSplitter.to(this::onEvent);
         }
 
         @Override
@@ -520,6 +520,11 @@
             }
         }
 
+        private void onEvent(EventSplitter.Event event) {
+            run.call().countEvent();
+            run.add(event);
+        }
+
         @Override
         public void onComplete() {
             long now = System.nanoTime();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -418,7 +418,7 @@
                 attemptLost("resumed stream without events");
                 return;
             }
-            forwarder = new ResponseForwarder(exchange, newResponse, lastEvent);
+            forwarder = new ResponseForwarder(exchange, newResponse, lastEvent, call::countEvent);
         }
 
         @Override
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/ResponseForwarder.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/ResponseForwarder.java
@@ -25,6 +25,7 @@
     private final ClientExchange exchange;
     private final TargetResponse response;
     private final boolean success;
+    private final Runnable eventListener;
     private final EventSplitter eventSplitter;
     private ByteBuf bufferedBody = Unpooled.EMPTY_BUFFER;
     private boolean forwardingBody;
@@ -36,11 +37,17 @@
      * @param exchange the exchange with the client, not null
      * @param response the head of the response, not null
      * @param lastEvent the number of the last event that an earlier target sent to the client
+     * @param eventListener called with each complete event of the response, not null
      */
-    ResponseForwarder(ClientExchange exchange, TargetResponse response, OptionalLong lastEvent) {
+    ResponseForwarder(
+            ClientExchange exchange,
+            TargetResponse response,
+            OptionalLong lastEvent,
+            Runnable eventListener) {
         this.exchange = checkNotNull(exchange, "exchange");
         this.response = checkNotNull(response, "response");
         this.lastEvent = checkNotNull(lastEvent, "lastEvent");
+        this.eventListener = checkNotNull(eventListener, "eventListener");
         this.success = response.meaning() == TargetResponse.Meaning.SUCCESS;
         this.eventSplitter =
                 success && response.isEventStream() ? EventSplitter.to(this::forward) : null;
@@ -102,6 +109,7 @@
     }
 
     private void forward(EventSplitter.Event event) {
+        eventListener.run();
         if (isDuplicate(event.id())) {
             event.bytes().release();
             return;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -42,6 +42,10 @@
     private boolean sent;
     private long sentNanos;
     private boolean ended;
+
+    /** Whether the receiver was ever too slow, so that the time held says little of the target. */
+    private boolean paused;
+
     private int events;
     private OptionalLong firstEventNanos = OptionalLong.empty();
     private final CrashSuspicion suspicion = new CrashSuspicion();
@@ -81,6 +85,7 @@
     /** Pauses or resumes reading the response, to apply back-pressure to the target. */
     public void setReading(boolean reading) {
         if (connection != null && !ended) {
+            paused |= !reading;
             connection.setReading(reading);
         }
     }
@@ -182,19 +187,15 @@
                 firstEventNanos.isPresent()
                         ? Optional.of(Duration.ofNanos(firstEventNanos.getAsLong() - sentNanos))
                         : Optional.empty(),
-                Duration.ofNanos(System.nanoTime() - sentNanos));
+                paused ? Duration.ZERO : Duration.ofNanos(System.nanoTime() - sentNanos));
     }
 
-    /**
-     * Counts events of the response that the caller of this method decoded.
-     *
-     * @param count how many, not negative
-     */
-    public void countEvents(int count) {
-        if (count > 0 && firstEventNanos.isEmpty()) {
+    /** Counts a complete event of the response that the caller of this method decoded. */
+    public void countEvent() {
+        if (firstEventNanos.isEmpty()) {
             firstEventNanos = OptionalLong.of(System.nanoTime());
         }
-        events += count;
+        events++;
     }
 
     private static LeaseOutcome outcome(TargetResponse.Meaning meaning) {
