--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetChoice.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetChoice.java
@@ -11,7 +11,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
-import org.fuchsiaspindle.core.slot.TargetSlots.Lease;
 
 /**
  * Chooses the target of a pool on which a request or a batch item runs.
@@ -65,8 +64,8 @@
             return target.hasFreeSlot();
         }
         if (!target.hasFreeSlot()) {
-            long due = target.firstToPreempt().map(Lease::dueMillis).orElse(0L);
-            long otherDue = other.firstToPreempt().map(Lease::dueMillis).orElse(0L);
+            long due = target.firstToPreempt().map(TargetSlots::dueStep).orElse(0L);
+            long otherDue = other.firstToPreempt().map(TargetSlots::dueStep).orElse(0L);
             if (due != otherDue) {
                 return due > otherDue;
             }
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Optional;
@@ -52,6 +53,15 @@
      */
     private static final double MIN_REMAINING_SHARE = 0.25;
 
+    /** Factor of the time of an average target from which a target is slow for batch items. */
+    private static final double SLOW_FOR_ITEMS = 1.4;
+
+    /**
+     * Difference of due times that makes no item more urgent, so that of items that are due at
+     * about the same time the one that loses least is stopped.
+     */
+    private static final Duration DUE_RESOLUTION = Duration.ofSeconds(1);
+
     private final String id;
     private final TargetReliability reliability = new TargetReliability();
     private final TargetSpeed speed = new TargetSpeed();
@@ -195,9 +205,14 @@
         return Math.max(expected - elapsed, MIN_REMAINING_SHARE * Math.max(expected, elapsed));
     }
 
-    /** Returns the cost of a further batch item: the load, higher if requests fail here. */
+    /**
+     * Returns the cost of a further batch item: the load, higher if requests fail here. A slow
+     * target costs more than any other one that has room, because items are long: it is left to
+     * online requests.
+     */
     double batchCost(long now) {
-        return leases.size() + slots * reliability.failureShare(now);
+        double slowCost = speed.slowness(now) > SLOW_FOR_ITEMS ? slots : 0;
+        return leases.size() + slots * reliability.failureShare(now) + slowCost;
     }
 
     /** Returns the number of gateways that hold slots of the target. */
@@ -209,7 +224,8 @@
 
     /**
      * Returns the batch item to preempt first, empty if there is none: the one with the latest due
-     * time and, of several, the one that started last and so loses least.
+     * time and, of several that are due within about a second, the one that started last and so
+     * loses least.
      */
     Optional<Lease> firstToPreempt() {
         Lease first = null;
@@ -223,9 +239,14 @@
     }
 
     private static boolean isPreemptedBefore(Lease lease, Lease other) {
-        return lease.dueMillis() == other.dueMillis()
-                ? lease.grantedNanos() - other.grantedNanos() > 0
-                : lease.dueMillis() > other.dueMillis();
+        long due = dueStep(lease);
+        long otherDue = dueStep(other);
+        return due == otherDue ? lease.grantedNanos() - other.grantedNanos() > 0 : due > otherDue;
+    }
+
+    /** Returns the due time of a batch item in steps of the differences that matter. */
+    static long dueStep(Lease lease) {
+        return lease.dueMillis() / DUE_RESOLUTION.toMillis();
     }
 
     boolean isUnavailable(long now) {
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceTest.java
@@ -15,22 +15,27 @@
 import java.util.Optional;
 import java.util.Set;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.slot.SlotDecision.BatchGranted;
 import org.fuchsiaspindle.core.slot.SlotDecision.Granted;
+import org.fuchsiaspindle.core.slot.SlotDecision.Preempted;
 import org.fuchsiaspindle.core.work.RequestSize;
 import org.junit.jupiter.api.Test;
 
 /** Guards against a choice that ignores what targets were seen to do, or that never forgets it. */
 final class TargetChoiceTest {
 
+    private static final long FIRST_BATCH_TICKET = 1_000_000;
     private static final int SLOTS = 8;
     private static final int EVENTS = 30;
     private static final Duration EVENT_TIME = Duration.ofMillis(20);
     private static final RequestSize SIZE =
             new RequestSize("route", 2000, 100, 0, ImmutableList.of());
 
-    private final SlotPool pool = SlotPool.create(1_000_000);
+    private final SlotPool pool = SlotPool.create(FIRST_BATCH_TICKET);
     private long now = Duration.ofSeconds(100).toNanos();
     private long nextTicket = 1;
+    private int batchGrants;
+    private final List<Long> stopped = new ArrayList<>();
     private final Set<String> readPrompts = new HashSet<>();
 
     /** Guards against slow targets that get as many requests as the others. */
@@ -63,6 +68,27 @@
                 .containsEntry("c", 2);
     }
 
+    /** Guards against long batch items that are held up by slow targets while others have room. */
+    @Test
+    void batchItems_goToSlowTargetsLast() {
+        targets("slow", "b", "c");
+        learn(10);
+        assertThat(batchTargets(2 * SLOTS)).containsOnlyKeys("b", "c");
+        assertThat(batchTargets(SLOTS)).containsOnlyKeys("slow");
+    }
+
+    /** Guards against items that are stopped shortly before their end for one due much the same. */
+    @Test
+    void ofItemsDueAtAboutTheSameTime_theOneThatStartedLastIsStopped() {
+        targets("a");
+        demand(SLOTS - 1, 20_500, 0);
+        now += Duration.ofSeconds(3).toNanos();
+        demand(1, 20_100, SLOTS - 1);
+        Granted granted = grant(SIZE);
+        assertThat(granted.target()).isEqualTo("a");
+        assertThat(stopped).containsExactly(FIRST_BATCH_TICKET + SLOTS - 1);
+    }
+
     /** Guards against prompts that every target reads anew, and against memories of lost ones. */
     @Test
     void sharedPrompt_goesWhereItWasRead_untilTheTargetFails() {
@@ -132,6 +158,20 @@
                 now);
     }
 
+    private Map<String, Integer> batchTargets(int items) {
+        Map<String, Integer> started = new HashMap<>();
+        for (SlotDecision decision : demand(items, 20_000, batchGrants)) {
+            started.merge(((BatchGranted) decision).target(), 1, Integer::sum);
+        }
+        batchGrants += items;
+        return started;
+    }
+
+    private List<SlotDecision> demand(int items, long dueMillis, long grantsReceived) {
+        return pool.demand(
+                "g", new BatchDemand(items, dueMillis, grantsReceived, ImmutableSet.of()), now);
+    }
+
     private Map<String, Integer> grantMany(int count, RequestSize size) {
         Map<String, Integer> granted = new HashMap<>();
         for (int i = 0; i < count; i++) {
@@ -156,7 +196,12 @@
                                 ImmutableSet.of(),
                                 false),
                         now);
-        return (Granted) decisions.getFirst();
+        for (SlotDecision decision : decisions) {
+            if (decision instanceof Preempted) {
+                stopped.add(decision.ticket());
+            }
+        }
+        return (Granted) decisions.getLast();
     }
 
     private static RequestSize size(String sharedPart) {
