--- a/core/src/main/java/org/fuchsiaspindle/core/error/ResultCode.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/error/ResultCode.java
@@ -54,6 +54,8 @@
 
     PROMPT_QUARANTINED(
             3011, 503, Executed.NO, "A part of the prompt crashes the targets of the service."),
+    REQUEST_TOO_LARGE(
+            3012, 413, Executed.NO, "The request needs more memory than a target has in all."),
 
     TABLE_UNAVAILABLE(4001, 503, Executed.NO, "The table service is not available."),
     OBJECT_STORE_UNAVAILABLE(4002, 503, Executed.NO, "The object store is not available."),
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/BatchDemand.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/BatchDemand.java
@@ -14,16 +14,23 @@
  * @param grantsReceived how many batch slots the gateway had received from the coordinator when it
  *     sent this demand, so that slots on their way are not granted twice
  * @param avoided targets that the gateway does not want, not null
+ * @param largestItemTokens the memory of a target that the largest waiting item can occupy, in
+ *     tokens; 0 if unknown
  */
 public record BatchDemand(
-        int waiting, long dueMillis, long grantsReceived, ImmutableSet<String> avoided) {
+        int waiting,
+        long dueMillis,
+        long grantsReceived,
+        ImmutableSet<String> avoided,
+        int largestItemTokens) {
 
     /** The demand of a gateway without waiting items. */
-    public static final BatchDemand NONE = new BatchDemand(0, 0, 0, ImmutableSet.of());
+    public static final BatchDemand NONE = new BatchDemand(0, 0, 0, ImmutableSet.of(), 0);
 
     /** Validates the components. */
     public BatchDemand {
         checkArgument(waiting >= 0, "negative number of waiting items: %s", waiting);
         checkNotNull(avoided, "avoided");
+        checkArgument(largestItemTokens >= 0, "negative tokens: %s", largestItemTokens);
     }
 }
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/PoolWork.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/PoolWork.java
@@ -59,6 +59,10 @@
                     averageNanos == 0 ? Map.of() : keptPrompts.keptTokens(size.sharedParts(), now);
         }
 
+        RequestSize size() {
+            return size;
+        }
+
         /** Returns the tokens of the prompt that a target must read. */
         int readTokens(TargetSlots target) {
             return Math.max(0, size.promptTokens() - keptTokens.getOrDefault(target.id(), 0));
@@ -88,7 +92,13 @@
             keptPrompts.add(size.sharedParts(), target.id(), now);
             targetsWithPrompts.add(target.id());
         }
-        return new ExpectedRun(size, readTokens, forecast.nanos(target), target.total());
+        return new ExpectedRun(
+                size, readTokens, forecast.nanos(target), target.total(), size.maxTokens());
+    }
+
+    /** Returns what is expected of a batch item that starts on a target. */
+    static ExpectedRun startItem(TargetSlots target, int reservedTokens) {
+        return new ExpectedRun(RequestSize.UNKNOWN, 0, 0, target.total(), reservedTokens);
     }
 
     /** Learns from the end of a run whose slot was just released. */
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotDecision.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotDecision.java
@@ -71,9 +71,16 @@
      *
      * @param ticket a new ticket for the slot
      * @param targetLimited as for an online request
+     * @param reservedTokens the memory of the target that is reserved for the item, in tokens; 0 if
+     *     unknown
      */
     record BatchGranted(
-            String holder, long ticket, String target, long dueMillis, boolean targetLimited)
+            String holder,
+            long ticket,
+            String target,
+            long dueMillis,
+            boolean targetLimited,
+            int reservedTokens)
             implements SlotDecision {
 
         /** Validates the components. */
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -16,9 +16,9 @@
 import java.util.OptionalDouble;
 import org.fuchsiaspindle.core.serving.RequestQueue;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.serving.TargetModel;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
 import org.fuchsiaspindle.core.slot.TargetSlots.Lease;
-import org.fuchsiaspindle.core.work.RequestSize;
 
 /**
  * The slots of the targets of one pool, as its coordinator assigns them.
@@ -43,12 +43,15 @@
     /** Time for which a preemption keeps one free slot from batch items. */
     private static final Duration PREEMPTION_MEMORY = Duration.ofMillis(100);
 
+    private static final TargetModel UNKNOWN_MODEL = new TargetModel(0, 1);
+
     private final Deque<Long> preemptionNanos = new ArrayDeque<>();
     private final Map<String, TargetSlots> targets = new LinkedHashMap<>();
     private final PoolWork work = new PoolWork();
     private final TargetChoice choice = new TargetChoice(targets.values(), work);
     private final Map<String, Holder> holders = new LinkedHashMap<>();
     private final RequestQueue<SlotRequest> waiting = new RequestQueue<>();
+    private TargetModel model = UNKNOWN_MODEL;
     private double holdNanos = INITIAL_HOLD_TIME.toNanos();
     private long nextBatchTicket;
 
@@ -90,6 +93,16 @@
         return assignFreeSlots(now);
     }
 
+    /** Sets what the configuration says about the targets, empty if they run no model. */
+    public void setModel(Optional<TargetModel> newModel) {
+        TargetModel known = newModel.orElse(UNKNOWN_MODEL);
+        if (!known.equals(model)) {
+            model = known;
+            work.estimator().setTokensPerEvent(known.tokensPerEvent());
+            targets.values().forEach(target -> target.setMemory(known.memoryTokens()));
+        }
+    }
+
     /** Handles the request of a gateway for a slot for an online request. */
     public List<SlotDecision> request(SlotRequest request, long now) {
         checkNotNull(request, "request");
@@ -185,7 +198,7 @@
                             slot.dueMillis(),
                             0,
                             now,
-                            ExpectedRun.UNKNOWN));
+                            ExpectedRun.ofTokens(slot.reservedTokens())));
         }
         List<SlotDecision> decisions = new ArrayList<>();
         preemptExcess(decisions);
@@ -259,7 +272,13 @@
     }
 
     private TargetSlots target(String id) {
-        return targets.computeIfAbsent(id, TargetSlots::new);
+        return targets.computeIfAbsent(
+                id,
+                newId -> {
+                    TargetSlots created = new TargetSlots(newId);
+                    created.setMemory(model.memoryTokens());
+                    return created;
+                });
     }
 
     private Holder holder(String ip) {
@@ -303,9 +322,7 @@
     /** Preempts the batch items for which online requests leave no slots. */
     private void preemptExcess(List<SlotDecision> decisions) {
         for (TargetSlots target : targets.values()) {
-            while (target.isOpen()
-                    && target.total() > target.slots()
-                    && preemptFirst(target, decisions)) {
+            while (target.isOpen() && target.isOverfull() && preemptFirst(target, decisions)) {
                 continue;
             }
         }
@@ -343,8 +360,7 @@
 
     private void grant(
             SlotRequest request, TargetSlots target, long now, List<SlotDecision> decisions) {
-        if (!target.hasFreeSlot()) {
-            preemptFirst(target, decisions);
+        while (!target.hasRoom(request.size().maxTokens()) && preemptFirst(target, decisions)) {
             preemptionNanos.addLast(now);
         }
         add(
@@ -407,12 +423,13 @@
             List<TargetSlots> free,
             long now,
             List<SlotDecision> decisions) {
-        Optional<TargetSlots> chosen = choice.forBatchItem(free, holder.demand.avoided(), now);
+        Optional<TargetSlots> chosen = choice.forBatchItem(free, holder.demand, now);
         if (chosen.isEmpty()) {
             return false;
         }
         long ticket = nextBatchTicket++;
         long dueMillis = holder.demand.dueMillis();
+        int reservedTokens = holder.demand.largestItemTokens();
         holder.batchGrants++;
         add(
                 holder,
@@ -424,11 +441,16 @@
                         dueMillis,
                         holder.batchGrants,
                         now,
-                        work.start(RequestSize.UNKNOWN, chosen.get(), now)));
+                        PoolWork.startItem(chosen.get(), reservedTokens)));
         chosen.get().requestGranted(now);
         decisions.add(
                 new SlotDecision.BatchGranted(
-                        ip, ticket, chosen.get().id(), dueMillis, chosen.get().hasRequestLimit()));
+                        ip,
+                        ticket,
+                        chosen.get().id(),
+                        dueMillis,
+                        chosen.get().hasRequestLimit(),
+                        reservedTokens));
         return true;
     }
 
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetChoice.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetChoice.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
@@ -42,7 +41,7 @@
         for (TargetSlots target : targets) {
             boolean acceptable =
                     target.isOpen()
-                            && target.hasSlotForOnline(now)
+                            && target.hasRoomForOnline(request.size().maxTokens(), now)
                             && (request.lastResort()
                                     || !ejected.contains(target)
                                             && !request.avoided().contains(target.id())
@@ -60,10 +59,11 @@
      */
     private static boolean isBetterForOnline(
             TargetSlots target, TargetSlots other, PoolWork.Forecast forecast) {
-        if (target.hasFreeSlot() != other.hasFreeSlot()) {
-            return target.hasFreeSlot();
+        boolean hasRoom = target.hasRoom(forecast.size().maxTokens());
+        if (hasRoom != other.hasRoom(forecast.size().maxTokens())) {
+            return hasRoom;
         }
-        if (!target.hasFreeSlot()) {
+        if (!hasRoom) {
             long due = target.firstToPreempt().map(TargetSlots::dueStep).orElse(0L);
             long otherDue = other.firstToPreempt().map(TargetSlots::dueStep).orElse(0L);
             if (due != otherDue) {
@@ -103,18 +103,18 @@
     }
 
     /**
-     * Returns the target for a batch item, empty if no slot is free.
+     * Returns the target for a batch item, empty if none has a free slot and memory.
      *
      * @param open the targets that {@link #openToBatchItems} returned, some of which may be full by
      *     now
-     * @param avoided targets that the gateway of the item does not want
+     * @param demand the demand of the gateway of the item
      * @param now the time
      */
-    Optional<TargetSlots> forBatchItem(
-            List<TargetSlots> open, ImmutableSet<String> avoided, long now) {
+    Optional<TargetSlots> forBatchItem(List<TargetSlots> open, BatchDemand demand, long now) {
         return open.stream()
                 .filter(target -> target.hasSlotForBatch(now))
-                .filter(target -> !avoided.contains(target.id()))
+                .filter(target -> target.hasRoom(demand.largestItemTokens()))
+                .filter(target -> !demand.avoided().contains(target.id()))
                 .min(Comparator.comparingDouble(target -> target.batchCost(now)));
     }
 
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
@@ -69,6 +69,9 @@
     private int slots = 1;
     private boolean open;
     private int online;
+    private int memoryTokens;
+    private long reservedTokens;
+    private long onlineTokens;
     private long lastGrantNanos;
     private RequestLimit requestLimit;
 
@@ -113,8 +116,34 @@
         return freeSlots() > 0;
     }
 
-    boolean hasSlotForOnline(long now) {
-        return online < slots && (requestLimit == null || requestLimit.allowsOnline(now));
+    /** Sets the memory for requests and prompts, in tokens; 0 if unknown. */
+    void setMemory(int tokens) {
+        memoryTokens = tokens;
+    }
+
+    /** Returns whether a request can start without preempting a batch item. */
+    boolean hasRoom(int tokens) {
+        return hasFreeSlot() && fits(reservedTokens, tokens);
+    }
+
+    /**
+     * Returns whether a request fits beside some tokens. One of unknown size always does, and so do
+     * all while the memory is unknown.
+     */
+    private boolean fits(long occupiedTokens, int tokens) {
+        return memoryTokens == 0 || tokens == 0 || occupiedTokens + tokens <= memoryTokens;
+    }
+
+    /** Returns whether more runs on the target than it has slots and memory for. */
+    boolean isOverfull() {
+        return leases.size() > slots || memoryTokens > 0 && reservedTokens > memoryTokens;
+    }
+
+    /** Returns whether an online request can start, possibly in place of batch items. */
+    boolean hasRoomForOnline(int tokens, long now) {
+        return online < slots
+                && fits(onlineTokens, tokens)
+                && (requestLimit == null || requestLimit.allowsOnline(now));
     }
 
     boolean hasSlotForBatch(long now) {
@@ -171,13 +200,22 @@
 
     void add(Lease lease) {
         leases.add(lease);
-        online += lease.trafficClass() == TrafficClass.ONLINE ? 1 : 0;
+        count(lease, 1);
         lastGrantNanos = lease.grantedNanos();
     }
 
     void remove(Lease lease) {
         if (leases.remove(lease)) {
-            online -= lease.trafficClass() == TrafficClass.ONLINE ? 1 : 0;
+            count(lease, -1);
+        }
+    }
+
+    private void count(Lease lease, int sign) {
+        int tokens = lease.work().reservedTokens();
+        reservedTokens += (long) sign * tokens;
+        if (lease.trafficClass() == TrafficClass.ONLINE) {
+            online += sign;
+            onlineTokens += (long) sign * tokens;
         }
     }
 
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -195,9 +195,9 @@
     void grantsOnTheirWay_countAgainstTheDemand() {
         targets("a", "b");
         assertThat(demand("g1", 3, 1000)).hasSize(3);
-        assertThat(pool.demand("g1", new BatchDemand(3, 1000, 0, ImmutableSet.of()), now))
+        assertThat(pool.demand("g1", new BatchDemand(3, 1000, 0, ImmutableSet.of(), 0), now))
                 .isEmpty();
-        assertThat(pool.demand("g1", new BatchDemand(2, 1000, 3, ImmutableSet.of()), now))
+        assertThat(pool.demand("g1", new BatchDemand(2, 1000, 3, ImmutableSet.of(), 0), now))
                 .hasSize(2);
     }
 
@@ -220,7 +220,7 @@
         }
         List<HeldSlot> held = new ArrayList<>();
         for (long ticket = 50; ticket < 53; ticket++) {
-            held.add(new HeldSlot(ticket, "a", TrafficClass.BATCH, 1000));
+            held.add(new HeldSlot(ticket, "a", TrafficClass.BATCH, 1000, 0));
         }
         assertThat(pool.replaceHoldings("g2", held, 0, now))
                 .hasSize(3)
@@ -410,7 +410,7 @@
     }
 
     private List<SlotDecision> demand(String holder, int waiting, long due) {
-        return pool.demand(holder, new BatchDemand(waiting, due, 0, ImmutableSet.of()), now);
+        return pool.demand(holder, new BatchDemand(waiting, due, 0, ImmutableSet.of(), 0), now);
     }
 
     private List<SlotDecision> release(String holder, long ticket, LeaseOutcome outcome) {
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceTest.java
@@ -15,9 +15,11 @@
 import java.util.Optional;
 import java.util.Set;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.serving.TargetModel;
 import org.fuchsiaspindle.core.slot.SlotDecision.BatchGranted;
 import org.fuchsiaspindle.core.slot.SlotDecision.Granted;
 import org.fuchsiaspindle.core.slot.SlotDecision.Preempted;
+import org.fuchsiaspindle.core.slot.SlotDecision.Refused;
 import org.fuchsiaspindle.core.work.RequestSize;
 import org.junit.jupiter.api.Test;
 
@@ -27,6 +29,7 @@
     private static final long FIRST_BATCH_TICKET = 1_000_000;
     private static final int SLOTS = 8;
     private static final int EVENTS = 30;
+    private static final int ITEM_TOKENS = 1000;
     private static final Duration EVENT_TIME = Duration.ofMillis(20);
     private static final RequestSize SIZE =
             new RequestSize("route", 2000, 100, 0, ImmutableList.of());
@@ -89,6 +92,42 @@
         assertThat(stopped).containsExactly(FIRST_BATCH_TICKET + SLOTS - 1);
     }
 
+    /** Guards against a target that crashes because its memory was promised twice. */
+    @Test
+    void memory_isNeverPromisedTwice() {
+        pool.setModel(Optional.of(new TargetModel(2 * SIZE.maxTokens() + 10, 1)));
+        targets("a");
+        assertThat(batchTargets(1)).containsOnlyKeys("a");
+        Granted first = grant(SIZE);
+        assertThat(stopped).isEmpty();
+        pool.release("g", FIRST_BATCH_TICKET, RunReport.unused(LeaseOutcome.DONE), now);
+        grant(SIZE);
+        assertThat(request(SIZE)).singleElement().isInstanceOf(Refused.class);
+        assertThat(request(RequestSize.UNKNOWN)).singleElement().isInstanceOf(Granted.class);
+        pool.release("g", first.ticket(), RunReport.unused(LeaseOutcome.DONE), now);
+        assertThat(request(SIZE)).singleElement().isInstanceOf(Granted.class);
+    }
+
+    /** Guards against batch items that keep an online request from memory or that overfill it. */
+    @Test
+    void memoryOfBatchItems_isLeftToOnlineRequests() {
+        pool.setModel(Optional.of(new TargetModel(3 * ITEM_TOKENS, 1)));
+        targets("a");
+        assertThat(demand(SLOTS, 20_000, 0)).hasSize(3);
+        assertThat(grant(SIZE).target()).isEqualTo("a");
+        assertThat(stopped).hasSize(3);
+    }
+
+    /** Guards against a new coordinator that promises the memory of requests it did not grant. */
+    @Test
+    void memoryOfReportedSlots_isNotPromisedAgain() {
+        pool.setModel(Optional.of(new TargetModel(SIZE.maxTokens() + 100, 1)));
+        targets("a");
+        HeldSlot held = new HeldSlot(1, "a", TrafficClass.ONLINE, 0, SIZE.maxTokens());
+        pool.replaceHoldings("other", List.of(held), 0, now);
+        assertThat(request(SIZE)).singleElement().isInstanceOf(Refused.class);
+    }
+
     /** Guards against prompts that every target reads anew, and against memories of lost ones. */
     @Test
     void sharedPrompt_goesWhereItWasRead_untilTheTargetFails() {
@@ -169,7 +208,9 @@
 
     private List<SlotDecision> demand(int items, long dueMillis, long grantsReceived) {
         return pool.demand(
-                "g", new BatchDemand(items, dueMillis, grantsReceived, ImmutableSet.of()), now);
+                "g",
+                new BatchDemand(items, dueMillis, grantsReceived, ImmutableSet.of(), ITEM_TOKENS),
+                now);
     }
 
     private Map<String, Integer> grantMany(int count, RequestSize size) {
@@ -182,20 +223,7 @@
 
     private Granted grant(RequestSize size) {
         now++;
-        List<SlotDecision> decisions =
-                pool.request(
-                        new SlotRequest(
-                                "g",
-                                nextTicket++,
-                                false,
-                                0,
-                                "",
-                                size,
-                                now,
-                                now,
-                                ImmutableSet.of(),
-                                false),
-                        now);
+        List<SlotDecision> decisions = request(size);
         for (SlotDecision decision : decisions) {
             if (decision instanceof Preempted) {
                 stopped.add(decision.ticket());
@@ -204,6 +232,13 @@
         return (Granted) decisions.getLast();
     }
 
+    private List<SlotDecision> request(RequestSize size) {
+        return pool.request(
+                new SlotRequest(
+                        "g", nextTicket++, false, 0, "", size, now, now, ImmutableSet.of(), false),
+                now);
+    }
+
     private static RequestSize size(String sharedPart) {
         return new RequestSize(
                 "route",
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -105,7 +105,16 @@
                         settings.cpuCapacity());
         this.promptGuard = PromptGuard.create(requestLoop, metrics);
         this.fleet = TargetFleet.create(requestLoop, promptGuard, metrics);
-        this.slots = SlotClient.create(requestLoop, peerSelf, metrics);
+        this.slots =
+                SlotClient.create(
+                        requestLoop,
+                        peerSelf,
+                        metrics,
+                        service ->
+                                viewHolder
+                                        .view()
+                                        .config()
+                                        .flatMap(config -> config.model(service)));
         this.mesh = PeerMesh.create(requestLoop, peerSelf, viewHolder, storeHealth, slots, metrics);
         this.onlineDispatcher =
                 OnlineDispatcher.create(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -32,6 +32,7 @@
     private final int index;
     private final BatchItem item;
     private final ImmutableList<String> promptParts;
+    private final int maxTokens;
     private final StringBuilder text = new StringBuilder();
     private int textBytes;
     private final double serviceFraction = ThreadLocalRandom.current().nextDouble();
@@ -53,6 +54,7 @@
         this.index = index;
         this.item = item;
         this.promptParts = PromptHeader.sharedParts(item.headers());
+        this.maxTokens = PromptHeader.size("", item.headers()).maxTokens();
     }
 
     OwnedJob job() {
@@ -72,6 +74,11 @@
         return promptParts;
     }
 
+    /** Returns the memory of a target that the item can occupy, in tokens; 0 if unknown. */
+    int maxTokens() {
+        return maxTokens;
+    }
+
     /** Sets whether a prompt part keeps the item from targets; returns whether it does now anew. */
     boolean setQuarantined(boolean newQuarantined) {
         boolean isNew = newQuarantined && !quarantined;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -21,6 +21,7 @@
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.serving.TargetModel;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.BatchDemands;
@@ -306,6 +307,11 @@
             return;
         }
         routeMissingSinceNanos.remove(job.id());
+        for (ItemRun run : job.runs()) {
+            if (run.isPending() && isTooLarge(run, run.service(route.get()))) {
+                finish(run, false, "larger than the memory of a target");
+            }
+        }
         OptionalLong storeNow = storeClock.nowMillis();
         if (storeNow.isEmpty()) {
             return;
@@ -371,7 +377,8 @@
         }
         for (String service : Sets.union(batchDemands.services(), startable.keySet())) {
             List<ItemRun> runs = startable.getOrDefault(service, List.of());
-            batchDemands.set(service, runs.size(), schedule.earliestDueMillis(runs));
+            int largestTokens = runs.stream().mapToInt(ItemRun::maxTokens).max().orElse(0);
+            batchDemands.set(service, runs.size(), schedule.earliestDueMillis(runs), largestTokens);
         }
     }
 
@@ -384,7 +391,9 @@
                             route -> {
                                 for (ItemRun run : job.runs()) {
                                     String service = run.service(route);
-                                    if (run.mayStart(now) && mayRun(run, service, now)) {
+                                    if (run.mayStart(now)
+                                            && !isTooLarge(run, service)
+                                            && mayRun(run, service, now)) {
                                         startable.put(run, service);
                                     }
                                 }
@@ -393,6 +402,18 @@
         return startable;
     }
 
+    /** Returns whether no target of a service has the memory for an item. */
+    private boolean isTooLarge(ItemRun run, String service) {
+        int memoryTokens =
+                viewHolder
+                        .view()
+                        .config()
+                        .flatMap(config -> config.model(service))
+                        .map(TargetModel::memoryTokens)
+                        .orElse(0);
+        return memoryTokens > 0 && run.maxTokens() > memoryTokens;
+    }
+
     private boolean mayRun(ItemRun run, String service, long now) {
         return !isQuarantined(run, service) || trials.isDue(run, service, now);
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -111,7 +111,20 @@
                                 this::deadlineReached,
                                 Math.max(0, remainingNanos),
                                 TimeUnit.NANOSECONDS);
-        dispatch();
+        if (dispatcher.slots().fitsTarget(service, size)) {
+            dispatch();
+        } else {
+            refuseTooLarge();
+        }
+    }
+
+    /** Refuses a request that no target could ever run, without a retry time. */
+    private void refuseTooLarge() {
+        ResultCode code = ResultCode.REQUEST_TOO_LARGE;
+        finish();
+        logDecision("refused", code.name());
+        dispatcher.metrics().countRefusal(code);
+        exchange.refuse(Refusal.of(code.httpStatus(), code));
     }
 
     /** Obtains a slot of a target, waiting for one if necessary, and sends the request there. */
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
@@ -47,10 +47,10 @@
     }
 
     /** The waiting items of a service. */
-    private record Waiting(int items, long dueMillis, long sinceNanos) {
+    private record Waiting(int items, long dueMillis, int largestTokens, long sinceNanos) {
 
         Waiting withoutOne() {
-            return new Waiting(Math.max(0, items - 1), dueMillis, sinceNanos);
+            return new Waiting(Math.max(0, items - 1), dueMillis, largestTokens, sinceNanos);
         }
     }
 
@@ -77,8 +77,10 @@
      * @param service the service, not null
      * @param items how many items wait, not negative
      * @param dueMillis the earliest ordered due time of one of them
+     * @param largestTokens the memory of a target that the largest of them can occupy, in tokens; 0
+     *     if unknown
      */
-    public void set(String service, int items, long dueMillis) {
+    public void set(String service, int items, long dueMillis, int largestTokens) {
         checkNotNull(service, "service");
         checkArgument(items >= 0, "negative number of items: %s", items);
         Waiting previous = waitingByService.get(service);
@@ -86,7 +88,7 @@
                 previous == null || previous.items() == 0
                         ? System.nanoTime()
                         : previous.sinceNanos();
-        Waiting waiting = new Waiting(items, dueMillis, sinceNanos);
+        Waiting waiting = new Waiting(items, dueMillis, largestTokens, sinceNanos);
         if (!waiting.equals(previous)) {
             waitingByService.put(service, waiting);
             changed();
@@ -147,21 +149,29 @@
                             boolean ask = askRemote || !hasLocalPool;
                             items = ask ? Math.min(items, MAX_REMOTE_ITEMS) : 0;
                         }
-                        send(pool, items, waiting.dueMillis(), client.avoidedTargets(pool));
+                        send(pool, items, waiting, client.avoidedTargets(pool));
                     }
                 });
     }
 
-    private void send(PoolId pool, int items, long dueMillis, ImmutableSet<String> avoided) {
+    private void send(PoolId pool, int items, Waiting waiting, ImmutableSet<String> avoided) {
         PoolHoldings holdings = client.holdings(pool);
         BatchDemand sent = holdings.sentDemand();
         long granted = holdings.batchGrants() - sent.grantsReceived();
         boolean known =
                 items == Math.max(0, sent.waiting() - granted)
                         && (items == 0
-                                || dueMillis == sent.dueMillis() && avoided.equals(sent.avoided()));
+                                || waiting.dueMillis() == sent.dueMillis()
+                                        && waiting.largestTokens() == sent.largestItemTokens()
+                                        && avoided.equals(sent.avoided()));
         if (!known) {
-            BatchDemand demand = new BatchDemand(items, dueMillis, holdings.batchGrants(), avoided);
+            BatchDemand demand =
+                    new BatchDemand(
+                            items,
+                            waiting.dueMillis(),
+                            holdings.batchGrants(),
+                            avoided,
+                            waiting.largestTokens());
             holdings.setSentDemand(demand);
             client.send(holdings.coordinator(), SlotCodec.demand(pool, demand));
         }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotAcquisition.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotAcquisition.java
@@ -139,7 +139,10 @@
         endAsking();
         SlotLease lease =
                 client.addLease(
-                        pool, new HeldSlot(ticket, target, TrafficClass.ONLINE, 0), targetLimited);
+                        pool,
+                        new HeldSlot(
+                                ticket, target, TrafficClass.ONLINE, 0, need.size().maxTokens()),
+                        targetLimited);
         Optional<TargetInstance> instance = client.usableTarget(target);
         if (instance.isEmpty()) {
             client.releaseUnusable(lease);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -16,7 +16,9 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.serving.TargetModel;
 import org.fuchsiaspindle.core.slot.BatchDemand;
 import org.fuchsiaspindle.core.slot.HeldSlot;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
@@ -25,6 +27,7 @@
 import org.fuchsiaspindle.core.slot.RunReport;
 import org.fuchsiaspindle.core.slot.SlotRequest;
 import org.fuchsiaspindle.core.slot.TrafficClass;
+import org.fuchsiaspindle.core.work.RequestSize;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.gateway.view.TargetDirectory;
@@ -76,6 +79,7 @@
     private final EventLoop loop;
     private final PeerMesh.Self self;
     private final GatewayMetrics metrics;
+    private final Function<String, Optional<TargetModel>> models;
     private final Map<PoolId, PoolHoldings> pools = new HashMap<>();
     private final Map<String, Long> checksSentNanos = new HashMap<>();
     private final Map<String, Long> unusableUntilNanos = new HashMap<>();
@@ -90,19 +94,37 @@
     private ScheduledFuture<?> nextCheck;
     private long nextTicket = ThreadLocalRandom.current().nextLong();
 
-    private SlotClient(EventLoop loop, PeerMesh.Self self, GatewayMetrics metrics) {
+    private SlotClient(
+            EventLoop loop,
+            PeerMesh.Self self,
+            GatewayMetrics metrics,
+            Function<String, Optional<TargetModel>> models) {
         this.loop = loop;
         this.self = self;
         this.metrics = metrics;
+        this.models = models;
         this.plan = PoolPlan.of(self.ip(), self.dataCentre(), List.of());
     }
 
-    /** Creates a client of a gateway that knows no targets. */
-    public static SlotClient create(EventLoop loop, PeerMesh.Self self, GatewayMetrics metrics) {
+    /**
+     * Creates a client of a gateway that knows no targets.
+     *
+     * @param loop its event loop, not null
+     * @param self this gateway, not null
+     * @param metrics counts the slots, not null
+     * @param models returns the model of the targets of a service in the configuration in force,
+     *     not null
+     */
+    public static SlotClient create(
+            EventLoop loop,
+            PeerMesh.Self self,
+            GatewayMetrics metrics,
+            Function<String, Optional<TargetModel>> models) {
         return new SlotClient(
                 checkNotNull(loop, "loop"),
                 checkNotNull(self, "self"),
-                checkNotNull(metrics, "metrics"));
+                checkNotNull(metrics, "metrics"),
+                checkNotNull(models, "models"));
     }
 
     /** Starts the exchange with the coordinators and the coordinator of this gateway. */
@@ -111,7 +133,8 @@
         targets = checkNotNull(newTargets, "newTargets");
         coordinators = new Coordinators(self, newMesh);
         coordinator =
-                SlotCoordinator.create(loop, self.ip(), self.dataCentre(), newMesh, this::onFrame);
+                SlotCoordinator.create(
+                        loop, self.ip(), self.dataCentre(), newMesh, this::onFrame, models);
         batchDemands = new BatchDemands(this, loop);
         newMesh.setClosePeers(this::coordinatorsInUse);
         scheduleCheck(CHECK_INTERVAL);
@@ -146,6 +169,12 @@
         return acquisition;
     }
 
+    /** Returns whether a target of a service has the memory for a request if it runs alone. */
+    public boolean fitsTarget(String service, RequestSize size) {
+        int memoryTokens = models.apply(service).map(TargetModel::memoryTokens).orElse(0);
+        return memoryTokens == 0 || size.maxTokens() <= memoryTokens;
+    }
+
     /** Returns the time since this gateway last had an online request for a service. */
     public Duration timeSinceOnlineRequest(String service) {
         long last = lastRequestNanosByService.getOrDefault(service, createdNanos);
@@ -306,7 +335,8 @@
                                 grant.getTicket(),
                                 grant.getTarget(),
                                 TrafficClass.BATCH,
-                                grant.getDueMillis()),
+                                grant.getDueMillis(),
+                                Math.max(0, grant.getReservedTokens())),
                         grant.getTargetLimited());
         usableTarget(grant.getTarget())
                 .ifPresentOrElse(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
@@ -175,7 +175,8 @@
                                 .setWaiting(demand.waiting())
                                 .setDueMillis(demand.dueMillis())
                                 .setGrantsReceived(demand.grantsReceived())
-                                .addAllAvoidedTargets(demand.avoided()))
+                                .addAllAvoidedTargets(demand.avoided())
+                                .setLargestItemTokens(demand.largestItemTokens()))
                 .build();
     }
 
@@ -184,7 +185,8 @@
                 message.getWaiting(),
                 message.getDueMillis(),
                 message.getGrantsReceived(),
-                ImmutableSet.copyOf(message.getAvoidedTargetsList()));
+                ImmutableSet.copyOf(message.getAvoidedTargetsList()),
+                nonNegative(message.getLargestItemTokens()));
     }
 
     static PeerFrame holdings(
@@ -206,7 +208,8 @@
                             .setTicket(slot.ticket())
                             .setTarget(slot.target())
                             .setBatch(slot.trafficClass() == TrafficClass.BATCH)
-                            .setDueMillis(slot.dueMillis()));
+                            .setDueMillis(slot.dueMillis())
+                            .setReservedTokens(slot.reservedTokens()));
         }
         return PeerFrame.newBuilder().setSlotHoldings(holdings).build();
     }
@@ -219,7 +222,8 @@
                                         slot.getTicket(),
                                         slot.getTarget(),
                                         slot.getBatch() ? TrafficClass.BATCH : TrafficClass.ONLINE,
-                                        slot.getDueMillis()))
+                                        slot.getDueMillis(),
+                                        nonNegative(slot.getReservedTokens())))
                 .toList();
     }
 
@@ -282,7 +286,8 @@
                                     .setTicket(granted.ticket())
                                     .setTarget(granted.target())
                                     .setDueMillis(granted.dueMillis())
-                                    .setTargetLimited(granted.targetLimited()));
+                                    .setTargetLimited(granted.targetLimited())
+                                    .setReservedTokens(granted.reservedTokens()));
             case SlotDecision.Preempted preempted ->
                     frame.setSlotRevocation(
                             SlotRevocation.newBuilder()
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
@@ -8,9 +8,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
+import java.util.function.Function;
+import org.fuchsiaspindle.core.serving.TargetModel;
 import org.fuchsiaspindle.core.slot.PoolId;
 import org.fuchsiaspindle.core.slot.PoolPlan;
 import org.fuchsiaspindle.core.slot.SlotDecision;
@@ -48,6 +51,7 @@
     private final String ip;
     private final PeerMesh mesh;
     private final BiConsumer<String, PeerFrame> selfReceiver;
+    private final Function<String, Optional<TargetModel>> models;
     private final Map<PoolId, CoordinatedPool> pools = new HashMap<>();
     private PoolPlan plan;
     private ScheduledFuture<?> nextCheck;
@@ -68,11 +72,13 @@
             String ip,
             String dataCentre,
             PeerMesh mesh,
-            BiConsumer<String, PeerFrame> selfReceiver) {
+            BiConsumer<String, PeerFrame> selfReceiver,
+            Function<String, Optional<TargetModel>> models) {
         this.loop = loop;
         this.ip = ip;
         this.mesh = mesh;
         this.selfReceiver = selfReceiver;
+        this.models = models;
         this.plan = PoolPlan.of(ip, dataCentre, List.of());
     }
 
@@ -84,19 +90,22 @@
      * @param dataCentre its data centre
      * @param mesh reaches the other gateways
      * @param selfReceiver receives the frames for this gateway, with its address as their sender
+     * @param models returns the model of the targets of a service in the configuration in force
      */
     static SlotCoordinator create(
             EventLoop loop,
             String ip,
             String dataCentre,
             PeerMesh mesh,
-            BiConsumer<String, PeerFrame> selfReceiver) {
+            BiConsumer<String, PeerFrame> selfReceiver,
+            Function<String, Optional<TargetModel>> models) {
         return new SlotCoordinator(
                 checkNotNull(loop, "loop"),
                 checkNotNull(ip, "ip"),
                 checkNotNull(dataCentre, "dataCentre"),
                 checkNotNull(mesh, "mesh"),
-                checkNotNull(selfReceiver, "selfReceiver"));
+                checkNotNull(selfReceiver, "selfReceiver"),
+                checkNotNull(models, "models"));
     }
 
     /** Replaces the known targets. */
@@ -204,6 +213,7 @@
             mesh.broadcast(query);
         }
         pool.lastFrameNanos = now;
+        pool.slots.setModel(models.apply(id.service()));
         return pool.slots;
     }
 
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchDemandMessage.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchDemandMessage.java
@@ -264,6 +264,44 @@
     avoidedTargets_.add(value.toStringUtf8());
   }
 
+  public static final int LARGEST_ITEM_TOKENS_FIELD_NUMBER = 6;
+  private int largestItemTokens_;
+  /**
+   * <pre>
+   * Memory of a target that the largest waiting item can occupy, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 largest_item_tokens = 6;</code>
+   * @return The largestItemTokens.
+   */
+  @java.lang.Override
+  public int getLargestItemTokens() {
+    return largestItemTokens_;
+  }
+  /**
+   * <pre>
+   * Memory of a target that the largest waiting item can occupy, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 largest_item_tokens = 6;</code>
+   * @param value The largestItemTokens to set.
+   */
+  private void setLargestItemTokens(int value) {
+    
+    largestItemTokens_ = value;
+  }
+  /**
+   * <pre>
+   * Memory of a target that the largest waiting item can occupy, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 largest_item_tokens = 6;</code>
+   */
+  private void clearLargestItemTokens() {
+
+    largestItemTokens_ = 0;
+  }
+
   public static org.fuchsiaspindle.wire.peer.BatchDemandMessage parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -612,6 +650,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Memory of a target that the largest waiting item can occupy, in tokens; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 largest_item_tokens = 6;</code>
+     * @return The largestItemTokens.
+     */
+    @java.lang.Override
+    public int getLargestItemTokens() {
+      return instance.getLargestItemTokens();
+    }
+    /**
+     * <pre>
+     * Memory of a target that the largest waiting item can occupy, in tokens; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 largest_item_tokens = 6;</code>
+     * @param value The largestItemTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setLargestItemTokens(int value) {
+      copyOnWrite();
+      instance.setLargestItemTokens(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Memory of a target that the largest waiting item can occupy, in tokens; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 largest_item_tokens = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearLargestItemTokens() {
+      copyOnWrite();
+      instance.clearLargestItemTokens();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.BatchDemandMessage)
   }
   @java.lang.Override
@@ -634,10 +712,11 @@
             "dueMillis_",
             "grantsReceived_",
             "avoidedTargets_",
+            "largestItemTokens_",
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0001\u0000\u0001\u1009\u0000\u0002" +
-              "\u000b\u0003\u0002\u0004\u0003\u0005\u021a";
+              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0001\u0000\u0001\u1009\u0000\u0002" +
+              "\u000b\u0003\u0002\u0004\u0003\u0005\u021a\u0006\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchDemandMessageOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchDemandMessageOrBuilder.java
@@ -71,4 +71,14 @@
    */
   com.google.protobuf.ByteString
       getAvoidedTargetsBytes(int index);
+
+  /**
+   * <pre>
+   * Memory of a target that the largest waiting item can occupy, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 largest_item_tokens = 6;</code>
+   * @return The largestItemTokens.
+   */
+  int getLargestItemTokens();
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchGrant.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchGrant.java
@@ -206,6 +206,44 @@
     targetLimited_ = false;
   }
 
+  public static final int RESERVED_TOKENS_FIELD_NUMBER = 6;
+  private int reservedTokens_;
+  /**
+   * <pre>
+   * Memory of the target that is reserved for the item, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 reserved_tokens = 6;</code>
+   * @return The reservedTokens.
+   */
+  @java.lang.Override
+  public int getReservedTokens() {
+    return reservedTokens_;
+  }
+  /**
+   * <pre>
+   * Memory of the target that is reserved for the item, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 reserved_tokens = 6;</code>
+   * @param value The reservedTokens to set.
+   */
+  private void setReservedTokens(int value) {
+    
+    reservedTokens_ = value;
+  }
+  /**
+   * <pre>
+   * Memory of the target that is reserved for the item, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 reserved_tokens = 6;</code>
+   */
+  private void clearReservedTokens() {
+
+    reservedTokens_ = 0;
+  }
+
   public static org.fuchsiaspindle.wire.peer.BatchGrant parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -499,6 +537,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Memory of the target that is reserved for the item, in tokens; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 reserved_tokens = 6;</code>
+     * @return The reservedTokens.
+     */
+    @java.lang.Override
+    public int getReservedTokens() {
+      return instance.getReservedTokens();
+    }
+    /**
+     * <pre>
+     * Memory of the target that is reserved for the item, in tokens; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 reserved_tokens = 6;</code>
+     * @param value The reservedTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReservedTokens(int value) {
+      copyOnWrite();
+      instance.setReservedTokens(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Memory of the target that is reserved for the item, in tokens; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 reserved_tokens = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReservedTokens() {
+      copyOnWrite();
+      instance.clearReservedTokens();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.BatchGrant)
   }
   @java.lang.Override
@@ -521,10 +599,11 @@
             "target_",
             "dueMillis_",
             "targetLimited_",
+            "reservedTokens_",
           };
           java.lang.String info =
-              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0005\u0003\u0208\u0004\u0002\u0005\u0007";
+              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0005\u0003\u0208\u0004\u0002\u0005\u0007\u0006\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchGrantOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchGrantOrBuilder.java
@@ -54,4 +54,14 @@
    * @return The targetLimited.
    */
   boolean getTargetLimited();
+
+  /**
+   * <pre>
+   * Memory of the target that is reserved for the item, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 reserved_tokens = 6;</code>
+   * @return The reservedTokens.
+   */
+  int getReservedTokens();
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/HeldSlotMessage.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/HeldSlotMessage.java
@@ -142,6 +142,44 @@
     dueMillis_ = 0L;
   }
 
+  public static final int RESERVED_TOKENS_FIELD_NUMBER = 5;
+  private int reservedTokens_;
+  /**
+   * <pre>
+   * Memory of the target that is reserved for the request, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 reserved_tokens = 5;</code>
+   * @return The reservedTokens.
+   */
+  @java.lang.Override
+  public int getReservedTokens() {
+    return reservedTokens_;
+  }
+  /**
+   * <pre>
+   * Memory of the target that is reserved for the request, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 reserved_tokens = 5;</code>
+   * @param value The reservedTokens to set.
+   */
+  private void setReservedTokens(int value) {
+    
+    reservedTokens_ = value;
+  }
+  /**
+   * <pre>
+   * Memory of the target that is reserved for the request, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 reserved_tokens = 5;</code>
+   */
+  private void clearReservedTokens() {
+
+    reservedTokens_ = 0;
+  }
+
   public static org.fuchsiaspindle.wire.peer.HeldSlotMessage parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -372,6 +410,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Memory of the target that is reserved for the request, in tokens; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 reserved_tokens = 5;</code>
+     * @return The reservedTokens.
+     */
+    @java.lang.Override
+    public int getReservedTokens() {
+      return instance.getReservedTokens();
+    }
+    /**
+     * <pre>
+     * Memory of the target that is reserved for the request, in tokens; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 reserved_tokens = 5;</code>
+     * @param value The reservedTokens to set.
+     * @return This builder for chaining.
+     */
+    public Builder setReservedTokens(int value) {
+      copyOnWrite();
+      instance.setReservedTokens(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Memory of the target that is reserved for the request, in tokens; 0 if unknown.
+     * </pre>
+     *
+     * <code>uint32 reserved_tokens = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearReservedTokens() {
+      copyOnWrite();
+      instance.clearReservedTokens();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.HeldSlotMessage)
   }
   @java.lang.Override
@@ -392,10 +470,11 @@
             "target_",
             "batch_",
             "dueMillis_",
+            "reservedTokens_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0000\u0001\u0004\u0004\u0000\u0000\u0000\u0001\u0005\u0002\u0208" +
-              "\u0003\u0007\u0004\u0002";
+              "\u0000\u0005\u0000\u0000\u0001\u0005\u0005\u0000\u0000\u0000\u0001\u0005\u0002\u0208" +
+              "\u0003\u0007\u0004\u0002\u0005\u000b";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/HeldSlotMessageOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/HeldSlotMessageOrBuilder.java
@@ -39,4 +39,14 @@
    * @return The dueMillis.
    */
   long getDueMillis();
+
+  /**
+   * <pre>
+   * Memory of the target that is reserved for the request, in tokens; 0 if unknown.
+   * </pre>
+   *
+   * <code>uint32 reserved_tokens = 5;</code>
+   * @return The reservedTokens.
+   */
+  int getReservedTokens();
 }
