--- a/cli/src/main/java/org/fuchsiaspindle/cli/OutcomeDescriptions.java
+++ b/cli/src/main/java/org/fuchsiaspindle/cli/OutcomeDescriptions.java
@@ -50,6 +50,7 @@
             case "NO_TARGET" -> "every target refused it or could not be reached.";
             case "PROMPT_QUARANTINED" ->
                     "a part of its prompt crashed targets and is kept from them for some time.";
+            case "REQUEST_TOO_LARGE" -> "it needs more memory than a target has in all.";
             case "JOB_LIMITED" -> "the route's limit of waiting tokens was reached.";
             case "TABLE_UNAVAILABLE" -> "the store was unavailable.";
             default -> reason + ".";
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/PoolWork.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/PoolWork.java
@@ -1,5 +1,8 @@
 package org.fuchsiaspindle.core.slot;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -20,8 +23,14 @@
     private final KeptPrompts keptPrompts = new KeptPrompts();
     private final Set<String> targetsWithPrompts = new HashSet<>();
 
+    private WorkListener listener = WorkListener.NONE;
+
     PoolWork() {}
 
+    void setListener(WorkListener newListener) {
+        listener = checkNotNull(newListener, "newListener");
+    }
+
     /** Returns the estimates for an average target. */
     WorkEstimator estimator() {
         return estimator;
@@ -85,7 +94,21 @@
     }
 
     /** Records that a request starts on a target, and returns what is expected of it. */
-    ExpectedRun start(RequestSize size, TargetSlots target, long now) {
+    ExpectedRun start(SlotRequest request, TargetSlots target, long now) {
+        ExpectedRun run = start(request.size(), target, now);
+        if (run.nanos() > 0) {
+            listener.onStart(
+                    request,
+                    target.id(),
+                    Duration.ofNanos((long) run.nanos()),
+                    run.readTokens(),
+                    run.running(),
+                    target.speed().slowness(now));
+        }
+        return run;
+    }
+
+    private ExpectedRun start(RequestSize size, TargetSlots target, long now) {
         Forecast forecast = forecast(size, now);
         int readTokens = forecast.readTokens(target);
         if (!size.sharedParts().isEmpty()) {
@@ -104,6 +127,11 @@
     /** Learns from the end of a run whose slot was just released. */
     void end(Lease lease, RunReport report, long now) {
         ExpectedRun expected = lease.work();
+        if (report.outcome() == LeaseOutcome.DONE
+                && expected.nanos() > 0
+                && report.timeHeld().isPositive()) {
+            listener.onEnd(Duration.ofNanos((long) expected.nanos()), report.timeHeld());
+        }
         TargetSlots target = lease.target();
         switch (report.outcome()) {
             case DONE, CANCELLED ->
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -103,6 +103,11 @@
         }
     }
 
+    /** Sets the listener that is told what is expected of requests and what came of it. */
+    public void setWorkListener(WorkListener listener) {
+        work.setListener(listener);
+    }
+
     /** Handles the request of a gateway for a slot for an online request. */
     public List<SlotDecision> request(SlotRequest request, long now) {
         checkNotNull(request, "request");
@@ -373,7 +378,7 @@
                         0,
                         0,
                         now,
-                        work.start(request.size(), target, now)));
+                        work.start(request, target, now)));
         target.requestGranted(now);
         decisions.add(
                 new SlotDecision.Granted(
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceReplayTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceReplayTest.java
@@ -318,7 +318,9 @@
         private void start(Run run, TargetSlots target) {
             boolean learns = policy == Policy.EXPECTED_FINISH || policy == Policy.LEAST_WORK;
             ExpectedRun expected =
-                    learns ? work.start(run.size, target, nowNanos()) : ExpectedRun.ofTokens(0);
+                    learns
+                            ? work.start(request(run.size), target, nowNanos())
+                            : ExpectedRun.ofTokens(0);
             run.lease =
                     new Lease(
                             "g",
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -134,7 +134,13 @@
         coordinators = new Coordinators(self, newMesh);
         coordinator =
                 SlotCoordinator.create(
-                        loop, self.ip(), self.dataCentre(), newMesh, this::onFrame, models);
+                        loop,
+                        self.ip(),
+                        self.dataCentre(),
+                        newMesh,
+                        this::onFrame,
+                        models,
+                        metrics);
         batchDemands = new BatchDemands(this, loop);
         newMesh.setClosePeers(this::coordinatorsInUse);
         scheduleCheck(CHECK_INTERVAL);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
@@ -19,6 +19,7 @@
 import org.fuchsiaspindle.core.slot.SlotDecision;
 import org.fuchsiaspindle.core.slot.SlotPool;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
+import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
 import org.fuchsiaspindle.wire.peer.RequestLimit;
 import org.slf4j.Logger;
@@ -52,6 +53,7 @@
     private final PeerMesh mesh;
     private final BiConsumer<String, PeerFrame> selfReceiver;
     private final Function<String, Optional<TargetModel>> models;
+    private final GatewayMetrics metrics;
     private final Map<PoolId, CoordinatedPool> pools = new HashMap<>();
     private PoolPlan plan;
     private ScheduledFuture<?> nextCheck;
@@ -73,12 +75,14 @@
             String dataCentre,
             PeerMesh mesh,
             BiConsumer<String, PeerFrame> selfReceiver,
-            Function<String, Optional<TargetModel>> models) {
+            Function<String, Optional<TargetModel>> models,
+            GatewayMetrics metrics) {
         this.loop = loop;
         this.ip = ip;
         this.mesh = mesh;
         this.selfReceiver = selfReceiver;
         this.models = models;
+        this.metrics = metrics;
         this.plan = PoolPlan.of(ip, dataCentre, List.of());
     }
 
@@ -91,6 +95,7 @@
      * @param mesh reaches the other gateways
      * @param selfReceiver receives the frames for this gateway, with its address as their sender
      * @param models returns the model of the targets of a service in the configuration in force
+     * @param metrics measures the estimates
      */
     static SlotCoordinator create(
             EventLoop loop,
@@ -98,14 +103,16 @@
             String dataCentre,
             PeerMesh mesh,
             BiConsumer<String, PeerFrame> selfReceiver,
-            Function<String, Optional<TargetModel>> models) {
+            Function<String, Optional<TargetModel>> models,
+            GatewayMetrics metrics) {
         return new SlotCoordinator(
                 checkNotNull(loop, "loop"),
                 checkNotNull(ip, "ip"),
                 checkNotNull(dataCentre, "dataCentre"),
                 checkNotNull(mesh, "mesh"),
                 checkNotNull(selfReceiver, "selfReceiver"),
-                checkNotNull(models, "models"));
+                checkNotNull(models, "models"),
+                checkNotNull(metrics, "metrics"));
     }
 
     /** Replaces the known targets. */
@@ -206,6 +213,7 @@
         CoordinatedPool pool = pools.get(id);
         if (pool == null) {
             pool = new CoordinatedPool(SlotPool.create(ThreadLocalRandom.current().nextLong()));
+            pool.slots.setWorkListener(new WorkReports(id, metrics));
             pools.put(id, pool);
             LOG.info("slots: coordinating pool={} targets={}", id, plan.targets(id).size());
             send(id, pool.slots.setTargets(plan.targets(id), now));
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
@@ -58,6 +58,14 @@
                     .labelNames("event")
                     .register(registry);
 
+    private final Histogram workEstimates =
+            Histogram.builder()
+                    .name("fuchsiaspindle_work_estimate_ratio")
+                    .help("Time that requests took on their targets, relative to the estimate.")
+                    .classicOnly()
+                    .classicUpperBounds(0.25, 0.5, 0.8, 1.25, 2, 4)
+                    .register(registry);
+
     private final Counter prompts =
             Counter.builder()
                     .name("fuchsiaspindle_prompt_events_total")
@@ -101,6 +109,11 @@
         slots.labelValues(event).inc();
     }
 
+    /** Records how long a request took on its target, relative to the estimate. */
+    public void recordWorkEstimate(double ratio) {
+        workEstimates.observe(ratio);
+    }
+
     /** Counts an event about prompt parts that crash targets. */
     public void countPromptEvent(String event) {
         prompts.labelValues(event).inc();
