--- a/core/src/main/java/org/fuchsiaspindle/core/slot/PoolWork.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/PoolWork.java
@@ -54,9 +54,11 @@
 
         private final RequestSize size;
         private final long now;
-        private final Map<String, Integer> keptTokens;
         private final double averageNanos;
 
+        /** Set when targets must be compared, which few requests that wait come to. */
+        private Map<String, Integer> keptTokens;
+
         private Forecast(RequestSize size, long now) {
             this.size = size;
             this.now = now;
@@ -64,8 +66,6 @@
                     size.maxTokens() == 0
                             ? 0
                             : estimator.expectedNanos(size, size.promptTokens(), 0);
-            this.keptTokens =
-                    averageNanos == 0 ? Map.of() : keptPrompts.keptTokens(size.sharedParts(), now);
         }
 
         RequestSize size() {
@@ -74,6 +74,9 @@
 
         /** Returns the tokens of the prompt that a target must read. */
         int readTokens(TargetSlots target) {
+            if (keptTokens == null) {
+                keptTokens = keptPrompts.keptTokens(size.sharedParts(), now);
+            }
             return Math.max(0, size.promptTokens() - keptTokens.getOrDefault(target.id(), 0));
         }
 
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
@@ -139,6 +139,11 @@
         return leases.size() > slots || memoryTokens > 0 && reservedTokens > memoryTokens;
     }
 
+    /** Returns whether an online request of unknown size can start. */
+    boolean hasSlotForOnline(long now) {
+        return hasRoomForOnline(0, now);
+    }
+
     /** Returns whether an online request can start, possibly in place of batch items. */
     boolean hasRoomForOnline(int tokens, long now) {
         return online < slots
--- a/core/src/main/java/org/fuchsiaspindle/core/work/WorkEstimator.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/work/WorkEstimator.java
@@ -98,6 +98,15 @@
         return Duration.ofNanos((long) Math.ceil(nanos));
     }
 
+    /**
+     * Returns the expected work of a request in multiples of that of an average one; positive, 1 if
+     * unknown.
+     */
+    public double relativeWork(RequestSize size) {
+        double nanos = expectedNanos(size, size.promptTokens(), meanRunning);
+        return nanos == 0 || meanNanos == 0 ? 1 : nanos / meanNanos;
+    }
+
     /**
      * Returns how long a request is expected to occupy an average target, in nanoseconds; 0 if
      * nothing is known of requests of its kind or size.
@@ -148,7 +157,7 @@
         if (run.complete() && run.events() > 0 && !run.size().kind().isEmpty()) {
             kind(run.size()).recordStream(run.events(), hintedEvents(run.size()));
         }
-        if (run.complete() && heldNanos > 0) {
+        if (run.complete() && heldNanos > 0 && !run.size().kind().isEmpty()) {
             meanNanos += (meanNanos == 0 ? 1 : SAMPLE_WEIGHT) * (heldNanos - meanNanos);
         }
     }
--- a/core/src/test/java/org/fuchsiaspindle/core/work/WorkEstimatorTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/work/WorkEstimatorTest.java
@@ -72,6 +72,21 @@
         assertThat(estimator.expectedWork(size(0, 0)).toMillis()).isCloseTo(615L, within(60L));
     }
 
+    /** Guards against a fair order in which long requests cost no more than short ones. */
+    @Test
+    void relativeWork_isOneForTheAverage_andGrowsWithTheLength() {
+        assertThat(estimator.relativeWork(size(0, 0))).isEqualTo(1);
+        for (int i = 0; i < 400; i++) {
+            int events = i % 2 == 0 ? 20 : 40;
+            recordStream(size(events, 0), events, new TargetSpeed(), 1);
+        }
+        assertThat(estimator.relativeWork(RequestSize.UNKNOWN)).isEqualTo(1);
+        double shorter = estimator.relativeWork(size(20, 0));
+        double longer = estimator.relativeWork(size(40, 0));
+        assertThat(shorter).isBetween(0.5, 1.0);
+        assertThat(longer).isBetween(1.0, 1.6);
+    }
+
     /** Guards against long prompts that look as quick as short ones. */
     @Test
     void workOfAPrompt_growsWithTheTokensToRead() {
