--- a/core/src/main/java/org/fuchsiaspindle/core/slot/PoolWork.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/PoolWork.java
@@ -1,5 +1,8 @@
 package org.fuchsiaspindle.core.slot;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
@@ -20,8 +23,14 @@
     private final KeptPrompts keptPrompts = new KeptPrompts();
     private final Set<String> targetsWithPrompts = new HashSet<>();
 
+    private WorkListener listener = WorkListener.NONE;
+
     PoolWork() {}
 
+    void setListener(WorkListener newListener) {
+        listener = checkNotNull(newListener, "newListener");
+    }
+
     /** Returns the estimates for an average target. */
     WorkEstimator estimator() {
         return estimator;
@@ -45,9 +54,11 @@
 
         private final RequestSize size;
         private final long now;
-        private final Map<String, Integer> keptTokens;
         private final double averageNanos;
 
+        /** Set when targets must be compared, which few requests that wait come to. */
+        private Map<String, Integer> keptTokens;
+
         private Forecast(RequestSize size, long now) {
             this.size = size;
             this.now = now;
@@ -55,12 +66,17 @@
                     size.maxTokens() == 0
                             ? 0
                             : estimator.expectedNanos(size, size.promptTokens(), 0);
-            this.keptTokens =
-                    averageNanos == 0 ? Map.of() : keptPrompts.keptTokens(size.sharedParts(), now);
+        }
+
+        RequestSize size() {
+            return size;
         }
 
         /** Returns the tokens of the prompt that a target must read. */
         int readTokens(TargetSlots target) {
+            if (keptTokens == null) {
+                keptTokens = keptPrompts.keptTokens(size.sharedParts(), now);
+            }
             return Math.max(0, size.promptTokens() - keptTokens.getOrDefault(target.id(), 0));
         }
 
@@ -81,19 +97,44 @@
     }
 
     /** Records that a request starts on a target, and returns what is expected of it. */
-    ExpectedRun start(RequestSize size, TargetSlots target, long now) {
+    ExpectedRun start(SlotRequest request, TargetSlots target, long now) {
+        ExpectedRun run = start(request.size(), target, now);
+        if (run.nanos() > 0) {
+            listener.onStart(
+                    request,
+                    target.id(),
+                    Duration.ofNanos((long) run.nanos()),
+                    run.readTokens(),
+                    run.running(),
+                    target.speed().slowness(now));
+        }
+        return run;
+    }
+
+    private ExpectedRun start(RequestSize size, TargetSlots target, long now) {
         Forecast forecast = forecast(size, now);
         int readTokens = forecast.readTokens(target);
         if (!size.sharedParts().isEmpty()) {
             keptPrompts.add(size.sharedParts(), target.id(), now);
             targetsWithPrompts.add(target.id());
         }
-        return new ExpectedRun(size, readTokens, forecast.nanos(target), target.total());
+        return new ExpectedRun(
+                size, readTokens, forecast.nanos(target), target.total(), size.maxTokens());
+    }
+
+    /** Returns what is expected of a batch item that starts on a target. */
+    static ExpectedRun startItem(TargetSlots target, int reservedTokens) {
+        return new ExpectedRun(RequestSize.UNKNOWN, 0, 0, target.total(), reservedTokens);
     }
 
     /** Learns from the end of a run whose slot was just released. */
     void end(Lease lease, RunReport report, long now) {
         ExpectedRun expected = lease.work();
+        if (report.outcome() == LeaseOutcome.DONE
+                && expected.nanos() > 0
+                && report.timeHeld().isPositive()) {
+            listener.onEnd(Duration.ofNanos((long) expected.nanos()), report.timeHeld());
+        }
         TargetSlots target = lease.target();
         switch (report.outcome()) {
             case DONE, CANCELLED ->
