--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/FleetKnowledge.java
@@ -0,0 +1,101 @@
+package org.fuchsiaspindle.core.limit;
+
+import java.time.Duration;
+
+/**
+ * Decides when a gateway that started knows enough of the fleet to use a slice, and how large the
+ * fleet is.
+ *
+ * <p>A gateway that believes in a smaller fleet than there is uses too large a slice. It therefore
+ * waits until another gateway tells it the size, or until all gateways that it knows have answered.
+ * Not thread-safe. Times are monotonic nanoseconds.
+ */
+final class FleetKnowledge {
+
+    /** Time without changes after which a fleet of gateways that all answer is complete. */
+    private static final Duration SETTLING_TIME = Duration.ofMillis(100);
+
+    /** Time after the first answer of another gateway after which missing ones count as down. */
+    private static final Duration PARTIAL_START_TIME = Duration.ofSeconds(1);
+
+    /** Time after which a gateway that no other one answers uses its slice. */
+    private static final Duration ISOLATED_START_TIME = Duration.ofSeconds(30);
+
+    /** Time for which a size that another gateway told is believed. */
+    private static final Duration TOLD_SIZE_VALIDITY = Duration.ofMinutes(2);
+
+    private final String self;
+    private final long startNanos;
+    private LimitFleet fleet;
+    private long changedNanos;
+    private boolean anyHeard;
+    private long firstHeardNanos;
+    private int toldSize;
+    private long toldNanos;
+    private boolean complete;
+
+    FleetKnowledge(String self, LimitFleet fleet, long nowNanos) {
+        this.self = self;
+        this.fleet = fleet;
+        this.startNanos = nowNanos;
+        this.changedNanos = nowNanos;
+    }
+
+    void update(LimitFleet newFleet, long nowNanos) {
+        if (!newFleet.known().equals(fleet.known()) || !newFleet.heard().equals(fleet.heard())) {
+            changedNanos = nowNanos;
+        }
+        if (!anyHeard && !newFleet.heard().isEmpty()) {
+            anyHeard = true;
+            firstHeardNanos = nowNanos;
+        }
+        fleet = newFleet;
+    }
+
+    /** Records the size of the fleet that another gateway told. */
+    void recordTold(int size, long nowNanos) {
+        if (size <= 0) {
+            return;
+        }
+        complete = true;
+        if (size >= toldSize || isToldSizeOld(nowNanos)) {
+            toldSize = size;
+            toldNanos = nowNanos;
+        }
+    }
+
+    /** Returns whether the fleet is known; once it is, it stays so. */
+    boolean isComplete(long nowNanos) {
+        if (!complete) {
+            complete =
+                    fleet.known().size() == 1
+                            || allHeard() && hasPassed(SETTLING_TIME, changedNanos, nowNanos)
+                            || anyHeard && hasPassed(PARTIAL_START_TIME, firstHeardNanos, nowNanos)
+                            || hasPassed(ISOLATED_START_TIME, startNanos, nowNanos);
+        }
+        return complete;
+    }
+
+    /** Returns the number of gateways known to this one, without what others told. */
+    int observedSize() {
+        return Math.max(1, fleet.known().size());
+    }
+
+    /** Returns the number of gateways, which is never too small. */
+    int size(long nowNanos) {
+        return isToldSizeOld(nowNanos) ? observedSize() : Math.max(observedSize(), toldSize);
+    }
+
+    private boolean allHeard() {
+        return fleet.known().stream()
+                .allMatch(gateway -> gateway.equals(self) || fleet.heard().contains(gateway));
+    }
+
+    private boolean isToldSizeOld(long nowNanos) {
+        return toldSize == 0 || hasPassed(TOLD_SIZE_VALIDITY, toldNanos, nowNanos);
+    }
+
+    private static boolean hasPassed(Duration time, long sinceNanos, long nowNanos) {
+        return nowNanos - sinceNanos >= time.toNanos();
+    }
+}
--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
@@ -0,0 +1,396 @@
+package org.fuchsiaspindle.core.limit;
+
+import static com.google.common.base.Preconditions.checkNotNull;
+
+import java.time.Duration;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.fuchsiaspindle.core.limit.LimitMessage.PermitReply;
+import org.fuchsiaspindle.core.limit.LimitMessage.PermitRequest;
+import org.fuchsiaspindle.core.limit.LimitMessage.PermitReturn;
+
+/**
+ * Obtains permits for the requests at one gateway from the granters of their workspaces.
+ *
+ * <p>An occasional request asks for one permit. A workspace with many requests at this gateway gets
+ * some in advance, which are valid for a short time. Not thread-safe. Times are monotonic
+ * nanoseconds that also pass while the process is suspended. Listeners may call back.
+ */
+public final class PermitHolder {
+
+    /** Time between two calls of {@link #tick} while requests wait. */
+    public static final Duration TICK_INTERVAL = Duration.ofMillis(10);
+
+    /** Time from a request for permits until the permits expire. */
+    static final Duration PERMIT_VALIDITY = Duration.ofMillis(100);
+
+    /** Time without an answer after which the granter is asked again. */
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(60);
+
+    /** Time whose expected demand is obtained in advance. */
+    private static final Duration ADVANCE_TIME = Duration.ofMillis(40);
+
+    /** Time constant of the moving average of demand. */
+    private static final Duration AVERAGING_TIME = Duration.ofSeconds(1);
+
+    /** Time without requests after which a workspace is forgotten. */
+    private static final Duration IDLE_TIME = Duration.ofSeconds(10);
+
+    /** Retry time if no granter answered: by then the slices are lent to another one. */
+    private static final Duration NO_ANSWER_RETRY_AFTER = Duration.ofMillis(500);
+
+    /** Receives the decision on one request. */
+    public interface Listener {
+
+        /** Called if the request may be sent to a target now. */
+        void onPermitted(Permit permit);
+
+        /** Called if the request gets no permit. */
+        void onRefused(LimitRefusal refusal);
+    }
+
+    /** A request that waits for a permit. */
+    public static final class Waiting {
+        private final Listener listener;
+        private final long untilNanos;
+        private boolean ended;
+        private boolean parked;
+        private long parkedUntilNanos;
+
+        Waiting(Listener listener, long untilNanos) {
+            this.listener = listener;
+            this.untilNanos = untilNanos;
+        }
+
+        boolean needsPermit(long nowNanos) {
+            return !ended && !(parked && nowNanos - parkedUntilNanos < 0);
+        }
+
+        /** Ends the wait without a call of the listener; has no effect after one. */
+        public void cancel() {
+            ended = true;
+        }
+    }
+
+    /** Permits from one answer that are not used yet. */
+    private static final class Stock {
+        private final Permit permit;
+        private int count;
+
+        Stock(Permit permit, int count) {
+            this.permit = permit;
+            this.count = count;
+        }
+    }
+
+    /** A request for permits without an answer. */
+    private record Ask(Account account, String granter, int count, long sentNanos) {}
+
+    /** The permits and waiting requests of one workspace. */
+    private static final class Account {
+        private final String workspace;
+        private final Deque<Stock> stock = new ArrayDeque<>();
+        private final Deque<Waiting> waiting = new ArrayDeque<>();
+        private VersionedLimit limit;
+        private double demandPerSecond;
+        private long demandNanos;
+        private int asked;
+        private Optional<PermitReply> lastReply = Optional.empty();
+        private String lastGranter = "-";
+        private long lastReplyNanos;
+
+        Account(String workspace, VersionedLimit limit, long nowNanos) {
+            this.workspace = workspace;
+            this.limit = limit;
+            this.demandNanos = nowNanos;
+            this.lastReplyNanos = nowNanos;
+        }
+
+        /** Returns the number of requests that need permits which were not asked for. */
+        int missing(long nowNanos) {
+            int needed = 0;
+            for (Waiting request : waiting) {
+                needed += request.needsPermit(nowNanos) ? 1 : 0;
+            }
+            return needed - asked;
+        }
+
+        void recordDemand(long nowNanos) {
+            double elapsed = Math.max(0, nowNanos - demandNanos);
+            double average = AVERAGING_TIME.toNanos();
+            demandPerSecond =
+                    demandPerSecond * Math.exp(-elapsed / average)
+                            + TimeUnit.SECONDS.toNanos(1) / average;
+            demandNanos = nowNanos;
+        }
+    }
+
+    private final Function<String, Optional<String>> granters;
+    private final LimitSender sender;
+    private final Map<String, Account> accounts = new HashMap<>();
+    private final Map<Long, Ask> asks = new HashMap<>();
+    private long nextId;
+
+    private PermitHolder(
+            long firstId, Function<String, Optional<String>> granters, LimitSender sender) {
+        this.nextId = firstId;
+        this.granters = granters;
+        this.sender = sender;
+    }
+
+    /**
+     * Creates a holder without permits.
+     *
+     * @param firstId identifies its first request; random, so that answers to a former process at
+     *     this address are recognised
+     * @param granters returns the granter of a workspace, empty if none is known
+     * @param sender sends its messages, not null
+     */
+    public static PermitHolder create(
+            long firstId, Function<String, Optional<String>> granters, LimitSender sender) {
+        return new PermitHolder(
+                firstId, checkNotNull(granters, "granters"), checkNotNull(sender, "sender"));
+    }
+
+    /**
+     * Obtains a permit for one request; the listener may be called before this returns.
+     *
+     * @param workspace the workspace, not null
+     * @param limit its limit, not null
+     * @param patience the time for which the request may wait for a permit
+     * @param listener receives the decision, not null
+     * @param nowNanos the time
+     */
+    public Waiting acquire(
+            String workspace,
+            VersionedLimit limit,
+            Duration patience,
+            Listener listener,
+            long nowNanos) {
+        Account account =
+                accounts.computeIfAbsent(workspace, key -> new Account(key, limit, nowNanos));
+        if (limit.version() > account.limit.version()) {
+            account.limit = limit;
+        }
+        account.recordDemand(nowNanos);
+        Waiting waiting = new Waiting(listener, nowNanos + patience.toNanos());
+        account.waiting.add(waiting);
+        serve(account, nowNanos);
+        ask(account, nowNanos);
+        return waiting;
+    }
+
+    /** Gives back a permit with which no request reached a target. */
+    public void giveBack(Permit permit, long nowNanos) {
+        Account account = accounts.get(permit.workspace());
+        if (account == null || nowNanos - permit.validUntilNanos() >= 0) {
+            sendReturn(permit, 1);
+            return;
+        }
+        account.stock.add(new Stock(permit, 1));
+        serve(account, nowNanos);
+    }
+
+    /** Handles the answer of a granter. */
+    public void handle(String from, PermitReply reply, long nowNanos) {
+        Ask ask = asks.remove(reply.id());
+        if (ask == null) {
+            if (reply.granted() > 0) {
+                sendReturn(permit(from, reply, nowNanos), reply.granted());
+            }
+            return;
+        }
+        Account account = ask.account();
+        account.asked -= ask.count();
+        account.lastReply = Optional.of(reply);
+        account.lastGranter = from;
+        account.lastReplyNanos = nowNanos;
+        if (reply.granted() > 0) {
+            long validUntilNanos = ask.sentNanos() + PERMIT_VALIDITY.toNanos();
+            account.stock.add(new Stock(permit(from, reply, validUntilNanos), reply.granted()));
+            serve(account, nowNanos);
+        }
+        if (reply.granted() < ask.count()) {
+            parkOrRefuse(account, reply, nowNanos);
+        }
+        ask(account, nowNanos);
+    }
+
+    /** Handles what timed out; called at {@link #TICK_INTERVAL} while requests wait. */
+    public void tick(long nowNanos) {
+        for (Iterator<Ask> iterator = asks.values().iterator(); iterator.hasNext(); ) {
+            Ask ask = iterator.next();
+            if (nowNanos - ask.sentNanos() >= ANSWER_TIMEOUT.toNanos()) {
+                iterator.remove();
+                ask.account().asked -= ask.count();
+            }
+        }
+        for (Account account : List.copyOf(accounts.values())) {
+            serve(account, nowNanos);
+            refuseExpired(account, nowNanos);
+            ask(account, nowNanos);
+        }
+        accounts.values()
+                .removeIf(
+                        account ->
+                                account.waiting.isEmpty()
+                                        && account.stock.isEmpty()
+                                        && account.asked == 0
+                                        && nowNanos - account.demandNanos > IDLE_TIME.toNanos());
+    }
+
+    /** Returns whether {@link #tick} must be called. */
+    public boolean isActive() {
+        return !asks.isEmpty() || accounts.values().stream().anyMatch(PermitHolder::isBusy);
+    }
+
+    private static boolean isBusy(Account account) {
+        return !account.waiting.isEmpty() || !account.stock.isEmpty();
+    }
+
+    private void serve(Account account, long nowNanos) {
+        dropExpired(account, nowNanos);
+        while (!account.stock.isEmpty()) {
+            Waiting next = nextWaiting(account);
+            if (next == null) {
+                return;
+            }
+            Stock stock = account.stock.peek();
+            stock.count--;
+            if (stock.count == 0) {
+                account.stock.remove();
+            }
+            end(next);
+            next.listener.onPermitted(stock.permit);
+        }
+    }
+
+    private static void end(Waiting waiting) {
+        waiting.ended = true;
+    }
+
+    private void dropExpired(Account account, long nowNanos) {
+        for (Iterator<Stock> iterator = account.stock.iterator(); iterator.hasNext(); ) {
+            Stock stock = iterator.next();
+            if (nowNanos - stock.permit.validUntilNanos() >= 0) {
+                iterator.remove();
+                sendReturn(stock.permit, stock.count);
+            }
+        }
+    }
+
+    /** Removes and returns the request that has waited longest, null if none waits. */
+    private static Waiting nextWaiting(Account account) {
+        Waiting next = account.waiting.poll();
+        while (next != null && next.ended) {
+            next = account.waiting.poll();
+        }
+        return next;
+    }
+
+    private void ask(Account account, long nowNanos) {
+        account.waiting.removeIf(waiting -> waiting.ended);
+        int missing = account.missing(nowNanos);
+        if (missing <= 0) {
+            return;
+        }
+        Optional<String> granter = granters.apply(account.workspace);
+        if (granter.isEmpty()) {
+            return;
+        }
+        int inAdvance =
+                (int) (account.demandPerSecond * ADVANCE_TIME.toMillis() / 1000) - account.asked;
+        int count = missing + Math.max(0, inAdvance);
+        long id = nextId++;
+        asks.put(id, new Ask(account, granter.get(), count, nowNanos));
+        account.asked += count;
+        sender.send(granter.get(), new PermitRequest(id, account.workspace, count, account.limit));
+    }
+
+    /**
+     * Lets the requests that the granter had no permits for wait until it expects some, and refuses
+     * those that can't wait that long.
+     */
+    private void parkOrRefuse(Account account, PermitReply reply, long nowNanos) {
+        long retryNanos = nowNanos + reply.retryAfter().toNanos();
+        int unserved = account.missing(nowNanos);
+        List<Waiting> refused = new ArrayList<>();
+        for (Iterator<Waiting> iterator = account.waiting.iterator();
+                iterator.hasNext() && unserved > 0; ) {
+            Waiting waiting = iterator.next();
+            if (waiting.needsPermit(nowNanos)) {
+                unserved--;
+                if (waiting.untilNanos - retryNanos < 0) {
+                    iterator.remove();
+                    refused.add(waiting);
+                } else {
+                    waiting.parked = true;
+                    waiting.parkedUntilNanos = retryNanos;
+                }
+            }
+        }
+        refused.forEach(waiting -> refuse(account, waiting, nowNanos));
+    }
+
+    private void refuseExpired(Account account, long nowNanos) {
+        List<Waiting> expired =
+                account.waiting.stream()
+                        .filter(waiting -> nowNanos - waiting.untilNanos >= 0)
+                        .toList();
+        account.waiting.removeAll(expired);
+        expired.forEach(waiting -> refuse(account, waiting, nowNanos));
+    }
+
+    private void refuse(Account account, Waiting waiting, long nowNanos) {
+        if (!waiting.ended) {
+            end(waiting);
+            waiting.listener.onRefused(refusal(account, nowNanos));
+        }
+    }
+
+    private static LimitRefusal refusal(Account account, long nowNanos) {
+        Duration age = Duration.ofNanos(nowNanos - account.lastReplyNanos);
+        boolean answered = account.lastReply.isPresent() && age.compareTo(ANSWER_TIMEOUT) < 0;
+        if (!answered) {
+            return new LimitRefusal(
+                    LimitRefusal.Cause.NO_ANSWER,
+                    NO_ANSWER_RETRY_AFTER,
+                    account.lastGranter,
+                    0,
+                    account.lastReply.isPresent() ? age : Duration.ZERO);
+        }
+        PermitReply reply = account.lastReply.get();
+        return new LimitRefusal(
+                reply.share() < 1
+                        ? LimitRefusal.Cause.SHARE_MISSING
+                        : LimitRefusal.Cause.OVER_LIMIT,
+                reply.retryAfter(),
+                account.lastGranter,
+                reply.share(),
+                age);
+    }
+
+    private static Permit permit(String from, PermitReply reply, long validUntilNanos) {
+        return new Permit(
+                reply.workspace(),
+                from,
+                reply.granterEpoch(),
+                reply.grantedNanos(),
+                validUntilNanos);
+    }
+
+    private void sendReturn(Permit permit, int count) {
+        sender.send(
+                permit.granter(),
+                new PermitReturn(
+                        permit.workspace(), count, permit.granterEpoch(), permit.grantedNanos()));
+    }
+}
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/TokenBucket.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/TokenBucket.java
@@ -38,6 +38,19 @@
         return new TokenBucket(rate, capacity, nowNanos);
     }
 
+    /**
+     * Creates an empty bucket.
+     *
+     * @param rate the tokens per second, not negative
+     * @param capacity the largest number of tokens, not negative
+     * @param nowNanos the time
+     */
+    public static TokenBucket empty(double rate, double capacity, long nowNanos) {
+        TokenBucket bucket = full(rate, capacity, nowNanos);
+        bucket.tokens = 0;
+        return bucket;
+    }
+
     /**
      * Changes rate and capacity from the given time on. Tokens above the new capacity are
      * discarded; a larger capacity fills only over time, so that repeated changes create no tokens.
@@ -60,6 +73,13 @@
         return true;
     }
 
+    /** Adds tokens; those above the capacity are discarded. */
+    public void add(double count, long nowNanos) {
+        checkArgument(count >= 0, "negative number of tokens: %s", count);
+        refill(nowNanos);
+        tokens = Math.min(capacity, tokens + count);
+    }
+
     /** Returns the time until a token is available, or the given maximum if that is shorter. */
     public Duration untilNext(long nowNanos, Duration atMost) {
         refill(nowNanos);
