--- a/core/src/main/java/org/fuchsiaspindle/core/limit/LimitShards.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/LimitShards.java
@@ -37,18 +37,24 @@
         granterByShard = byShard.build();
     }
 
+    /** Returns a division without granters. */
+    public static LimitShards none() {
+        return new LimitShards(ImmutableList.of());
+    }
+
     /**
-     * Divides the shards among gateways.
+     * Divides the shards among gateways; returns this division if it does not change.
      *
      * @param candidates the gateways that may become granters, not null
      */
-    public static LimitShards among(Collection<String> candidates) {
+    public LimitShards among(Collection<String> candidates) {
         int count =
                 Math.clamp(
                         Math.ceilDiv(candidates.size(), GATEWAYS_PER_GRANTER),
                         MIN_GRANTERS,
                         MAX_GRANTERS);
-        return new LimitShards(Rendezvous.top("limit-granters", candidates, count));
+        ImmutableList<String> newGranters = Rendezvous.top("limit-granters", candidates, count);
+        return newGranters.equals(granters) ? this : new LimitShards(newGranters);
     }
 
     /** Returns the shard of a workspace. */
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
@@ -7,6 +7,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
 import org.fuchsiaspindle.core.limit.LimitMessage.Lend;
@@ -52,7 +53,8 @@
     private final Slice[] slices = new Slice[LimitShards.COUNT];
     private LimitFleet fleet;
     private ImmutableSet<String> eligible = ImmutableSet.of();
-    private LimitShards shards = LimitShards.among(ImmutableSet.of());
+    private LimitShards shards = LimitShards.none();
+    private boolean settled;
     private long lastTickNanos;
 
     /** What is known of a gateway that is or was a granter. */
@@ -129,11 +131,15 @@
 
     /** Sets the known gateways. */
     public void update(LimitFleet newFleet, long nowNanos) {
+        if (newFleet.equals(fleet) && !eligible.isEmpty()) {
+            return;
+        }
         fleet = checkNotNull(newFleet, "newFleet");
         knowledge.update(newFleet, nowNanos);
         granters.keySet()
                 .removeIf(
                         ip -> !newFleet.known().contains(ip) && !ip.equals(self) && !isLender(ip));
+        chooseGranters();
         lend(nowNanos);
     }
 
@@ -155,6 +161,7 @@
                 granter.excludedUntilNanos = nowNanos + EXCLUSION_TIME.toNanos();
             }
         }
+        chooseGranters();
         lend(nowNanos);
     }
 
@@ -177,7 +184,9 @@
         granter.answeredSequence = Math.max(granter.answeredSequence, ack.sequence());
         granter.unanswered = granter.answeredSequence < granter.sequence;
         granter.unansweredSinceNanos = nowNanos;
-        lend(nowNanos);
+        if (!settled || granter.dueNow) {
+            lend(nowNanos);
+        }
     }
 
     /** Returns the granter that should decide on requests of a shard, empty if none is known. */
@@ -209,22 +218,33 @@
     }
 
     private void lend(long nowNanos) {
-        chooseGranters();
-        boolean mayLend = mayLend(nowNanos);
         Map<String, Long> startShards = new HashMap<>();
         Set<String> changed = new HashSet<>();
-        for (int shard = 0; shard < LimitShards.COUNT; shard++) {
-            moveSlice(shard, mayLend, startShards, changed, nowNanos);
+        if (!settled) {
+            moveSlices(startShards, changed, nowNanos);
         }
-        Set<String> receivers = new HashSet<>(granters.keySet());
-        receivers.addAll(shards.granters());
-        for (String receiver : receivers) {
-            Granter granter = granter(receiver);
-            boolean due =
-                    granter.dueNow || nowNanos - granter.sentNanos >= lendInterval().toNanos();
-            if (changed.contains(receiver)
-                    || (granter.sequence == 0 || due) && needsMessages(receiver, granter)) {
-                send(receiver, granter, startShards.getOrDefault(receiver, 0L), nowNanos);
+        long intervalNanos = lendInterval().toNanos();
+        granters.forEach(
+                (ip, granter) -> {
+                    boolean due =
+                            granter.sequence == 0
+                                    || granter.dueNow
+                                    || nowNanos - granter.sentNanos >= intervalNanos;
+                    if (changed.contains(ip) || due && needsMessages(ip, granter)) {
+                        send(ip, granter, startShards.getOrDefault(ip, 0L), nowNanos);
+                    }
+                });
+    }
+
+    private void moveSlices(Map<String, Long> startShards, Set<String> changed, long nowNanos) {
+        boolean mayLend = mayLend(nowNanos);
+        settled = true;
+        for (int shard = 0; shard < LimitShards.COUNT; shard++) {
+            String desired = shards.granter(shard).orElse(null);
+            if (slices[shard].releasing || !Objects.equals(slices[shard].lentTo, desired)) {
+                moveSlice(shard, desired, mayLend, startShards, changed, nowNanos);
+                settled &=
+                        !slices[shard].releasing && Objects.equals(slices[shard].lentTo, desired);
             }
         }
     }
@@ -246,19 +266,21 @@
         ImmutableSet<String> newEligible = responding.build();
         if (!newEligible.equals(eligible)) {
             eligible = newEligible;
-            shards = LimitShards.among(newEligible);
+            shards = shards.among(newEligible);
+            shards.granters().forEach(this::granter);
+            settled = false;
         }
     }
 
     private void moveSlice(
             int shard,
+            String desired,
             boolean mayLend,
             Map<String, Long> startShards,
             Set<String> changed,
             long nowNanos) {
         Slice slice = slices[shard];
         long mask = LimitShards.maskOf(shard);
-        String desired = shards.granter(shard).orElse(null);
         if (slice.lentTo != null && !slice.lentTo.equals(desired) && !slice.releasing) {
             Granter former = granter(slice.lentTo);
             slice.releasing = true;
