--- a/core/src/main/java/org/fuchsiaspindle/core/limit/LimitBucket.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/LimitBucket.java
@@ -12,10 +12,10 @@
 final class LimitBucket {
 
     /** Tokens by which the capacity exceeds the burst, so that a limit without a burst works. */
-    static final double EXTRA_CAPACITY = 5;
+    private static final double EXTRA_CAPACITY = 4;
 
-    /** Tokens that all slices together bring when they are lent for the first time. */
-    static final double START_TOKENS = 5;
+    /** Tokens that all slices together bring when they come to a granter. */
+    private static final double START_TOKENS = 2.5;
 
     /** Upper bound of the announced time until a permit is likely. */
     private static final Duration MAX_RETRY_AFTER = Duration.ofSeconds(5);
@@ -23,6 +23,11 @@
     /** Upper bound while slices are missing; most are lent again sooner. */
     private static final Duration MAX_RETRY_AFTER_WITHOUT_SHARE = Duration.ofSeconds(1);
 
+    /** Time after a change of the share during which more slices are likely to come. */
+    private static final Duration MOVE_TIME = Duration.ofMillis(300);
+
+    private static final Duration RETRY_AFTER_WHILE_MOVING = Duration.ofMillis(20);
+
     private final ShareHistory history;
     private VersionedLimit limit;
     private TokenBucket tokens;
@@ -77,6 +82,9 @@
     Duration promise(long nowNanos) {
         replay();
         double share = history.share();
+        if (share < 1 && nowNanos - history.lastChangeNanos() < MOVE_TIME.toNanos()) {
+            return RETRY_AFTER_WHILE_MOVING;
+        }
         Duration longest = share < 1 ? MAX_RETRY_AFTER_WITHOUT_SHARE : MAX_RETRY_AFTER;
         Duration untilNext = tokens.untilNext(nowNanos, longest);
         long waitNanos = Math.max(untilNext.toNanos(), promisedUntilNanos - nowNanos);
@@ -89,6 +97,12 @@
         return Duration.ofNanos(waitNanos);
     }
 
+    /** Returns whether a part of the start tokens can be removed. */
+    boolean canPay(double startShare, long nowNanos) {
+        replay();
+        return tokens.holds(START_TOKENS * startShare, nowNanos);
+    }
+
     /** Returns whether a new bucket would hold as many tokens. */
     boolean isFull(long nowNanos) {
         replay();
@@ -105,8 +119,15 @@
         }
         for (; position < history.end(); position++) {
             ShareHistory.Change change = history.change(position);
+            double startTokens = START_TOKENS * change.startShare();
+            if (startTokens < 0) {
+                // Before the capacity shrinks: what exceeds it is removed anyway.
+                tokens.remove(-startTokens, change.atNanos());
+            }
             configure(change.share(), change.atNanos());
-            tokens.add(START_TOKENS * change.startShare(), change.atNanos());
+            if (startTokens > 0) {
+                tokens.add(startTokens, change.atNanos());
+            }
         }
     }
 
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/LimitMessage.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/LimitMessage.java
@@ -54,9 +54,16 @@
      * @param granterNanos the sender's time
      * @param fleetSize the number of gateways that the sender observed, 0 if it does not know the
      *     fleet yet
+     * @param paidShards the shards taken back with the message answered whose start tokens the
+     *     receiver may bring to another granter, because the sender removed as many
      */
     record LendAck(
-            long lenderEpoch, long sequence, long granterEpoch, long granterNanos, int fleetSize)
+            long lenderEpoch,
+            long sequence,
+            long granterEpoch,
+            long granterNanos,
+            int fleetSize,
+            long paidShards)
             implements LimitMessage {}
 
     /**
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/PermitGranter.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/PermitGranter.java
@@ -65,6 +65,7 @@
         private final long epoch;
         private long sequence;
         private long shards;
+        private long startShards;
         private int fleetSize;
         private long validUntilNanos;
 
@@ -122,8 +123,9 @@
         Lender lender = lenders.get(from);
         boolean sameProcess = lender != null && lender.epoch == lend.lenderEpoch();
         if (sameProcess && lend.sequence() <= lender.sequence) {
-            return ack(lend, nowNanos);
+            return ack(lend, 0, nowNanos);
         }
+        long paidShards = 0;
         if (!sameProcess && current) {
             if (lender != null) {
                 setLent(lender, 0, 0, nowNanos);
@@ -135,6 +137,7 @@
             lender.sequence = lend.sequence();
             lender.validUntilNanos = current ? lend.granterNanos() + validity.toNanos() : nowNanos;
             setFleetSize(lender, current ? lend.fleetSize() : 1, nowNanos);
+            paidShards = current ? payBack(lender, lender.shards & ~lend.shards(), nowNanos) : 0;
             setLent(
                     lender,
                     current ? lend.shards() : 0,
@@ -142,12 +145,36 @@
                     nowNanos);
             updateExpiry();
         }
-        return ack(lend, nowNanos);
+        return ack(lend, paidShards, nowNanos);
     }
 
-    private LendAck ack(Lend lend, long nowNanos) {
+    private LendAck ack(Lend lend, long paidShards, long nowNanos) {
         int observed = announcedFleetSize == 0 ? 0 : Math.max(announcedFleetSize, lentFleetSize());
-        return new LendAck(lend.lenderEpoch(), lend.sequence(), epoch, nowNanos, observed);
+        return new LendAck(
+                lend.lenderEpoch(), lend.sequence(), epoch, nowNanos, observed, paidShards);
+    }
+
+    /**
+     * Removes the start tokens of slices that are taken back, where all workspaces have them.
+     *
+     * @return the shards whose start tokens were removed
+     */
+    private long payBack(Lender lender, long takenBack, long nowNanos) {
+        long paidShards = 0;
+        for (int index = 0; index < LimitShards.COUNT; index++) {
+            long mask = LimitShards.maskOf(index);
+            Shard shard = shards[index];
+            if ((takenBack & lender.startShards & mask) != 0) {
+                double part = 1.0 / fleetSize;
+                if (shard.buckets.values().stream()
+                        .allMatch(bucket -> bucket.canPay(part, nowNanos))) {
+                    paidShards |= mask;
+                    shard.history.add(
+                            new ShareHistory.Change(nowNanos, shard.history.share(), -part));
+                }
+            }
+        }
+        return paidShards;
     }
 
     /**
@@ -253,6 +280,7 @@
     private void setLent(Lender lender, long newShards, long startShards, long nowNanos) {
         long changed = lender.shards ^ newShards;
         lender.shards = newShards;
+        lender.startShards = newShards & (lender.startShards | startShards);
         for (int index = 0; index < LimitShards.COUNT; index++) {
             long mask = LimitShards.maskOf(index);
             if ((changed & mask) != 0) {
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/ShareHistory.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/ShareHistory.java
@@ -22,7 +22,7 @@
      *
      * @param atNanos the time
      * @param share the share from then on, from 0 to 1
-     * @param startShare the part of the start tokens that is added, from 0 to 1
+     * @param startShare the part of the start tokens that is added, or removed if negative
      */
     record Change(long atNanos, double share, double startShare) {}
 
@@ -41,6 +41,11 @@
         return changes.isEmpty() ? 0 : changes.getLast().share();
     }
 
+    /** Returns the time of the last change, the oldest possible time if there was none. */
+    long lastChangeNanos() {
+        return changes.isEmpty() ? Long.MIN_VALUE / 2 : changes.getLast().atNanos();
+    }
+
     /** Returns the index of the first change kept. */
     int first() {
         return removed;
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
@@ -41,8 +41,13 @@
     /** Time after which a granter that did not answer is chosen again. */
     private static final Duration EXCLUSION_TIME = Duration.ofSeconds(2);
 
-    /** Shortest time between two contributions of start tokens to the same workspaces. */
-    private static final Duration START_TOKENS_INTERVAL = Duration.ofSeconds(10);
+    /**
+     * Number of times in one interval that a slice brings start tokens which no granter gave back:
+     * a granter that crashes loses its slices, and gets them back soon after it is started again.
+     */
+    private static final int MAX_START_TOKENS_PER_INTERVAL = 2;
+
+    private static final Duration START_TOKENS_INTERVAL = Duration.ofSeconds(20);
 
     private final String self;
     private final long epoch;
@@ -80,7 +85,8 @@
         private boolean releasing;
         private long releaseSequence;
         private long validUntilNanos;
-        private boolean startTokensGiven;
+        private boolean startTokensPaid;
+        private int startTokensGiven;
         private long startTokensNanos;
     }
 
@@ -181,6 +187,7 @@
             granter.echoNanos = ack.granterNanos();
             granter.answeredNanos = nowNanos;
         }
+        recordPaid(from, ack.paidShards());
         granter.answeredSequence = Math.max(granter.answeredSequence, ack.sequence());
         granter.unanswered = granter.answeredSequence < granter.sequence;
         granter.unansweredSinceNanos = nowNanos;
@@ -189,6 +196,17 @@
         }
     }
 
+    private void recordPaid(String from, long paidShards) {
+        for (int shard = 0; shard < LimitShards.COUNT; shard++) {
+            Slice slice = slices[shard];
+            if ((paidShards & LimitShards.maskOf(shard)) != 0
+                    && slice.releasing
+                    && from.equals(slice.lentTo)) {
+                slice.startTokensPaid = true;
+            }
+        }
+    }
+
     /** Returns the granter that should decide on requests of a shard, empty if none is known. */
     public Optional<String> granter(int shard) {
         return shards.granter(shard);
@@ -310,13 +328,23 @@
         }
     }
 
+    /** Returns whether a slice brings start tokens to a granter. */
     private static boolean takeStartTokens(Slice slice, long nowNanos) {
-        if (slice.startTokensGiven
-                && nowNanos - slice.startTokensNanos < START_TOKENS_INTERVAL.toNanos()) {
+        if (slice.startTokensPaid) {
+            slice.startTokensPaid = false;
+            return true;
+        }
+        boolean newInterval =
+                slice.startTokensGiven == 0
+                        || nowNanos - slice.startTokensNanos >= START_TOKENS_INTERVAL.toNanos();
+        if (newInterval) {
+            slice.startTokensGiven = 0;
+            slice.startTokensNanos = nowNanos;
+        }
+        if (slice.startTokensGiven == MAX_START_TOKENS_PER_INTERVAL) {
             return false;
         }
-        slice.startTokensGiven = true;
-        slice.startTokensNanos = nowNanos;
+        slice.startTokensGiven++;
         return true;
     }
 
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/TokenBucket.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/TokenBucket.java
@@ -80,6 +80,13 @@
         tokens = Math.min(capacity, tokens + count);
     }
 
+    /** Removes tokens, as many as there are at most. */
+    public void remove(double count, long nowNanos) {
+        checkArgument(count >= 0, "negative number of tokens: %s", count);
+        refill(nowNanos);
+        tokens = Math.max(0, tokens - count);
+    }
+
     /** Returns the time until a token is available, or the given maximum if that is shorter. */
     public Duration untilNext(long nowNanos, Duration atMost) {
         refill(nowNanos);
