--- a/core/src/main/java/org/fuchsiaspindle/core/error/ResultCode.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/error/ResultCode.java
@@ -40,6 +40,8 @@
     RATE_LIMITED(2001, 429, Executed.NO, "The customer has exceeded its request rate limit."),
     CONCURRENCY_LIMITED(2002, 429, Executed.NO, "The customer has too many concurrent requests."),
     JOB_LIMITED(2003, 429, Executed.NO, "The customer has too many open jobs or items."),
+    LIMIT_UNDECIDED(
+            2004, 503, Executed.NO, "No process could tell whether the rate limit is exceeded."),
 
     OVERLOADED(3001, 503, Executed.NO, "No target can start the request in time."),
     NO_TARGET(3002, 503, Executed.NO, "No target of the model or service is available."),
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
@@ -47,6 +47,9 @@
     /** Retry time if no granter answered: by then the slices are lent to another one. */
     private static final Duration NO_ANSWER_RETRY_AFTER = Duration.ofMillis(500);
 
+    /** Share of the limit below which a refusal is rather due to missing slices. */
+    private static final double USUAL_SHARE = 0.75;
+
     /** Receives the decision on one request. */
     public interface Listener {
 
@@ -369,7 +372,7 @@
         }
         PermitReply reply = account.lastReply.get();
         return new LimitRefusal(
-                reply.share() < 1
+                reply.share() < USUAL_SHARE
                         ? LimitRefusal.Cause.SHARE_MISSING
                         : LimitRefusal.Cause.OVER_LIMIT,
                 reply.retryAfter(),
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -29,6 +29,7 @@
 import org.fuchsiaspindle.gateway.batch.JobStore;
 import org.fuchsiaspindle.gateway.batch.JobSubmissionHandler;
 import org.fuchsiaspindle.gateway.batch.JobTable;
+import org.fuchsiaspindle.gateway.limit.WorkspaceLimits;
 import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
 import org.fuchsiaspindle.gateway.peer.PeerInfo;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
@@ -78,6 +79,7 @@
     private final StoreClock storeClock = StoreClock.create(Clock.system());
     private final StoreClient storeClient;
     private final PromptGuard promptGuard;
+    private final WorkspaceLimits limits;
     private final TargetFleet fleet;
     private final SlotClient slots;
     private final PeerMesh mesh;
@@ -104,6 +106,7 @@
                         settings.dataCentre(),
                         settings.cpuCapacity());
         this.promptGuard = PromptGuard.create(requestLoop, metrics);
+        this.limits = WorkspaceLimits.create(requestLoop, peerSelf, viewHolder, metrics);
         this.fleet = TargetFleet.create(requestLoop, promptGuard, metrics);
         this.slots = SlotClient.create(requestLoop, peerSelf, metrics);
         this.mesh = PeerMesh.create(requestLoop, peerSelf, viewHolder, storeHealth, slots, metrics);
@@ -114,6 +117,7 @@
                         fleet,
                         slots,
                         promptGuard,
+                        limits,
                         metrics,
                         () -> stopWindow);
         this.jobTable = JobTable.create(requestLoop);
@@ -146,6 +150,7 @@
         HostAndPort statusAddress = required(settings.readinessAddress(), "listen.readiness");
         slots.start(mesh, fleet);
         promptGuard.start(mesh);
+        limits.start(mesh);
         metrics.observeTargets(fleet::openTargets);
         metrics.observeItemMemory(() -> runner.itemBytes(), () -> runner.waitingJobCount());
         fleet.start(slots::reportSilence, slots::reportRequestLimit);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -11,6 +11,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.error.ResultCode;
+import org.fuchsiaspindle.core.limit.LimitRefusal;
+import org.fuchsiaspindle.core.limit.Permit;
+import org.fuchsiaspindle.core.limit.PermitHolder;
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.RouteKind;
 import org.fuchsiaspindle.core.serving.TargetInstance;
@@ -57,6 +60,9 @@
     /** Fraction of the latency target for which a request waits if no target is known. */
     private static final int NO_TARGET_WAIT_DIVISOR = 4;
 
+    /** Fraction of the latency target for which a request waits for a permit. */
+    private static final int PERMIT_WAIT_DIVISOR = 4;
+
     /** Retry time if no target is known; targets register again within some seconds. */
     private static final Duration NO_TARGET_RETRY_AFTER = Duration.ofMillis(300);
 
@@ -84,6 +90,11 @@
     /** Set after an answer that could not be attributed, see {@link CallDescription}. */
     private boolean needsNewConnection;
 
+    private PermitHolder.Waiting permitWaiting;
+
+    /** A permit that no target has used yet. */
+    private Optional<Permit> permit = Optional.empty();
+
     private SlotAcquisition acquisition;
     private boolean finished;
     private OptionalLong lastEvent = OptionalLong.empty();
@@ -123,13 +134,25 @@
         dispatch();
     }
 
-    /** Obtains a slot of a target, waiting for one if necessary, and sends the request there. */
+    /** Obtains what the next attempt needs, waiting if necessary, and sends the request. */
     private void dispatch() {
         Optional<Duration> quarantine = promptQuarantine();
         if (quarantine.isPresent()) {
             refuse(ResultCode.PROMPT_QUARANTINED, quarantine.get());
             return;
         }
+        if (permit.isPresent() || !dispatcher.limits().isLimited(access.workspaceName())) {
+            acquireSlot();
+        } else {
+            Duration patience = route.latencyTarget().dividedBy(PERMIT_WAIT_DIVISOR);
+            permitWaiting =
+                    dispatcher
+                            .limits()
+                            .acquire(access.workspaceName(), patience, new PermitListener());
+        }
+    }
+
+    private void acquireSlot() {
         long latestOnTimeStartNanos =
                 arrivedNanos + route.latencyTarget().toNanos() - timeToResultNanos();
         long retryUntilNanos =
@@ -234,6 +257,8 @@
     /** Sends the request again, or fails it, after an attempt with an unknown outcome. */
     private void attemptLost(String reason) {
         mayHaveRun = true;
+        // Another attempt needs another permit.
+        permit = Optional.empty();
         attempts++;
         triedTargets.add(lastTarget);
         call = null;
@@ -283,11 +308,10 @@
             exchange.refuse(Refusal.mayHaveRun(code));
         } else {
             dispatcher.metrics().countRefusal(code);
-            // Before a quarantine ends, no retry can succeed.
-            Duration retryTime =
-                    code == ResultCode.PROMPT_QUARANTINED
-                            ? retryAfter
-                            : clampRetryAfter(retryAfter);
+            // Before a quarantine ends or the limit allows more, no retry can succeed.
+            boolean isKnownTime =
+                    code == ResultCode.PROMPT_QUARANTINED || code == ResultCode.RATE_LIMITED;
+            Duration retryTime = isKnownTime ? retryAfter : clampRetryAfter(retryAfter);
             exchange.refuse(Refusal.notRun(code, retryTime));
         }
     }
@@ -358,11 +382,18 @@
     }
 
     private void cancelPendingWork() {
+        if (permitWaiting != null) {
+            permitWaiting.cancel();
+            permitWaiting = null;
+        }
         if (acquisition != null) {
             acquisition.cancel();
             acquisition = null;
         }
         if (call != null) {
+            if (call.isSent()) {
+                permit = Optional.empty();
+            }
             call.cancel();
             call = null;
         }
@@ -376,10 +407,13 @@
     private void finish() {
         finished = true;
         deadlineTimer.cancel(false);
+        permit.ifPresent(dispatcher.limits()::giveBack);
+        permit = Optional.empty();
     }
 
     private void recordCompletion(TargetResponse response) {
         long now = System.nanoTime();
+        permit = Optional.empty();
         dispatcher.serviceTimes().record(service, now - startedNanos);
         dispatcher.metrics().recordLatency(route.name(), now - arrivedNanos);
         finish();
@@ -398,6 +432,30 @@
                 TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivedNanos));
     }
 
+    /** Receives the permit for the next attempt. */
+    private final class PermitListener implements PermitHolder.Listener {
+
+        @Override
+        public void onPermitted(Permit granted) {
+            permit = Optional.of(granted);
+            acquireSlot();
+        }
+
+        @Override
+        public void onRefused(LimitRefusal refusal) {
+            String workspace = access.workspaceName();
+            DecisionLog.limited(
+                    exchange.request().id(),
+                    workspace,
+                    dispatcher.limits().limit(workspace),
+                    refusal);
+            boolean overLimit = refusal.cause() == LimitRefusal.Cause.OVER_LIMIT;
+            refuse(
+                    overLimit ? ResultCode.RATE_LIMITED : ResultCode.LIMIT_UNDECIDED,
+                    refusal.retryAfter());
+        }
+    }
+
     /** Receives the slot for the next attempt. */
     private final class SlotListener implements SlotAcquisition.Listener {
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
@@ -12,6 +12,7 @@
 import org.fuchsiaspindle.core.serving.StopWindow;
 import org.fuchsiaspindle.core.workspace.CallerAccess;
 import org.fuchsiaspindle.core.workspace.WorkspaceDirectory;
+import org.fuchsiaspindle.gateway.limit.WorkspaceLimits;
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.SlotClient;
 import org.fuchsiaspindle.gateway.target.TargetFleet;
@@ -31,6 +32,7 @@
     private final TargetFleet fleet;
     private final SlotClient slots;
     private final PromptGuard promptGuard;
+    private final WorkspaceLimits limits;
     private final GatewayMetrics metrics;
     private final Supplier<Optional<StopWindow>> stopWindow;
     private final ServiceTimes serviceTimes = new ServiceTimes();
@@ -41,6 +43,7 @@
             TargetFleet fleet,
             SlotClient slots,
             PromptGuard promptGuard,
+            WorkspaceLimits limits,
             GatewayMetrics metrics,
             Supplier<Optional<StopWindow>> stopWindow) {
         this.loop = loop;
@@ -48,6 +51,7 @@
         this.fleet = fleet;
         this.slots = slots;
         this.promptGuard = promptGuard;
+        this.limits = limits;
         this.metrics = metrics;
         this.stopWindow = stopWindow;
     }
@@ -60,6 +64,7 @@
      * @param fleet the targets, not null
      * @param slots assigns slots of targets, not null
      * @param promptGuard knows the prompts that crash targets, not null
+     * @param limits the limits of workspaces, not null
      * @param metrics counts requests, not null
      * @param stopWindow the graceful stop in progress, if there is one; not null
      */
@@ -69,6 +74,7 @@
             TargetFleet fleet,
             SlotClient slots,
             PromptGuard promptGuard,
+            WorkspaceLimits limits,
             GatewayMetrics metrics,
             Supplier<Optional<StopWindow>> stopWindow) {
         return new OnlineDispatcher(
@@ -77,6 +83,7 @@
                 checkNotNull(fleet, "fleet"),
                 checkNotNull(slots, "slots"),
                 checkNotNull(promptGuard, "promptGuard"),
+                checkNotNull(limits, "limits"),
                 checkNotNull(metrics, "metrics"),
                 checkNotNull(stopWindow, "stopWindow"));
     }
@@ -113,6 +120,10 @@
         return promptGuard;
     }
 
+    WorkspaceLimits limits() {
+        return limits;
+    }
+
     GatewayMetrics metrics() {
         return metrics;
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
@@ -89,6 +89,13 @@
         void onConnected(String peerIp);
     }
 
+    /** Receives what peers send about limits of workspaces. */
+    public interface LimitListener {
+
+        /** Called with each frame about limits. */
+        void onLimitFrame(String peerIp, PeerFrame frame);
+    }
+
     /**
      * The identity of this gateway.
      *
@@ -119,6 +126,7 @@
     private final Map<String, PeerHeartbeat> heartbeats = new HashMap<>();
     private Supplier<Set<String>> closePeers = Set::of;
     private PromptListener promptListener;
+    private LimitListener limitListener;
     private AnnouncedState announcedState;
     private boolean stopping;
 
@@ -208,6 +216,16 @@
         promptListener = checkNotNull(newListener, "newListener");
     }
 
+    /** Sets the receiver of what peers send about limits; must be called before the start. */
+    public void setLimitListener(LimitListener newListener) {
+        limitListener = checkNotNull(newListener, "newListener");
+    }
+
+    /** Returns the addresses of all peers to which connections are open or are tried. */
+    public Set<String> knownAddresses() {
+        return links.keySet();
+    }
+
     /** Sends a frame to all peers to which a connection is open. */
     public void broadcast(PeerFrame frame) {
         connectedIps().forEach(ip -> send(ip, frame));
@@ -504,6 +522,12 @@
                 case VIEW -> viewExchange.apply(frame.getView());
                 case PROMPT_CRASH, HARMLESS_PROMPT_PARTS, PROMPT_QUARANTINES ->
                         promptListener.onPromptFrame(frame);
+                case SLICE_LEND, SLICE_LEND_ACK, PERMIT_REQUEST, PERMIT_REPLY, PERMIT_RETURN -> {
+                    String ip = ipsByChannel.get(channel);
+                    if (ip != null) {
+                        limitListener.onLimitFrame(ip, frame);
+                    }
+                }
                 // A newer version may send frames that this one does not know.
                 case BODY_NOT_SET -> LOG.debug("peer: frame of an unknown type ignored");
                 default -> {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/DecisionLog.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/DecisionLog.java
@@ -1,6 +1,9 @@
 package org.fuchsiaspindle.gateway.telemetry;
 
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.limit.LimitRefusal;
+import org.fuchsiaspindle.core.limit.VersionedLimit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -50,6 +53,26 @@
         }
     }
 
+    /** Logs that a request got no permit under the limit of its workspace. */
+    public static void limited(
+            String id, String workspace, Optional<VersionedLimit> limit, LimitRefusal refusal) {
+        if (tryAcquireLine()) {
+            LOG.info(
+                    "limit: request={} workspace={} cause={} rate={} burst={} config={}"
+                            + " granter={} share={} answer_age={}ms retry_after={}ms",
+                    id,
+                    workspace,
+                    refusal.cause(),
+                    limit.map(known -> known.limit().requestsPerSecond()).orElse(0.0),
+                    limit.map(known -> known.limit().burst()).orElse(0.0),
+                    limit.map(VersionedLimit::version).orElse(0L),
+                    refusal.granter(),
+                    refusal.share(),
+                    refusal.grantAge().toMillis(),
+                    refusal.retryAfter().toMillis());
+        }
+    }
+
     /** Logs the outcome of a batch job or of one of its items; the item is a dash for a job. */
     public static void batch(String job, String item, String outcome, String reason) {
         if (tryAcquireLine()) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
@@ -72,6 +72,13 @@
                     .labelNames("event")
                     .register(registry);
 
+    private final Counter limits =
+            Counter.builder()
+                    .name("fuchsiaspindle_limit_events_total")
+                    .help("Requests under limits of workspaces, and what came of them.")
+                    .labelNames("event")
+                    .register(registry);
+
     /** Creates metrics in a new registry. */
     public GatewayMetrics() {}
 
@@ -111,6 +118,11 @@
         answers.labelValues(event).inc();
     }
 
+    /** Counts an event on a request under the limit of its workspace. */
+    public void countLimitEvent(String event) {
+        limits.labelValues(event).inc();
+    }
+
     /**
      * Sets the source of the number of targets that accept new requests; read on the thread that
      * serves the metrics.
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrame.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrame.java
@@ -41,6 +41,11 @@
     HARMLESS_PROMPT_PARTS(16),
     PROMPT_QUARANTINES(17),
     REQUEST_LIMIT_REPORT(18),
+    SLICE_LEND(19),
+    SLICE_LEND_ACK(20),
+    PERMIT_REQUEST(21),
+    PERMIT_REPLY(22),
+    PERMIT_RETURN(23),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -73,6 +78,11 @@
         case 16: return HARMLESS_PROMPT_PARTS;
         case 17: return PROMPT_QUARANTINES;
         case 18: return REQUEST_LIMIT_REPORT;
+        case 19: return SLICE_LEND;
+        case 20: return SLICE_LEND_ACK;
+        case 21: return PERMIT_REQUEST;
+        case 22: return PERMIT_REPLY;
+        case 23: return PERMIT_RETURN;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -944,6 +954,256 @@
     }
   }
 
+  public static final int SLICE_LEND_FIELD_NUMBER = 19;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+   */
+  @java.lang.Override
+  public boolean hasSliceLend() {
+    return bodyCase_ == 19;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.SliceLend getSliceLend() {
+    if (bodyCase_ == 19) {
+       return (org.fuchsiaspindle.wire.peer.SliceLend) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.SliceLend.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+   */
+  private void setSliceLend(org.fuchsiaspindle.wire.peer.SliceLend value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 19;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+   */
+  private void mergeSliceLend(org.fuchsiaspindle.wire.peer.SliceLend value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 19 &&
+        body_ != org.fuchsiaspindle.wire.peer.SliceLend.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.SliceLend.newBuilder((org.fuchsiaspindle.wire.peer.SliceLend) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 19;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+   */
+  private void clearSliceLend() {
+    if (bodyCase_ == 19) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int SLICE_LEND_ACK_FIELD_NUMBER = 20;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+   */
+  @java.lang.Override
+  public boolean hasSliceLendAck() {
+    return bodyCase_ == 20;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.SliceLendAck getSliceLendAck() {
+    if (bodyCase_ == 20) {
+       return (org.fuchsiaspindle.wire.peer.SliceLendAck) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.SliceLendAck.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+   */
+  private void setSliceLendAck(org.fuchsiaspindle.wire.peer.SliceLendAck value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 20;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+   */
+  private void mergeSliceLendAck(org.fuchsiaspindle.wire.peer.SliceLendAck value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 20 &&
+        body_ != org.fuchsiaspindle.wire.peer.SliceLendAck.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.SliceLendAck.newBuilder((org.fuchsiaspindle.wire.peer.SliceLendAck) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 20;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+   */
+  private void clearSliceLendAck() {
+    if (bodyCase_ == 20) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int PERMIT_REQUEST_FIELD_NUMBER = 21;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+   */
+  @java.lang.Override
+  public boolean hasPermitRequest() {
+    return bodyCase_ == 21;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.PermitRequestMessage getPermitRequest() {
+    if (bodyCase_ == 21) {
+       return (org.fuchsiaspindle.wire.peer.PermitRequestMessage) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.PermitRequestMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+   */
+  private void setPermitRequest(org.fuchsiaspindle.wire.peer.PermitRequestMessage value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 21;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+   */
+  private void mergePermitRequest(org.fuchsiaspindle.wire.peer.PermitRequestMessage value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 21 &&
+        body_ != org.fuchsiaspindle.wire.peer.PermitRequestMessage.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.PermitRequestMessage.newBuilder((org.fuchsiaspindle.wire.peer.PermitRequestMessage) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 21;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+   */
+  private void clearPermitRequest() {
+    if (bodyCase_ == 21) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int PERMIT_REPLY_FIELD_NUMBER = 22;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+   */
+  @java.lang.Override
+  public boolean hasPermitReply() {
+    return bodyCase_ == 22;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.PermitReplyMessage getPermitReply() {
+    if (bodyCase_ == 22) {
+       return (org.fuchsiaspindle.wire.peer.PermitReplyMessage) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.PermitReplyMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+   */
+  private void setPermitReply(org.fuchsiaspindle.wire.peer.PermitReplyMessage value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 22;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+   */
+  private void mergePermitReply(org.fuchsiaspindle.wire.peer.PermitReplyMessage value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 22 &&
+        body_ != org.fuchsiaspindle.wire.peer.PermitReplyMessage.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.PermitReplyMessage.newBuilder((org.fuchsiaspindle.wire.peer.PermitReplyMessage) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 22;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+   */
+  private void clearPermitReply() {
+    if (bodyCase_ == 22) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
+  public static final int PERMIT_RETURN_FIELD_NUMBER = 23;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+   */
+  @java.lang.Override
+  public boolean hasPermitReturn() {
+    return bodyCase_ == 23;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.PermitReturnMessage getPermitReturn() {
+    if (bodyCase_ == 23) {
+       return (org.fuchsiaspindle.wire.peer.PermitReturnMessage) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.PermitReturnMessage.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+   */
+  private void setPermitReturn(org.fuchsiaspindle.wire.peer.PermitReturnMessage value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 23;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+   */
+  private void mergePermitReturn(org.fuchsiaspindle.wire.peer.PermitReturnMessage value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 23 &&
+        body_ != org.fuchsiaspindle.wire.peer.PermitReturnMessage.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.PermitReturnMessage.newBuilder((org.fuchsiaspindle.wire.peer.PermitReturnMessage) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 23;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+   */
+  private void clearPermitReturn() {
+    if (bodyCase_ == 23) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.fuchsiaspindle.wire.peer.PeerFrame parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1873,6 +2133,246 @@
       return this;
     }
 
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+     */
+    @java.lang.Override
+    public boolean hasSliceLend() {
+      return instance.hasSliceLend();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.SliceLend getSliceLend() {
+      return instance.getSliceLend();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+     */
+    public Builder setSliceLend(org.fuchsiaspindle.wire.peer.SliceLend value) {
+      copyOnWrite();
+      instance.setSliceLend(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+     */
+    public Builder setSliceLend(
+        org.fuchsiaspindle.wire.peer.SliceLend.Builder builderForValue) {
+      copyOnWrite();
+      instance.setSliceLend(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+     */
+    public Builder mergeSliceLend(org.fuchsiaspindle.wire.peer.SliceLend value) {
+      copyOnWrite();
+      instance.mergeSliceLend(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+     */
+    public Builder clearSliceLend() {
+      copyOnWrite();
+      instance.clearSliceLend();
+      return this;
+    }
+
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+     */
+    @java.lang.Override
+    public boolean hasSliceLendAck() {
+      return instance.hasSliceLendAck();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.SliceLendAck getSliceLendAck() {
+      return instance.getSliceLendAck();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+     */
+    public Builder setSliceLendAck(org.fuchsiaspindle.wire.peer.SliceLendAck value) {
+      copyOnWrite();
+      instance.setSliceLendAck(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+     */
+    public Builder setSliceLendAck(
+        org.fuchsiaspindle.wire.peer.SliceLendAck.Builder builderForValue) {
+      copyOnWrite();
+      instance.setSliceLendAck(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+     */
+    public Builder mergeSliceLendAck(org.fuchsiaspindle.wire.peer.SliceLendAck value) {
+      copyOnWrite();
+      instance.mergeSliceLendAck(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+     */
+    public Builder clearSliceLendAck() {
+      copyOnWrite();
+      instance.clearSliceLendAck();
+      return this;
+    }
+
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+     */
+    @java.lang.Override
+    public boolean hasPermitRequest() {
+      return instance.hasPermitRequest();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.PermitRequestMessage getPermitRequest() {
+      return instance.getPermitRequest();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+     */
+    public Builder setPermitRequest(org.fuchsiaspindle.wire.peer.PermitRequestMessage value) {
+      copyOnWrite();
+      instance.setPermitRequest(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+     */
+    public Builder setPermitRequest(
+        org.fuchsiaspindle.wire.peer.PermitRequestMessage.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPermitRequest(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+     */
+    public Builder mergePermitRequest(org.fuchsiaspindle.wire.peer.PermitRequestMessage value) {
+      copyOnWrite();
+      instance.mergePermitRequest(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+     */
+    public Builder clearPermitRequest() {
+      copyOnWrite();
+      instance.clearPermitRequest();
+      return this;
+    }
+
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+     */
+    @java.lang.Override
+    public boolean hasPermitReply() {
+      return instance.hasPermitReply();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.PermitReplyMessage getPermitReply() {
+      return instance.getPermitReply();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+     */
+    public Builder setPermitReply(org.fuchsiaspindle.wire.peer.PermitReplyMessage value) {
+      copyOnWrite();
+      instance.setPermitReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+     */
+    public Builder setPermitReply(
+        org.fuchsiaspindle.wire.peer.PermitReplyMessage.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPermitReply(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+     */
+    public Builder mergePermitReply(org.fuchsiaspindle.wire.peer.PermitReplyMessage value) {
+      copyOnWrite();
+      instance.mergePermitReply(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+     */
+    public Builder clearPermitReply() {
+      copyOnWrite();
+      instance.clearPermitReply();
+      return this;
+    }
+
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+     */
+    @java.lang.Override
+    public boolean hasPermitReturn() {
+      return instance.hasPermitReturn();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.PermitReturnMessage getPermitReturn() {
+      return instance.getPermitReturn();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+     */
+    public Builder setPermitReturn(org.fuchsiaspindle.wire.peer.PermitReturnMessage value) {
+      copyOnWrite();
+      instance.setPermitReturn(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+     */
+    public Builder setPermitReturn(
+        org.fuchsiaspindle.wire.peer.PermitReturnMessage.Builder builderForValue) {
+      copyOnWrite();
+      instance.setPermitReturn(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+     */
+    public Builder mergePermitReturn(org.fuchsiaspindle.wire.peer.PermitReturnMessage value) {
+      copyOnWrite();
+      instance.mergePermitReturn(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+     */
+    public Builder clearPermitReturn() {
+      copyOnWrite();
+      instance.clearPermitReturn();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.PeerFrame)
   }
   @java.lang.Override
@@ -1908,12 +2408,17 @@
             org.fuchsiaspindle.wire.peer.HarmlessPromptParts.class,
             org.fuchsiaspindle.wire.peer.PromptQuarantines.class,
             org.fuchsiaspindle.wire.peer.RequestLimitReport.class,
+            org.fuchsiaspindle.wire.peer.SliceLend.class,
+            org.fuchsiaspindle.wire.peer.SliceLendAck.class,
+            org.fuchsiaspindle.wire.peer.PermitRequestMessage.class,
+            org.fuchsiaspindle.wire.peer.PermitReplyMessage.class,
+            org.fuchsiaspindle.wire.peer.PermitReturnMessage.class,
           };
           java.lang.String info =
-              "\u0000\u0011\u0001\u0000\u0001\u0012\u0011\u0000\u0000\u0000\u0001<\u0000\u0003<" +
+              "\u0000\u0016\u0001\u0000\u0001\u0017\u0016\u0000\u0000\u0000\u0001<\u0000\u0003<" +
               "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000" +
               "\u000b<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000" +
-              "\u0012<\u0000";
+              "\u0012<\u0000\u0013<\u0000\u0014<\u0000\u0015<\u0000\u0016<\u0000\u0017<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrameOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrameOrBuilder.java
@@ -197,5 +197,60 @@
    */
   org.fuchsiaspindle.wire.peer.RequestLimitReport getRequestLimitReport();
 
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+   * @return Whether the sliceLend field is set.
+   */
+  boolean hasSliceLend();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLend slice_lend = 19;</code>
+   * @return The sliceLend.
+   */
+  org.fuchsiaspindle.wire.peer.SliceLend getSliceLend();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+   * @return Whether the sliceLendAck field is set.
+   */
+  boolean hasSliceLendAck();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.SliceLendAck slice_lend_ack = 20;</code>
+   * @return The sliceLendAck.
+   */
+  org.fuchsiaspindle.wire.peer.SliceLendAck getSliceLendAck();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+   * @return Whether the permitRequest field is set.
+   */
+  boolean hasPermitRequest();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitRequestMessage permit_request = 21;</code>
+   * @return The permitRequest.
+   */
+  org.fuchsiaspindle.wire.peer.PermitRequestMessage getPermitRequest();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+   * @return Whether the permitReply field is set.
+   */
+  boolean hasPermitReply();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReplyMessage permit_reply = 22;</code>
+   * @return The permitReply.
+   */
+  org.fuchsiaspindle.wire.peer.PermitReplyMessage getPermitReply();
+
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+   * @return Whether the permitReturn field is set.
+   */
+  boolean hasPermitReturn();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.PermitReturnMessage permit_return = 23;</code>
+   * @return The permitReturn.
+   */
+  org.fuchsiaspindle.wire.peer.PermitReturnMessage getPermitReturn();
+
   public org.fuchsiaspindle.wire.peer.PeerFrame.BodyCase getBodyCase();
 }
