--- a/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
@@ -48,7 +48,7 @@
     private static final Duration NO_ANSWER_RETRY_AFTER = Duration.ofMillis(500);
 
     /** Share of the limit below which a refusal is rather due to missing slices. */
-    private static final double USUAL_SHARE = 0.75;
+    private static final double USUAL_SHARE = 0.5;
 
     /** Receives the decision on one request. */
     public interface Listener {
