--- a/core/src/main/java/org/fuchsiaspindle/core/admission/WaitingQueue.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/admission/WaitingQueue.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeSet;
+import org.fuchsiaspindle.core.fairness.FairRounds;
 
 /**
  * Queue of waiting requests or items, fair between customers and ordered by deadline within a
@@ -17,6 +18,9 @@
     record Entry(
             long id, String customer, int weight, long deadlineNanos, long cost, boolean resumed) {}
 
+    /** Service per unit of weight that one round grants, in tokens. */
+    private static final double ROUND_TOKENS = 2_000;
+
     private static final Comparator<Entry> BY_DEADLINE =
             Comparator.comparingLong(Entry::deadlineNanos).thenComparingLong(Entry::id);
 
@@ -34,7 +38,7 @@
         private long round;
     }
 
-    private final CustomerRounds rounds = new CustomerRounds();
+    private final FairRounds rounds = new FairRounds(ROUND_TOKENS);
     private final Map<String, Customer> customers = new HashMap<>();
     private final TreeSet<Customer> order = new TreeSet<>(BY_ROUND);
     private final TreeSet<Entry> byDeadline = new TreeSet<>(BY_DEADLINE);
