--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotDecision.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotDecision.java
@@ -21,6 +21,13 @@
         NO_TARGET,
         /** The request would wait beyond its latest useful start. */
         OVERLOADED,
+        /**
+         * The request would wait beyond its latest useful start since requests of other workspaces
+         * came, which are less far over their fair share.
+         */
+        DISPLACED,
+        /** The request would be late, and served better after the present wave of requests. */
+        POSTPONED,
         /** The latest useful start passed while the request waited. */
         EXPIRED
     }
@@ -53,7 +60,8 @@
     /**
      * An online request gets no slot of the pool.
      *
-     * @param expectedWait how long a request that waits now would wait
+     * @param expectedWait how long a request that waits now would wait; for a request that could
+     *     have waited, the time after which its caller should come back
      */
     record Refused(String holder, long ticket, Refusal reason, Duration expectedWait)
             implements SlotDecision {
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -16,8 +16,10 @@
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import org.fuchsiaspindle.core.serving.Pace;
 import org.fuchsiaspindle.core.serving.RequestQueue;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.slot.RejectionPolicy.Rejection;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
 import org.fuchsiaspindle.core.slot.TargetSlots.Lease;
 
@@ -25,11 +27,10 @@
  * The slots of the targets of one pool, as its coordinator assigns them.
  *
  * <p>An online request gets a free slot of the least loaded target, otherwise the slot of a batch
- * item, otherwise it waits. A free slot goes to the waiting online request that starts first and,
- * if there is none, to the gateway whose waiting batch item is due first. Load pattern: bursts that
- * exceed the slots for seconds, between which batch items fill all slots. While online requests
- * preempt batch items, as many free slots as items were just preempted are left to them, because an
- * item that is stopped before its first event has only cost capacity.
+ * item, otherwise it waits or is refused ({@link RejectionPolicy}). A free slot goes to the waiting
+ * online request that starts first ({@link RequestQueue}) and, if there is none, to the gateway
+ * whose waiting batch item is due first, but for as many slots as items were just preempted. Load
+ * pattern: bursts that exceed the slots for seconds, between which batch items fill the slots.
  *
  * <p>Each method returns the decisions that follow from it. Not thread-safe; times are monotonic
  * nanoseconds.
@@ -44,6 +45,11 @@
     /** Time for which a preemption keeps one free slot from batch items. */
     private static final Duration PREEMPTION_MEMORY = Duration.ofMillis(100);
 
+    /** Expected work of a request, in multiples of that of an average one. */
+    private static final double AVERAGE_COST = 1;
+
+    private final OnlineWaves waves = new OnlineWaves();
+    private final RejectionPolicy rejections = new RejectionPolicy(waves);
     private final Deque<Long> preemptionNanos = new ArrayDeque<>();
     private final Map<String, TargetSlots> targets = new LinkedHashMap<>();
     private final Map<String, Holder> holders = new LinkedHashMap<>();
@@ -96,36 +102,93 @@
         Optional<TargetSlots> target = chooseForOnline(request, now);
         if (target.isPresent()) {
             grant(request, target.get(), now, decisions);
+            waves.record(onlineDemand(), now);
             return decisions;
         }
-        Duration expectedWait = expectedWait(request.priority(), now);
+        RequestQueue.Entry<SlotRequest> entry = entry(request, now);
+        Pace pace = pace(now);
+        Duration expectedWait = pace.expectedWait(waiting.costAheadIfAdded(entry, pace));
         Refusal reason = refusalReason(request, now);
         if (!request.mayWait() || reason == Refusal.NO_TARGET) {
             decisions.add(refusal(request, reason, expectedWait));
-        } else if (now + expectedWait.toNanos() - request.startUntilNanos() > 0) {
-            decisions.add(refusal(request, Refusal.OVERLOADED, expectedWait));
-        } else {
-            waiting.add(
-                    new RequestQueue.Entry<>(
-                            request,
-                            request.priority(),
-                            request.onTimeUntilNanos(),
-                            request.startUntilNanos(),
-                            // In place of the arrival, so that a request that moves to another
-                            // coordinator keeps its turn.
-                            request.onTimeUntilNanos()));
-            decisions.add(new SlotDecision.Queued(request.holder(), request.ticket()));
+            return decisions;
         }
+        Optional<Rejection> rejection =
+                rejections.ifTooLate(request, Refusal.OVERLOADED, expectedWait, now);
+        if (rejection.isPresent()) {
+            waiting.recordRefused(request.priority(), request.workspace());
+            decisions.add(refusal(request, rejection.get()));
+            return decisions;
+        }
+        waiting.add(entry);
+        decisions.add(new SlotDecision.Queued(request.holder(), request.ticket()));
+        refuseSurplus(now, decisions);
+        waves.record(onlineDemand(), now);
         return decisions;
     }
 
+    private static RequestQueue.Entry<SlotRequest> entry(SlotRequest request, long now) {
+        return new RequestQueue.Entry<>(
+                request,
+                request.priority(),
+                request.workspace(),
+                cost(request),
+                request.onTimeUntilNanos(),
+                request.startUntilNanos(),
+                now);
+    }
+
+    /** Returns the expected work of a request, in multiples of that of an average one. */
+    private static double cost(SlotRequest request) {
+        checkNotNull(request, "request");
+        return AVERAGE_COST;
+    }
+
+    /**
+     * Refuses waiting requests that gave way to others and for which that is better than to wait.
+     */
+    private void refuseSurplus(long now, List<SlotDecision> decisions) {
+        if (hasSlotForOnline(now)) {
+            return;
+        }
+        Pace pace = pace(now);
+        for (RequestQueue.Entry<SlotRequest> entry : waiting.surplus(pace)) {
+            SlotRequest request = entry.request();
+            Duration wait = pace.expectedWait(waiting.costAhead(request, pace));
+            Optional<Rejection> rejection =
+                    rejections.ifTooLate(request, Refusal.DISPLACED, wait, now);
+            if (rejection.isEmpty() && !waiting.isStarved(entry.priority(), entry.workspace())) {
+                rejection = rejections.ifBetterAfterWave(entry, wait, pace.timePerRequest(), now);
+            }
+            rejection.ifPresent(reason -> refuse(request, reason, decisions));
+        }
+    }
+
+    /** Refuses late requests that will not start in time. */
+    private void refuseHopeless(long now, List<SlotDecision> decisions) {
+        Pace pace = pace(now);
+        for (RequestQueue.Entry<SlotRequest> entry : waiting.hopeless(pace)) {
+            SlotRequest request = entry.request();
+            if (!entry.workspace().isEmpty() && !hasSlotForOnline(now)) {
+                Duration wait = pace.expectedWait(waiting.costAhead(request, pace));
+                refuse(request, new Rejection(Refusal.DISPLACED, wait), decisions);
+            }
+        }
+    }
+
+    private void refuse(SlotRequest request, Rejection rejection, List<SlotDecision> decisions) {
+        waiting.remove(request);
+        decisions.add(refusal(request, rejection));
+    }
+
     /** Handles the release of a slot, or the withdrawal of a waiting request. */
     public List<SlotDecision> release(String holder, long ticket, RunReport report, long now) {
         checkNotNull(report, "report");
-        waiting.removeIf(request -> request.ticket() == ticket && request.holder().equals(holder));
         Holder state = holders.get(holder);
         Lease lease = state == null ? null : state.leases.remove(ticket);
         if (lease == null) {
+            waiting.removeIf(
+                    request -> request.ticket() == ticket && request.holder().equals(holder));
             return List.of();
         }
         lease.target().remove(lease);
@@ -229,6 +292,7 @@
         for (SlotRequest expired : waiting.removeExpired(now)) {
             decisions.add(refusal(expired, Refusal.EXPIRED, Duration.ZERO));
         }
+        refuseHopeless(now, decisions);
         decisions.addAll(assignFreeSlots(now));
         return decisions;
     }
@@ -313,23 +377,42 @@
 
     private List<SlotDecision> assignFreeSlots(long now) {
         List<SlotDecision> decisions = new ArrayList<>();
-        if (waiting.size() > 0) {
-            startWaitingRequests(now, decisions);
-        }
+        waves.record(onlineDemand(), now);
+        startWaitingRequests(now, decisions);
         startBatchItems(now, decisions);
         return decisions;
     }
 
     private void startWaitingRequests(long now, List<SlotDecision> decisions) {
-        for (SlotRequest request : waiting.inStartOrder(now)) {
-            Optional<TargetSlots> target = chooseForOnline(request, now);
-            if (target.isPresent()) {
-                waiting.remove(request);
-                grant(request, target.get(), now, decisions);
-            }
+        boolean started = true;
+        while (started && waiting.size() > 0 && hasSlotForOnline(now)) {
+            started = startFirstPossible(now, decisions);
         }
     }
 
+    /** Starts the first waiting request for which a target is available, if there is one. */
+    private boolean startFirstPossible(long now, List<SlotDecision> decisions) {
+        Optional<SlotRequest> next =
+                waiting.next(pace(now), request -> chooseForOnline(request, now).isPresent());
+        next.ifPresent(
+                request -> {
+                    waiting.start(request);
+                    TargetSlots target = chooseForOnline(request, now).orElseThrow();
+                    grant(request, target, now, decisions);
+                });
+        return next.isPresent();
+    }
+
+    private boolean hasSlotForOnline(long now) {
+        return targets.values().stream()
+                .anyMatch(target -> target.isOpen() && target.hasSlotForOnline(now));
+    }
+
+    /** Returns the number of slots that online requests hold or wait for. */
+    private int onlineDemand() {
+        return waiting.size() + targets.values().stream().mapToInt(TargetSlots::online).sum();
+    }
+
     private void grant(
             SlotRequest request, TargetSlots target, long now, List<SlotDecision> decisions) {
         if (!target.hasFreeSlot()) {
@@ -508,14 +591,19 @@
         return anyAcceptable ? Refusal.FULL : Refusal.NO_TARGET;
     }
 
-    private Duration expectedWait(int priority, long now) {
+    /** Returns how fast waiting requests start if online requests hold all slots. */
+    private Pace pace(long now) {
         double slots =
                 targets.values().stream()
                         .filter(TargetSlots::isOpen)
                         .mapToDouble(target -> target.slotsForOnline(holdNanos))
                         .sum();
-        return RequestQueue.estimateWait(
-                waiting.ahead(priority, now), slots, Duration.ofNanos((long) holdNanos));
+        Duration holdTime = Duration.ofNanos((long) holdNanos);
+        return new Pace(now, RequestQueue.timePerRequest(slots, holdTime));
+    }
+
+    private static SlotDecision refusal(SlotRequest request, Rejection rejection) {
+        return refusal(request, rejection.reason(), rejection.retryAfter());
     }
 
     private static SlotDecision refusal(
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -17,6 +17,7 @@
 import org.fuchsiaspindle.core.slot.SlotDecision.Granted;
 import org.fuchsiaspindle.core.slot.SlotDecision.Preempted;
 import org.fuchsiaspindle.core.slot.SlotDecision.Queued;
+import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refused;
 import org.fuchsiaspindle.core.work.RequestSize;
 import org.junit.jupiter.api.Test;
@@ -253,9 +254,7 @@
                 .singleElement()
                 .isInstanceOfSatisfying(
                         Refused.class,
-                        refused ->
-                                assertThat(refused.reason())
-                                        .isEqualTo(SlotDecision.Refusal.EXPIRED));
+                        refused -> assertThat(refused.reason()).isEqualTo(Refusal.EXPIRED));
     }
 
     /** Guards against requests that wait although it is known that they cannot start in time. */
@@ -272,11 +271,39 @@
                 .isInstanceOfSatisfying(
                         Refused.class,
                         refused -> {
-                            assertThat(refused.reason()).isEqualTo(SlotDecision.Refusal.OVERLOADED);
+                            assertThat(refused.reason()).isEqualTo(Refusal.OVERLOADED);
                             assertThat(refused.expectedWait()).isGreaterThan(Duration.ofSeconds(2));
                         });
     }
 
+    /**
+     * Guards against requests of a workspace under its share that are refused, or wait in vain, for
+     * one that has filled the queue.
+     */
+    @Test
+    void requestOfAnotherWorkspace_displacesOneOfTheWorkspaceThatFillsTheQueue() {
+        targets("a");
+        fill("g1");
+        List<SlotDecision> last = List.of();
+        while (last.stream().noneMatch(Refused.class::isInstance)) {
+            last = requestOf("large");
+        }
+        List<SlotDecision> decisions = requestOf("small");
+        assertThat(decisions.getFirst()).isInstanceOf(Queued.class);
+        assertThat(decisions.subList(1, decisions.size()))
+                .isNotEmpty()
+                .allSatisfy(
+                        decision ->
+                                assertThat(decision)
+                                        .isInstanceOfSatisfying(
+                                                Refused.class,
+                                                refused -> {
+                                                    assertThat(refused.holder()).isEqualTo("large");
+                                                    assertThat(refused.reason())
+                                                            .isEqualTo(Refusal.DISPLACED);
+                                                }));
+    }
+
     /** Guards against requests that wait for a target that no request may use. */
     @Test
     void requestWithoutAnAcceptableTarget_isRefusedUnlessItIsTheLastResort() {
@@ -286,9 +313,7 @@
                 .singleElement()
                 .isInstanceOfSatisfying(
                         Refused.class,
-                        refused ->
-                                assertThat(refused.reason())
-                                        .isEqualTo(SlotDecision.Refusal.NO_TARGET));
+                        refused -> assertThat(refused.reason()).isEqualTo(Refusal.NO_TARGET));
         assertThat(pool.request(newRequest("g1", false, Set.of("a"), true), now))
                 .singleElement()
                 .isInstanceOf(Granted.class);
@@ -421,6 +446,24 @@
         return pool.request(newRequest(holder, mayWait, Set.of(), false), now);
     }
 
+    /** Requests a slot for a workspace whose requests come through a gateway of the same name. */
+    private List<SlotDecision> requestOf(String workspace) {
+        SlotRequest request = newRequest(workspace, true, Set.of(), false);
+        return pool.request(
+                new SlotRequest(
+                        workspace,
+                        request.ticket(),
+                        true,
+                        request.priority(),
+                        workspace,
+                        request.size(),
+                        request.onTimeUntilNanos(),
+                        request.startUntilNanos(),
+                        request.avoided(),
+                        request.lastResort()),
+                now);
+    }
+
     private SlotRequest newRequest(
             String holder, boolean mayWait, Set<String> avoided, boolean lastResort) {
         now++;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -392,7 +392,8 @@
         public void onRefused(SlotDecision.Refusal reason, Duration expectedWait) {
             acquisition = null;
             switch (reason) {
-                case FULL, OVERLOADED -> refuse(ResultCode.OVERLOADED, expectedWait);
+                case FULL, OVERLOADED, DISPLACED, POSTPONED ->
+                        refuse(ResultCode.OVERLOADED, expectedWait);
                 case EXPIRED -> refuse(ResultCode.DEADLINE_UNREACHABLE, MIN_RETRY_AFTER);
                 case NO_TARGET -> refuse(ResultCode.NO_TARGET, NO_TARGET_RETRY_AFTER);
                 default -> throw new AssertionError(reason);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
@@ -303,6 +303,8 @@
                     case NO_TARGET -> SlotRefusal.Reason.NO_TARGET;
                     case OVERLOADED -> SlotRefusal.Reason.OVERLOADED;
                     case EXPIRED -> SlotRefusal.Reason.EXPIRED;
+                    case DISPLACED -> SlotRefusal.Reason.DISPLACED;
+                    case POSTPONED -> SlotRefusal.Reason.POSTPONED;
                 };
         long waitMillis = Math.min(refused.expectedWait().toMillis(), Integer.MAX_VALUE);
         return SlotRefusal.newBuilder()
@@ -316,6 +318,8 @@
             case FULL -> SlotDecision.Refusal.FULL;
             case OVERLOADED -> SlotDecision.Refusal.OVERLOADED;
             case EXPIRED -> SlotDecision.Refusal.EXPIRED;
+            case DISPLACED -> SlotDecision.Refusal.DISPLACED;
+            case POSTPONED -> SlotDecision.Refusal.POSTPONED;
             case NO_TARGET, REASON_UNSPECIFIED, UNRECOGNIZED -> SlotDecision.Refusal.NO_TARGET;
         };
     }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRefusal.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRefusal.java
@@ -41,6 +41,14 @@
      * <code>EXPIRED = 4;</code>
      */
     EXPIRED(4),
+    /**
+     * <code>DISPLACED = 5;</code>
+     */
+    DISPLACED(5),
+    /**
+     * <code>POSTPONED = 6;</code>
+     */
+    POSTPONED(6),
     UNRECOGNIZED(-1),
     ;
 
@@ -64,6 +72,14 @@
      * <code>EXPIRED = 4;</code>
      */
     public static final int EXPIRED_VALUE = 4;
+    /**
+     * <code>DISPLACED = 5;</code>
+     */
+    public static final int DISPLACED_VALUE = 5;
+    /**
+     * <code>POSTPONED = 6;</code>
+     */
+    public static final int POSTPONED_VALUE = 6;
 
 
     @java.lang.Override
@@ -91,6 +107,8 @@
         case 2: return NO_TARGET;
         case 3: return OVERLOADED;
         case 4: return EXPIRED;
+        case 5: return DISPLACED;
+        case 6: return POSTPONED;
         default: return null;
       }
     }
@@ -179,7 +197,8 @@
   private int expectedWaitMillis_;
   /**
    * <pre>
-   * How long a request that waits now would wait, in milliseconds.
+   * How long a request that waits now would wait, or after which time its caller should come back,
+   * in milliseconds.
    * </pre>
    *
    * <code>uint32 expected_wait_millis = 2;</code>
@@ -191,7 +210,8 @@
   }
   /**
    * <pre>
-   * How long a request that waits now would wait, in milliseconds.
+   * How long a request that waits now would wait, or after which time its caller should come back,
+   * in milliseconds.
    * </pre>
    *
    * <code>uint32 expected_wait_millis = 2;</code>
@@ -203,7 +223,8 @@
   }
   /**
    * <pre>
-   * How long a request that waits now would wait, in milliseconds.
+   * How long a request that waits now would wait, or after which time its caller should come back,
+   * in milliseconds.
    * </pre>
    *
    * <code>uint32 expected_wait_millis = 2;</code>
@@ -359,7 +380,8 @@
 
     /**
      * <pre>
-     * How long a request that waits now would wait, in milliseconds.
+     * How long a request that waits now would wait, or after which time its caller should come back,
+     * in milliseconds.
      * </pre>
      *
      * <code>uint32 expected_wait_millis = 2;</code>
@@ -371,7 +393,8 @@
     }
     /**
      * <pre>
-     * How long a request that waits now would wait, in milliseconds.
+     * How long a request that waits now would wait, or after which time its caller should come back,
+     * in milliseconds.
      * </pre>
      *
      * <code>uint32 expected_wait_millis = 2;</code>
@@ -385,7 +408,8 @@
     }
     /**
      * <pre>
-     * How long a request that waits now would wait, in milliseconds.
+     * How long a request that waits now would wait, or after which time its caller should come back,
+     * in milliseconds.
      * </pre>
      *
      * <code>uint32 expected_wait_millis = 2;</code>
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRefusalOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRefusalOrBuilder.java
@@ -23,7 +23,8 @@
 
   /**
    * <pre>
-   * How long a request that waits now would wait, in milliseconds.
+   * How long a request that waits now would wait, or after which time its caller should come back,
+   * in milliseconds.
    * </pre>
    *
    * <code>uint32 expected_wait_millis = 2;</code>
