--- a/core/src/main/java/org/fuchsiaspindle/core/serving/PriorityLevel.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/PriorityLevel.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.fuchsiaspindle.core.fairness.FairRounds;
 import org.fuchsiaspindle.core.fairness.ServedShares;
+import org.fuchsiaspindle.core.serving.RequestQueue.Position;
 
 /**
  * The waiting requests of one priority, shared fairly between workspaces.
@@ -130,9 +131,19 @@
         return cost;
     }
 
-    /** Returns the requests that are not late, but not expected to start on time either. */
-    List<Waiting<T>> surplus(double costAhead, Pace pace) {
-        return plan(costAhead, pace).surplus();
+    /**
+     * Returns the requests that are not late, but not expected to start on time either, in the
+     * order in which they start.
+     */
+    List<Position<T>> surplus(double costAhead, Pace pace) {
+        OnTimePlan<T> plan = plan(costAhead, pace);
+        double cost = costAhead + cost(plan.kept());
+        List<Position<T>> positions = new ArrayList<>();
+        for (Waiting<T> waiting : inRounds(plan.surplus())) {
+            positions.add(new Position<>(waiting.entry(), cost));
+            cost += waiting.cost();
+        }
+        return positions;
     }
 
     /** Returns the late requests in the order in which they start. */
@@ -141,10 +152,14 @@
     }
 
     double onTimeCost() {
-        return onTime.stream().mapToDouble(Waiting::cost).sum();
+        return cost(onTime);
     }
 
     double totalCost() {
-        return all().mapToDouble(Waiting::cost).sum();
+        return cost(onTime) + cost(late);
+    }
+
+    private static <T> double cost(Collection<Waiting<T>> requests) {
+        return requests.stream().mapToDouble(Waiting::cost).sum();
     }
 }
--- a/core/src/main/java/org/fuchsiaspindle/core/serving/RequestQueue.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/RequestQueue.java
@@ -62,6 +62,15 @@
         }
     }
 
+    /**
+     * A waiting request and its place in the start order.
+     *
+     * @param entry the request
+     * @param costAhead the expected work that starts before it
+     * @param <T> the request
+     */
+    public record Position<T>(Entry<T> entry, double costAhead) {}
+
     /** The longest wait that is estimated; that of a service without slots. */
     static final Duration MAX_WAIT = Duration.ofDays(1);
 
@@ -126,22 +135,17 @@
     }
 
     /**
-     * Returns the expected work that starts before a waiting request; for a late one that of the
-     * requests which are not late.
+     * Returns the expected work that would start before a request if it were added; for a late one
+     * that of the requests which are not late.
      */
-    public double costAhead(T request, Pace pace) {
-        Waiting<T> waiting = waitingByRequest.get(request);
-        int priority = waiting.entry().priority();
+    public double costAheadIfAdded(Entry<T> entry, Pace pace) {
+        insert(entry);
+        int priority = entry.priority();
         PriorityLevel<T> level = levels.get(priority);
         level.update(pace.nowNanos());
         double moreUrgent = costOfMoreUrgent(priority);
-        return moreUrgent + level.costBefore(waiting, moreUrgent, pace);
-    }
-
-    /** Returns the expected work that would start before a request if it were added. */
-    public double costAheadIfAdded(Entry<T> entry, Pace pace) {
-        insert(entry);
-        double cost = costAhead(entry.request(), pace);
+        Waiting<T> waiting = waitingByRequest.get(entry.request());
+        double cost = moreUrgent + level.costBefore(waiting, moreUrgent, pace);
         remove(entry.request());
         return cost;
     }
@@ -154,28 +158,34 @@
         return cost;
     }
 
-    /** Returns the requests that are not late, but not expected to start on time either. */
-    public List<Entry<T>> surplus(Pace pace) {
-        List<Entry<T>> surplus = new ArrayList<>();
+    /**
+     * Returns the requests that are not late, but not expected to start on time either, in the
+     * order in which they start.
+     */
+    public List<Position<T>> surplus(Pace pace) {
+        List<Position<T>> surplus = new ArrayList<>();
         double moreUrgent = 0;
         for (PriorityLevel<T> level : levels.values()) {
             level.update(pace.nowNanos());
-            level.surplus(moreUrgent, pace).forEach(waiting -> surplus.add(waiting.entry()));
+            surplus.addAll(level.surplus(moreUrgent, pace));
             moreUrgent += level.totalCost();
         }
         return surplus;
     }
 
-    /** Returns the late requests that are not expected to start before they time out. */
-    public List<Entry<T>> hopeless(Pace pace) {
-        List<Entry<T>> hopeless = new ArrayList<>();
+    /**
+     * Returns the late requests that are not expected to start before they time out, in the order
+     * in which they start.
+     */
+    public List<Position<T>> hopeless(Pace pace) {
+        List<Position<T>> hopeless = new ArrayList<>();
         double costAhead = 0;
         for (PriorityLevel<T> level : levels.values()) {
             level.update(pace.nowNanos());
             costAhead += level.onTimeCost();
             for (Waiting<T> waiting : level.late()) {
                 if (waiting.entry().startUntilNanos() - pace.startNanos(costAhead) < 0) {
-                    hopeless.add(waiting.entry());
+                    hopeless.add(new Position<>(waiting.entry(), costAhead));
                 } else {
                     costAhead += waiting.cost();
                 }
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -16,6 +16,8 @@
 import java.util.Set;
 import org.fuchsiaspindle.core.serving.Pace;
 import org.fuchsiaspindle.core.serving.RequestQueue;
+import org.fuchsiaspindle.core.serving.RequestQueue.Entry;
+import org.fuchsiaspindle.core.serving.RequestQueue.Position;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.slot.RejectionPolicy.Rejection;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
@@ -100,7 +102,7 @@
             waves.record(onlineDemand(), now);
             return decisions;
         }
-        RequestQueue.Entry<SlotRequest> entry = entry(request, now);
+        Entry<SlotRequest> entry = entry(request, now);
         Pace pace = pace(now);
         Duration expectedWait = pace.expectedWait(waiting.costAheadIfAdded(entry, pace));
         Refusal reason = refusalReason(request, now);
@@ -122,8 +124,8 @@
         return decisions;
     }
 
-    private static RequestQueue.Entry<SlotRequest> entry(SlotRequest request, long now) {
-        return new RequestQueue.Entry<>(
+    private static Entry<SlotRequest> entry(SlotRequest request, long now) {
+        return new Entry<>(
                 request,
                 request.priority(),
                 request.workspace(),
@@ -147,26 +149,39 @@
             return;
         }
         Pace pace = pace(now);
-        for (RequestQueue.Entry<SlotRequest> entry : waiting.surplus(pace)) {
-            SlotRequest request = entry.request();
-            Duration wait = pace.expectedWait(waiting.costAhead(request, pace));
-            Optional<Rejection> rejection =
-                    rejections.ifTooLate(request, Refusal.DISPLACED, wait, now);
-            if (rejection.isEmpty() && !waiting.isStarved(entry.priority(), entry.workspace())) {
-                rejection = rejections.ifBetterAfterWave(entry, wait, pace.timePerRequest(), now);
+        double refusedCost = 0;
+        for (Position<SlotRequest> position : waiting.surplus(pace)) {
+            Entry<SlotRequest> entry = position.entry();
+            Duration wait = pace.expectedWait(position.costAhead() - refusedCost);
+            Optional<Rejection> rejection = rejectionOfSurplus(entry, wait, pace);
+            if (rejection.isPresent()) {
+                refusedCost += entry.cost();
+                refuse(entry.request(), rejection.get(), decisions);
             }
-            rejection.ifPresent(reason -> refuse(request, reason, decisions));
         }
     }
 
+    private Optional<Rejection> rejectionOfSurplus(
+            Entry<SlotRequest> entry, Duration wait, Pace pace) {
+        Optional<Rejection> tooLate =
+                rejections.ifTooLate(entry.request(), Refusal.DISPLACED, wait, pace.nowNanos());
+        if (tooLate.isPresent() || waiting.isStarved(entry.priority(), entry.workspace())) {
+            return tooLate;
+        }
+        return rejections.ifBetterAfterWave(entry, wait, pace.timePerRequest(), pace.nowNanos());
+    }
+
     /** Refuses late requests that will not start in time. */
     private void refuseHopeless(long now, List<SlotDecision> decisions) {
+        if (waiting.size() == 0 || hasSlotForOnline(now)) {
+            return;
+        }
         Pace pace = pace(now);
-        for (RequestQueue.Entry<SlotRequest> entry : waiting.hopeless(pace)) {
-            SlotRequest request = entry.request();
-            if (!entry.workspace().isEmpty() && !hasSlotForOnline(now)) {
-                Duration wait = pace.expectedWait(waiting.costAhead(request, pace));
-                refuse(request, new Rejection(Refusal.DISPLACED, wait), decisions);
+        for (Position<SlotRequest> position : waiting.hopeless(pace)) {
+            if (!position.entry().workspace().isEmpty()) {
+                Duration wait = pace.expectedWait(position.costAhead());
+                Rejection rejection = new Rejection(Refusal.DISPLACED, wait);
+                refuse(position.entry().request(), rejection, decisions);
             }
         }
     }
--- a/core/src/test/java/org/fuchsiaspindle/core/serving/RequestQueueTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/serving/RequestQueueTest.java
@@ -77,7 +77,7 @@
         }
         add("small", "small", 160, 1000);
         assertThat(queue.surplus(pace(100, 20)))
-                .extracting(RequestQueue.Entry::workspace)
+                .extracting(position -> position.entry().workspace())
                 .containsOnly("large")
                 .hasSize(5);
     }
@@ -111,7 +111,7 @@
         add("first", "a", 50, 130);
         add("second", "b", 51, 130);
         assertThat(queue.hopeless(pace(100, 20)))
-                .extracting(RequestQueue.Entry::request)
+                .extracting(position -> position.entry().request())
                 .containsExactly("second");
     }
 
