--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -519,8 +519,6 @@
         }
     }
 
-    }
-
     private boolean startBatchItem(
             String ip,
             Holder holder,
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/PoolReplay.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/PoolReplay.java
@@ -275,7 +275,9 @@
     private void demand() {
         apply(
                 pool.demand(
-                        "b", new BatchDemand(items.size(), 1000, grants, ImmutableSet.of()), now));
+                        "b",
+                        new BatchDemand(items.size(), 1000, grants, ImmutableSet.of(), 0),
+                        now));
     }
 
     private void apply(List<SlotDecision> decisions) {
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -207,7 +207,7 @@
                         Optional.of(Duration.ofMillis(50)),
                         Duration.ofSeconds(1));
         pool.release("g1", item, report, now);
-        pool.demand("g1", new BatchDemand(10, 1000, 1, ImmutableSet.of()), now);
+        pool.demand("g1", new BatchDemand(10, 1000, 1, ImmutableSet.of(), 0), now);
         Granted online = granted(request("g2", false));
         now += Duration.ofMillis(101).toNanos();
         assertThat(release("g2", online.ticket(), LeaseOutcome.DONE)).isEmpty();
