--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -7,18 +7,17 @@
 import java.util.Collection;
 import java.util.Comparator;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
 import org.fuchsiaspindle.core.serving.Pace;
 import org.fuchsiaspindle.core.serving.RequestQueue;
 import org.fuchsiaspindle.core.serving.RequestQueue.Entry;
 import org.fuchsiaspindle.core.serving.RequestQueue.Position;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.serving.TargetModel;
 import org.fuchsiaspindle.core.slot.RejectionPolicy.Rejection;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
 import org.fuchsiaspindle.core.slot.TargetSlots.Lease;
@@ -42,15 +41,17 @@
     /** Assumed time that an online request occupies a slot before one was observed. */
     private static final Duration INITIAL_HOLD_TIME = Duration.ofMillis(300);
 
-    /** Expected work of a request, in multiples of that of an average one. */
-    private static final double AVERAGE_COST = 1;
+    private static final TargetModel UNKNOWN_MODEL = new TargetModel(0, 1);
 
     private final OnlineWaves waves = new OnlineWaves();
     private final RejectionPolicy rejections = new RejectionPolicy(waves);
     private final BatchRoom batchRoom = new BatchRoom();
     private final Map<String, TargetSlots> targets = new LinkedHashMap<>();
+    private final PoolWork work = new PoolWork();
+    private final TargetChoice choice = new TargetChoice(targets.values(), work);
     private final Map<String, Holder> holders = new LinkedHashMap<>();
     private final RequestQueue<SlotRequest> waiting = new RequestQueue<>();
+    private TargetModel model = UNKNOWN_MODEL;
     private double holdNanos = INITIAL_HOLD_TIME.toNanos();
     private long nextBatchTicket;
 
@@ -92,11 +93,26 @@
         return assignFreeSlots(now);
     }
 
+    /** Sets what the configuration says about the targets, empty if they run no model. */
+    public void setModel(Optional<TargetModel> newModel) {
+        TargetModel known = newModel.orElse(UNKNOWN_MODEL);
+        if (!known.equals(model)) {
+            model = known;
+            work.estimator().setTokensPerEvent(known.tokensPerEvent());
+            targets.values().forEach(target -> target.setMemory(known.memoryTokens()));
+        }
+    }
+
+    /** Sets the listener that is told what is expected of requests and what came of it. */
+    public void setWorkListener(WorkListener listener) {
+        work.setListener(listener);
+    }
+
     /** Handles the request of a gateway for a slot for an online request. */
     public List<SlotDecision> request(SlotRequest request, long now) {
         checkNotNull(request, "request");
         List<SlotDecision> decisions = new ArrayList<>();
-        Optional<TargetSlots> target = chooseForOnline(request, now);
+        Optional<TargetSlots> target = choice.forOnline(request, now);
         if (target.isPresent()) {
             grant(request, target.get(), now, decisions);
             waves.record(onlineDemand(), now);
@@ -124,30 +140,21 @@
         return decisions;
     }
 
-    private static Entry<SlotRequest> entry(SlotRequest request, long now) {
+    private Entry<SlotRequest> entry(SlotRequest request, long now) {
         return new Entry<>(
                 request,
                 request.priority(),
                 request.workspace(),
-                cost(request),
+                work.estimator().relativeWork(request.size()),
                 request.onTimeUntilNanos(),
                 request.startUntilNanos(),
                 now);
     }
 
-    /** Returns the expected work of a request, in multiples of that of an average one. */
-    private static double cost(SlotRequest request) {
-        checkNotNull(request, "request");
-        return AVERAGE_COST;
-    }
-
     /**
      * Refuses waiting requests that gave way to others and for which that is better than to wait.
      */
     private void refuseSurplus(long now, List<SlotDecision> decisions) {
-        if (hasSlotForOnline(now)) {
-            return;
-        }
         Pace pace = pace(now);
         double refusedCost = 0;
         for (Position<SlotRequest> position : waiting.surplus(pace)) {
@@ -163,6 +170,9 @@
 
     private Optional<Rejection> rejectionOfSurplus(
             Entry<SlotRequest> entry, Duration wait, Pace pace) {
+        if (hasRoomFor(entry.request(), pace.nowNanos())) {
+            return Optional.empty();
+        }
         Optional<Rejection> tooLate =
                 rejections.ifTooLate(entry.request(), Refusal.DISPLACED, wait, pace.nowNanos());
         if (tooLate.isPresent() || waiting.isStarved(entry.priority(), entry.workspace())) {
@@ -173,15 +183,15 @@
 
     /** Refuses late requests that will not start in time. */
     private void refuseHopeless(long now, List<SlotDecision> decisions) {
-        if (waiting.size() == 0 || hasSlotForOnline(now)) {
+        if (waiting.size() == 0) {
             return;
         }
         Pace pace = pace(now);
         for (Position<SlotRequest> position : waiting.hopeless(pace)) {
-            if (!position.entry().workspace().isEmpty()) {
+            SlotRequest request = position.entry().request();
+            if (!request.workspace().isEmpty() && !hasRoomFor(request, now)) {
                 Duration wait = pace.expectedWait(position.costAhead());
-                Rejection rejection = new Rejection(Refusal.DISPLACED, wait);
-                refuse(position.entry().request(), rejection, decisions);
+                refuse(request, new Rejection(Refusal.DISPLACED, wait), decisions);
             }
         }
     }
@@ -203,6 +213,7 @@
         }
         lease.target().remove(lease);
         recordOutcome(lease, report.outcome(), now);
+        work.end(lease, report, now);
         if (lease.trafficClass() == TrafficClass.BATCH) {
             batchRoom.recordRun(report);
         }
@@ -258,7 +269,8 @@
                             slot.trafficClass(),
                             slot.dueMillis(),
                             0,
-                            now));
+                            now,
+                            ExpectedRun.ofTokens(slot.reservedTokens())));
         }
         List<SlotDecision> decisions = new ArrayList<>();
         preemptExcess(decisions);
@@ -333,7 +345,13 @@
     }
 
     private TargetSlots target(String id) {
-        return targets.computeIfAbsent(id, TargetSlots::new);
+        return targets.computeIfAbsent(
+                id,
+                newId -> {
+                    TargetSlots created = new TargetSlots(newId);
+                    created.setMemory(model.memoryTokens());
+                    return created;
+                });
     }
 
     private Holder holder(String ip) {
@@ -341,7 +359,15 @@
     }
 
     private void removeUnusedTargets() {
-        targets.values().removeIf(target -> !target.isOpen() && target.isEmpty());
+        targets.values()
+                .removeIf(
+                        target -> {
+                            boolean unused = !target.isOpen() && target.isEmpty();
+                            if (unused) {
+                                work.forgetPrompts(target);
+                            }
+                            return unused;
+                        });
     }
 
     /** Removes what a gateway holds and wants, but for grants that it had not received. */
@@ -369,9 +395,7 @@
     /** Preempts the batch items for which online requests leave no slots. */
     private void preemptExcess(List<SlotDecision> decisions) {
         for (TargetSlots target : targets.values()) {
-            while (target.isOpen()
-                    && target.total() > target.slots()
-                    && preemptFirst(target, decisions)) {
+            while (target.isOpen() && target.isOverfull() && preemptFirst(target, decisions)) {
                 continue;
             }
         }
@@ -406,11 +430,11 @@
     /** Starts the first waiting request for which a target is available, if there is one. */
     private boolean startFirstPossible(long now, List<SlotDecision> decisions) {
         Optional<SlotRequest> next =
-                waiting.next(pace(now), request -> chooseForOnline(request, now).isPresent());
+                waiting.next(pace(now), request -> choice.forOnline(request, now).isPresent());
         next.ifPresent(
                 request -> {
                     waiting.start(request);
-                    TargetSlots target = chooseForOnline(request, now).orElseThrow();
+                    TargetSlots target = choice.forOnline(request, now).orElseThrow();
                     grant(request, target, now, decisions);
                 });
         return next.isPresent();
@@ -421,17 +445,28 @@
                 .anyMatch(target -> target.isOpen() && target.hasSlotForOnline(now));
     }
 
+    private boolean hasRoomFor(SlotRequest request, long now) {
+        int tokens = request.size().maxTokens();
+        return targets.values().stream()
+                .anyMatch(target -> target.isOpen() && target.hasRoomForOnline(tokens, now));
+    }
+
     /** Returns the number of slots that online requests hold or wait for. */
     private int onlineDemand() {
         return waiting.size() + targets.values().stream().mapToInt(TargetSlots::online).sum();
     }
 
+    private boolean preemptForOnline(TargetSlots target, long now, List<SlotDecision> decisions) {
+        target.firstToPreempt()
+                .ifPresent(item -> batchRoom.recordPreemption(now - item.grantedNanos(), now));
+        return preemptFirst(target, decisions);
+    }
+
     private void grant(
             SlotRequest request, TargetSlots target, long now, List<SlotDecision> decisions) {
-        if (!target.hasFreeSlot()) {
-            target.firstToPreempt()
-                    .ifPresent(item -> batchRoom.recordPreemption(now - item.grantedNanos(), now));
-            preemptFirst(target, decisions);
+        while (!target.hasRoom(request.size().maxTokens())
+                && preemptForOnline(target, now, decisions)) {
+            continue;
         }
         add(
                 holder(request.holder()),
@@ -442,7 +477,8 @@
                         TrafficClass.ONLINE,
                         0,
                         0,
-                        now));
+                        now,
+                        work.start(request, target, now)));
         target.requestGranted(now);
         decisions.add(
                 new SlotDecision.Granted(
@@ -450,7 +486,12 @@
     }
 
     private void startBatchItems(long now, List<SlotDecision> decisions) {
-        List<TargetSlots> free = targetsForBatch(now);
+        List<TargetSlots> free =
+                choice.openToBatchItems(
+                        target ->
+                                waiting.anyMatch(
+                                        request -> !request.avoided().contains(target.id())),
+                        now);
         int startable =
                 free.stream().mapToInt(TargetSlots::freeSlots).sum() - batchRoom.keptFree(now);
         if (startable <= 0) {
@@ -473,39 +514,19 @@
         }
     }
 
-    private List<TargetSlots> targetsForBatch(long now) {
-        List<TargetSlots> free = new ArrayList<>();
-        Set<TargetSlots> ejected = null;
-        for (TargetSlots target : targets.values()) {
-            if (!target.isOpen() || !target.hasSlotForBatch(now) || target.isUnavailable(now)) {
-                continue;
-            }
-            ejected = ejected == null ? ejectedTargets(now) : ejected;
-            boolean wantedByOnline =
-                    waiting.anyMatch(request -> !request.avoided().contains(target.id()));
-            if (!ejected.contains(target) && !wantedByOnline) {
-                free.add(target);
-            }
-        }
-        return free;
-    }
-
     private boolean startBatchItem(
             String ip,
             Holder holder,
             List<TargetSlots> free,
             long now,
             List<SlotDecision> decisions) {
-        Optional<TargetSlots> chosen =
-                free.stream()
-                        .filter(target -> target.hasSlotForBatch(now))
-                        .filter(target -> !holder.demand.avoided().contains(target.id()))
-                        .min(Comparator.comparingDouble(target -> target.batchCost(now)));
+        Optional<TargetSlots> chosen = choice.forBatchItem(free, holder.demand, now);
         if (chosen.isEmpty()) {
             return false;
         }
         long ticket = nextBatchTicket++;
         long dueMillis = holder.demand.dueMillis();
+        int reservedTokens = holder.demand.largestItemTokens();
         holder.batchGrants++;
         add(
                 holder,
@@ -516,76 +537,20 @@
                         TrafficClass.BATCH,
                         dueMillis,
                         holder.batchGrants,
-                        now));
+                        now,
+                        PoolWork.startItem(chosen.get(), reservedTokens)));
         chosen.get().requestGranted(now);
         decisions.add(
                 new SlotDecision.BatchGranted(
-                        ip, ticket, chosen.get().id(), dueMillis, chosen.get().hasRequestLimit()));
+                        ip,
+                        ticket,
+                        chosen.get().id(),
+                        dueMillis,
+                        chosen.get().hasRequestLimit(),
+                        reservedTokens));
         return true;
     }
 
-    private Optional<TargetSlots> chooseForOnline(SlotRequest request, long now) {
-        Set<TargetSlots> ejected = Set.of();
-        if (!request.lastResort()) {
-            ejected = ejectedTargets(now);
-        }
-        TargetSlots best = null;
-        for (TargetSlots target : targets.values()) {
-            boolean acceptable =
-                    target.isOpen()
-                            && target.hasSlotForOnline(now)
-                            && (request.lastResort()
-                                    || !ejected.contains(target)
-                                            && !request.avoided().contains(target.id())
-                                            && !target.isUnavailable(now));
-            if (acceptable && (best == null || isBetterForOnline(target, best))) {
-                best = target;
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
-    /** Prefers free slots, then slots whose batch item loses least, then the lower load. */
-    private static boolean isBetterForOnline(TargetSlots target, TargetSlots other) {
-        if (target.hasFreeSlot() != other.hasFreeSlot()) {
-            return target.hasFreeSlot();
-        }
-        if (!target.hasFreeSlot()) {
-            long due = target.firstToPreempt().map(Lease::dueMillis).orElse(0L);
-            long otherDue = other.firstToPreempt().map(Lease::dueMillis).orElse(0L);
-            if (due != otherDue) {
-                return due > otherDue;
-            }
-        }
-        if (target.total() != other.total()) {
-            return target.total() < other.total();
-        }
-        return target.lastGrantNanos() - other.lastGrantNanos() < 0;
-    }
-
-    /**
-     * Returns the targets that receive no requests because too many fail there, at most half of the
-     * open ones.
-     */
-    private Set<TargetSlots> ejectedTargets(long now) {
-        List<TargetSlots> unreliable = new ArrayList<>();
-        int openTargets = 0;
-        for (TargetSlots target : targets.values()) {
-            openTargets += target.isOpen() ? 1 : 0;
-            if (target.isOpen() && target.reliability().isUnreliable(now)) {
-                unreliable.add(target);
-            }
-        }
-        if (unreliable.isEmpty()) {
-            return Set.of();
-        }
-        unreliable.sort(
-                Comparator.comparingDouble(
-                                (TargetSlots target) -> target.reliability().failureShare(now))
-                        .reversed());
-        return new HashSet<>(unreliable.subList(0, Math.min(unreliable.size(), openTargets / 2)));
-    }
-
     private Refusal refusalReason(SlotRequest request, long now) {
         boolean anyAcceptable =
                 targets.values().stream()
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -207,7 +207,7 @@
                         Optional.of(Duration.ofMillis(50)),
                         Duration.ofSeconds(1));
         pool.release("g1", item, report, now);
-        pool.demand("g1", new BatchDemand(10, 1000, 1, ImmutableSet.of()), now);
+        pool.demand("g1", new BatchDemand(10, 1000, 1, ImmutableSet.of(), 0), now);
         Granted online = granted(request("g2", false));
         now += Duration.ofMillis(101).toNanos();
         assertThat(release("g2", online.ticket(), LeaseOutcome.DONE)).isEmpty();
@@ -219,9 +219,9 @@
     @Test
     void ofItemsDueAtAboutTheSameTime_theOneStartedLastIsPreempted() {
         targets("a");
-        demand("first", SLOTS - 1, 2000);
+        demand("first", SLOTS - 1, 1900);
         now += Duration.ofMillis(500).toNanos();
-        demand("last", 1, 1000);
+        demand("last", 1, 1100);
         assertThat(request("g1", false))
                 .filteredOn(Preempted.class::isInstance)
                 .singleElement()
@@ -234,9 +234,9 @@
     void grantsOnTheirWay_countAgainstTheDemand() {
         targets("a", "b");
         assertThat(demand("g1", 3, 1000)).hasSize(3);
-        assertThat(pool.demand("g1", new BatchDemand(3, 1000, 0, ImmutableSet.of()), now))
+        assertThat(pool.demand("g1", new BatchDemand(3, 1000, 0, ImmutableSet.of(), 0), now))
                 .isEmpty();
-        assertThat(pool.demand("g1", new BatchDemand(2, 1000, 3, ImmutableSet.of()), now))
+        assertThat(pool.demand("g1", new BatchDemand(2, 1000, 3, ImmutableSet.of(), 0), now))
                 .hasSize(2);
     }
 
@@ -259,7 +259,7 @@
         }
         List<HeldSlot> held = new ArrayList<>();
         for (long ticket = 50; ticket < 53; ticket++) {
-            held.add(new HeldSlot(ticket, "a", TrafficClass.BATCH, 1000));
+            held.add(new HeldSlot(ticket, "a", TrafficClass.BATCH, 1000, 0));
         }
         assertThat(pool.replaceHoldings("g2", held, 0, now))
                 .hasSize(3)
@@ -473,7 +473,7 @@
     }
 
     private List<SlotDecision> demand(String holder, int waiting, long due) {
-        return pool.demand(holder, new BatchDemand(waiting, due, 0, ImmutableSet.of()), now);
+        return pool.demand(holder, new BatchDemand(waiting, due, 0, ImmutableSet.of(), 0), now);
     }
 
     private List<SlotDecision> release(String holder, long ticket, LeaseOutcome outcome) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -29,6 +29,7 @@
 import org.fuchsiaspindle.gateway.batch.JobStore;
 import org.fuchsiaspindle.gateway.batch.JobSubmissionHandler;
 import org.fuchsiaspindle.gateway.batch.JobTable;
+import org.fuchsiaspindle.gateway.limit.WorkspaceLimits;
 import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
 import org.fuchsiaspindle.gateway.peer.PeerInfo;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
@@ -78,6 +79,7 @@
     private final StoreClock storeClock = StoreClock.create(Clock.system());
     private final StoreClient storeClient;
     private final PromptGuard promptGuard;
+    private final WorkspaceLimits limits;
     private final TargetFleet fleet;
     private final SlotClient slots;
     private final PeerMesh mesh;
@@ -104,12 +106,29 @@
                         settings.dataCentre(),
                         settings.cpuCapacity());
         this.promptGuard = PromptGuard.create(requestLoop, metrics);
+        this.limits = WorkspaceLimits.create(requestLoop, peerSelf, viewHolder, metrics);
         this.fleet = TargetFleet.create(requestLoop, promptGuard, metrics);
-        this.slots = SlotClient.create(requestLoop, peerSelf, metrics);
+        this.slots =
+                SlotClient.create(
+                        requestLoop,
+                        peerSelf,
+                        metrics,
+                        service ->
+                                viewHolder
+                                        .view()
+                                        .config()
+                                        .flatMap(config -> config.model(service)));
         this.mesh = PeerMesh.create(requestLoop, peerSelf, viewHolder, storeHealth, slots, metrics);
         this.onlineDispatcher =
                 OnlineDispatcher.create(
-                        requestLoop, fleet, slots, promptGuard, metrics, () -> stopWindow);
+                        requestLoop,
+                        viewHolder,
+                        fleet,
+                        slots,
+                        promptGuard,
+                        limits,
+                        metrics,
+                        () -> stopWindow);
         this.jobTable = JobTable.create(requestLoop);
         this.jobStore = JobStore.on(storeClient);
         this.self = new JobOwner(settings.ip(), incarnation);
@@ -140,6 +159,7 @@
         HostAndPort statusAddress = required(settings.readinessAddress(), "listen.readiness");
         slots.start(mesh, fleet);
         promptGuard.start(mesh);
+        limits.start(mesh);
         metrics.observeTargets(fleet::openTargets);
         metrics.observeItemMemory(() -> runner.itemBytes(), () -> runner.waitingJobCount());
         fleet.start(slots::reportSilence, slots::reportRequestLimit);
@@ -230,7 +250,12 @@
         JobCallHandler jobCallHandler =
                 JobCallHandler.create(requestLoop, jobStore, jobTable, relay);
         return new RequestRouter(
-                viewHolder, onlineDispatcher, submissionHandler, jobCallHandler, () -> stopWindow);
+                viewHolder,
+                onlineDispatcher,
+                submissionHandler,
+                jobCallHandler,
+                metrics,
+                () -> stopWindow);
     }
 
     private static HostAndPort required(Optional<HostAndPort> address, String name) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -20,7 +20,11 @@
 import org.fuchsiaspindle.core.job.JobOwner;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.serving.Route;
+import org.fuchsiaspindle.core.serving.ServingConfig;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.serving.TargetModel;
+import org.fuchsiaspindle.core.workspace.TargetIdentity;
+import org.fuchsiaspindle.core.workspace.WorkspaceDirectory;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.BatchDemands;
@@ -306,6 +310,11 @@
             return;
         }
         routeMissingSinceNanos.remove(job.id());
+        for (ItemRun run : job.runs()) {
+            if (run.isPending() && isTooLarge(run, run.service(route.get()))) {
+                finish(run, false, "larger than the memory of a target");
+            }
+        }
         OptionalLong storeNow = storeClock.nowMillis();
         if (storeNow.isEmpty()) {
             return;
@@ -371,7 +380,8 @@
         }
         for (String service : Sets.union(batchDemands.services(), startable.keySet())) {
             List<ItemRun> runs = startable.getOrDefault(service, List.of());
-            batchDemands.set(service, runs.size(), schedule.earliestDueMillis(runs));
+            int largestTokens = runs.stream().mapToInt(ItemRun::maxTokens).max().orElse(0);
+            batchDemands.set(service, runs.size(), schedule.earliestDueMillis(runs), largestTokens);
         }
     }
 
@@ -384,7 +394,9 @@
                             route -> {
                                 for (ItemRun run : job.runs()) {
                                     String service = run.service(route);
-                                    if (run.mayStart(now) && mayRun(run, service, now)) {
+                                    if (run.mayStart(now)
+                                            && !isTooLarge(run, service)
+                                            && mayRun(run, service, now)) {
                                         startable.put(run, service);
                                     }
                                 }
@@ -393,6 +405,18 @@
         return startable;
     }
 
+    /** Returns whether no target of a service has the memory for an item. */
+    private boolean isTooLarge(ItemRun run, String service) {
+        int memoryTokens =
+                viewHolder
+                        .view()
+                        .config()
+                        .flatMap(config -> config.model(service))
+                        .map(TargetModel::memoryTokens)
+                        .orElse(0);
+        return memoryTokens > 0 && run.maxTokens() > memoryTokens;
+    }
+
     private boolean mayRun(ItemRun run, String service, long now) {
         return !isQuarantined(run, service) || trials.isDue(run, service, now);
     }
@@ -455,6 +479,7 @@
                                         item.path(),
                                         route.host(),
                                         item.headers(),
+                                        targetIdentity(run.job().job()),
                                         item.body(),
                                         target,
                                         RUN_TIMEOUT,
@@ -462,6 +487,16 @@
                         new Attempt(run, route)));
     }
 
+    private TargetIdentity targetIdentity(JobRecord job) {
+        WorkspaceDirectory directory =
+                viewHolder
+                        .view()
+                        .config()
+                        .map(ServingConfig::workspaces)
+                        .orElse(WorkspaceDirectory.NONE);
+        return TargetIdentity.ofJob(directory, job.workspace());
+    }
+
     private void finish(ItemRun run, boolean completed, String reason) {
         run.finish(completed);
         metrics.countItem(completed ? "completed" : "given_up");
@@ -496,7 +531,7 @@
         Attempt(ItemRun run, Route route) {
             this.run = run;
             this.route = route;
-            this.eventSplitter = EventSplitter.to(run::add);
+            this.eventSplitter = EventSplitter.to(this::onEvent);
         }
 
         @Override
@@ -520,6 +555,11 @@
             }
         }
 
+        private void onEvent(EventSplitter.Event event) {
+            run.call().countEvent();
+            run.add(event);
+        }
+
         @Override
         public void onComplete() {
             long now = System.nanoTime();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -11,6 +11,9 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.error.ResultCode;
+import org.fuchsiaspindle.core.limit.LimitRefusal;
+import org.fuchsiaspindle.core.limit.Permit;
+import org.fuchsiaspindle.core.limit.PermitHolder;
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.RouteKind;
 import org.fuchsiaspindle.core.serving.TargetInstance;
@@ -18,6 +21,7 @@
 import org.fuchsiaspindle.core.slot.RunReport;
 import org.fuchsiaspindle.core.slot.SlotDecision;
 import org.fuchsiaspindle.core.work.RequestSize;
+import org.fuchsiaspindle.core.workspace.CallerAccess;
 import org.fuchsiaspindle.gateway.slot.SlotAcquisition;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
 import org.fuchsiaspindle.gateway.target.CallDescription;
@@ -42,6 +46,7 @@
 final class OnlineCall {
 
     private static final int SERVER_ERROR = 500;
+    private static final int UNAUTHORIZED = 401;
 
     /** Number of refusals by targets after which the request is refused with a retry time. */
     private static final int MAX_TARGET_REFUSALS = 6;
@@ -55,6 +60,9 @@
     /** Fraction of the latency target for which a request waits if no target is known. */
     private static final int NO_TARGET_WAIT_DIVISOR = 4;
 
+    /** Fraction of the latency target for which a request waits for a permit. */
+    private static final int PERMIT_WAIT_DIVISOR = 4;
+
     /** Retry time if no target is known; targets register again within some seconds. */
     private static final Duration NO_TARGET_RETRY_AFTER = Duration.ofMillis(300);
 
@@ -71,6 +79,7 @@
     private final long deadlineNanos;
     private final boolean clientDeadlineFirst;
     private final Set<String> triedTargets = new HashSet<>();
+    private CallerAccess access;
     private ScheduledFuture<?> deadlineTimer;
     private TargetCall call;
     private long startedNanos;
@@ -81,16 +90,27 @@
     /** Set after an answer that could not be attributed, see {@link CallDescription}. */
     private boolean needsNewConnection;
 
+    private PermitHolder.Waiting permitWaiting;
+
+    /** A permit that no target has used yet. */
+    private Optional<Permit> permit = Optional.empty();
+
     private SlotAcquisition acquisition;
     private boolean finished;
     private OptionalLong lastEvent = OptionalLong.empty();
     private String lastTarget = "-";
 
-    OnlineCall(OnlineDispatcher dispatcher, ClientExchange exchange, Route route, String service) {
+    OnlineCall(
+            OnlineDispatcher dispatcher,
+            ClientExchange exchange,
+            Route route,
+            String service,
+            CallerAccess access) {
         this.dispatcher = dispatcher;
         this.exchange = exchange;
         this.route = route;
         this.service = service;
+        this.access = access;
         this.promptParts = PromptHeader.sharedParts(exchange.request().headers());
         this.size = PromptHeader.size(route.name(), exchange.request().headers());
         this.arrivedNanos = exchange.request().arrivedNanos();
@@ -111,16 +131,41 @@
                                 this::deadlineReached,
                                 Math.max(0, remainingNanos),
                                 TimeUnit.NANOSECONDS);
-        dispatch();
+        if (dispatcher.slots().fitsTarget(service, size)) {
+            dispatch();
+        } else {
+            refuseTooLarge();
+        }
+    }
+
+    /** Refuses a request that no target could ever run, without a retry time. */
+    private void refuseTooLarge() {
+        ResultCode code = ResultCode.REQUEST_TOO_LARGE;
+        finish();
+        logDecision("refused", code.name());
+        dispatcher.metrics().countRefusal(code);
+        exchange.refuse(Refusal.of(code.httpStatus(), code));
     }
 
-    /** Obtains a slot of a target, waiting for one if necessary, and sends the request there. */
+    /** Obtains what the next attempt needs, waiting if necessary, and sends the request. */
     private void dispatch() {
         Optional<Duration> quarantine = promptQuarantine();
         if (quarantine.isPresent()) {
             refuse(ResultCode.PROMPT_QUARANTINED, quarantine.get());
             return;
         }
+        if (permit.isPresent() || !dispatcher.limits().isLimited(access.workspaceName())) {
+            acquireSlot();
+        } else {
+            Duration patience = route.latencyTarget().dividedBy(PERMIT_WAIT_DIVISOR);
+            permitWaiting =
+                    dispatcher
+                            .limits()
+                            .acquire(access.workspaceName(), patience, new PermitListener());
+        }
+    }
+
+    private void acquireSlot() {
         long latestOnTimeStartNanos =
                 arrivedNanos + route.latencyTarget().toNanos() - timeToResultNanos();
         long retryUntilNanos =
@@ -131,8 +176,8 @@
                         .acquire(
                                 new SlotAcquisition.Need(
                                         service,
-                                        route.priority(),
-                                        "",
+                                        access.priority(route.priority()),
+                                        access.workspaceName(),
                                         size,
                                         latestOnTimeStartNanos,
                                         latestUsefulStartNanos(),
@@ -185,6 +230,7 @@
                                 () ->
                                         TargetProtocol.forwardRequest(
                                                 exchange.request(),
+                                                access.targetIdentity(),
                                                 target,
                                                 Duration.ofNanos(
                                                         Math.max(
@@ -224,6 +270,8 @@
     /** Sends the request again, or fails it, after an attempt with an unknown outcome. */
     private void attemptLost(String reason) {
         mayHaveRun = true;
+        // Another attempt needs another permit.
+        permit = Optional.empty();
         attempts++;
         triedTargets.add(lastTarget);
         call = null;
@@ -273,15 +321,33 @@
             exchange.refuse(Refusal.mayHaveRun(code));
         } else {
             dispatcher.metrics().countRefusal(code);
-            // Before a quarantine ends, no retry can succeed.
-            Duration retryTime =
-                    code == ResultCode.PROMPT_QUARANTINED
-                            ? retryAfter
-                            : clampRetryAfter(retryAfter);
+            // Before a quarantine ends or the limit allows more, no retry can succeed.
+            boolean isKnownTime =
+                    code == ResultCode.PROMPT_QUARANTINED || code == ResultCode.RATE_LIMITED;
+            Duration retryTime = isKnownTime ? retryAfter : clampRetryAfter(retryAfter);
             exchange.refuse(Refusal.notRun(code, retryTime));
         }
     }
 
+    /**
+     * Returns whether the configuration in force still accepts the key of the caller. A request
+     * that may have run ends as it was accepted.
+     */
+    private boolean isStillAccepted() {
+        if (!mayHaveRun) {
+            access = dispatcher.access(route, exchange.request().key());
+        }
+        return !(access instanceof CallerAccess.Denied);
+    }
+
+    /** Refuses a request whose key was taken away before a target could run it. */
+    private void refuseKey() {
+        finish();
+        logDecision("refused", ResultCode.INVALID_KEY.name());
+        dispatcher.metrics().countRefusal(ResultCode.INVALID_KEY);
+        exchange.refuse(Refusal.of(UNAUTHORIZED, ResultCode.INVALID_KEY));
+    }
+
     private static Duration clampRetryAfter(Duration time) {
         if (time.compareTo(MIN_RETRY_AFTER) < 0) {
             return MIN_RETRY_AFTER;
@@ -329,11 +395,18 @@
     }
 
     private void cancelPendingWork() {
+        if (permitWaiting != null) {
+            permitWaiting.cancel();
+            permitWaiting = null;
+        }
         if (acquisition != null) {
             acquisition.cancel();
             acquisition = null;
         }
         if (call != null) {
+            if (call.isSent()) {
+                permit = Optional.empty();
+            }
             call.cancel();
             call = null;
         }
@@ -347,10 +420,13 @@
     private void finish() {
         finished = true;
         deadlineTimer.cancel(false);
+        permit.ifPresent(dispatcher.limits()::giveBack);
+        permit = Optional.empty();
     }
 
     private void recordCompletion(TargetResponse response) {
         long now = System.nanoTime();
+        permit = Optional.empty();
         dispatcher.serviceTimes().record(service, now - startedNanos);
         dispatcher.metrics().recordLatency(route.name(), now - arrivedNanos);
         finish();
@@ -369,12 +445,41 @@
                 TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - arrivedNanos));
     }
 
+    /** Receives the permit for the next attempt. */
+    private final class PermitListener implements PermitHolder.Listener {
+
+        @Override
+        public void onPermitted(Permit granted) {
+            permit = Optional.of(granted);
+            acquireSlot();
+        }
+
+        @Override
+        public void onRefused(LimitRefusal refusal) {
+            String workspace = access.workspaceName();
+            DecisionLog.limited(
+                    exchange.request().id(),
+                    workspace,
+                    dispatcher.limits().limit(workspace),
+                    refusal);
+            boolean overLimit = refusal.cause() == LimitRefusal.Cause.OVER_LIMIT;
+            refuse(
+                    overLimit ? ResultCode.RATE_LIMITED : ResultCode.LIMIT_UNDECIDED,
+                    refusal.retryAfter());
+        }
+    }
+
     /** Receives the slot for the next attempt. */
     private final class SlotListener implements SlotAcquisition.Listener {
 
         @Override
         public void onGranted(SlotLease lease, TargetInstance target) {
             acquisition = null;
+            if (!isStillAccepted()) {
+                lease.release(RunReport.unused(LeaseOutcome.CANCELLED));
+                refuseKey();
+                return;
+            }
             // The prompt may have been quarantined while the request waited.
             Optional<Duration> quarantine = promptQuarantine();
             if (quarantine.isPresent()) {
@@ -419,7 +524,7 @@
                 attemptLost("resumed stream without events");
                 return;
             }
-            forwarder = new ResponseForwarder(exchange, newResponse, lastEvent);
+            forwarder = new ResponseForwarder(exchange, newResponse, lastEvent, call::countEvent);
         }
 
         @Override
