--- a/core/src/main/java/org/fuchsiaspindle/core/serving/Pace.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/Pace.java
@@ -10,6 +10,11 @@
  */
 public record Pace(long nowNanos, Duration timePerRequest) {
 
+    /** Returns whether requests start at all, so that waits can be estimated. */
+    public boolean isKnown() {
+        return timePerRequest.compareTo(RequestQueue.MAX_WAIT) < 0;
+    }
+
     /**
      * Returns when a request is expected to start, in monotonic nanoseconds.
      *
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -14,11 +14,8 @@
 import java.util.OptionalDouble;
 import org.fuchsiaspindle.core.serving.Pace;
 import org.fuchsiaspindle.core.serving.RequestQueue;
-import org.fuchsiaspindle.core.serving.RequestQueue.Entry;
-import org.fuchsiaspindle.core.serving.RequestQueue.Position;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.serving.TargetModel;
-import org.fuchsiaspindle.core.slot.RejectionPolicy.Rejection;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
 import org.fuchsiaspindle.core.slot.TargetSlots.Lease;
 
@@ -26,10 +23,10 @@
  * The slots of the targets of one pool, as its coordinator assigns them.
  *
  * <p>An online request gets a free slot of the least loaded target, otherwise the slot of a batch
- * item, otherwise it waits or is refused ({@link RejectionPolicy}). A free slot goes to the waiting
- * online request that starts first ({@link RequestQueue}) and, if there is none, to the gateway
- * whose waiting batch item is due first, as far as online requests leave room ({@link BatchRoom}).
- * Load pattern: bursts that exceed the slots for seconds, between which batch items fill the slots.
+ * item, otherwise it waits or is refused ({@link WaitingRequests}). A free slot goes to the waiting
+ * online request that starts first and, if there is none, to the gateway whose waiting batch item
+ * is due first, as far as online requests leave room ({@link BatchRoom}). Load pattern: bursts that
+ * exceed the slots for seconds, between which batch items fill the slots.
  *
  * <p>Each method returns the decisions that follow from it. Not thread-safe; times are monotonic
  * nanoseconds.
@@ -44,13 +41,12 @@
     private static final TargetModel UNKNOWN_MODEL = new TargetModel(0, 1);
 
     private final OnlineWaves waves = new OnlineWaves();
-    private final RejectionPolicy rejections = new RejectionPolicy(waves);
     private final BatchRoom batchRoom = new BatchRoom();
     private final Map<String, TargetSlots> targets = new LinkedHashMap<>();
     private final PoolWork work = new PoolWork();
     private final TargetChoice choice = new TargetChoice(targets.values(), work);
     private final Map<String, Holder> holders = new LinkedHashMap<>();
-    private final RequestQueue<SlotRequest> waiting = new RequestQueue<>();
+    private final WaitingRequests waiting = new WaitingRequests(waves);
     private TargetModel model = UNKNOWN_MODEL;
     private double holdNanos = INITIAL_HOLD_TIME.toNanos();
     private long nextBatchTicket;
@@ -118,89 +114,20 @@
             waves.record(onlineDemand(), now);
             return decisions;
         }
-        Entry<SlotRequest> entry = entry(request, now);
         Pace pace = pace(now);
-        Duration expectedWait = pace.expectedWait(waiting.costAheadIfAdded(entry, pace));
+        double cost = work.estimator().relativeWork(request.size());
         Refusal reason = refusalReason(request, now);
         if (!request.mayWait() || reason == Refusal.NO_TARGET) {
-            decisions.add(refusal(request, reason, expectedWait));
+            Duration wait = waiting.expectedWait(request, cost, pace);
+            decisions.add(
+                    new SlotDecision.Refused(request.holder(), request.ticket(), reason, wait));
             return decisions;
         }
-        Optional<Rejection> rejection =
-                rejections.ifTooLate(request, Refusal.OVERLOADED, expectedWait, now);
-        if (rejection.isPresent()) {
-            waiting.recordRefused(request.priority(), request.workspace());
-            decisions.add(refusal(request, rejection.get()));
-            return decisions;
-        }
-        waiting.add(entry);
-        decisions.add(new SlotDecision.Queued(request.holder(), request.ticket()));
-        refuseSurplus(now, decisions);
+        decisions.addAll(waiting.add(request, cost, waiter -> hasRoomFor(waiter, now), pace));
         waves.record(onlineDemand(), now);
         return decisions;
     }
 
-    private Entry<SlotRequest> entry(SlotRequest request, long now) {
-        return new Entry<>(
-                request,
-                request.priority(),
-                request.workspace(),
-                work.estimator().relativeWork(request.size()),
-                request.onTimeUntilNanos(),
-                request.startUntilNanos(),
-                now);
-    }
-
-    /**
-     * Refuses waiting requests that gave way to others and for which that is better than to wait.
-     */
-    private void refuseSurplus(long now, List<SlotDecision> decisions) {
-        Pace pace = pace(now);
-        double refusedCost = 0;
-        for (Position<SlotRequest> position : waiting.surplus(pace)) {
-            Entry<SlotRequest> entry = position.entry();
-            Duration wait = pace.expectedWait(position.costAhead() - refusedCost);
-            Optional<Rejection> rejection = rejectionOfSurplus(entry, wait, pace);
-            if (rejection.isPresent()) {
-                refusedCost += entry.cost();
-                refuse(entry.request(), rejection.get(), decisions);
-            }
-        }
-    }
-
-    private Optional<Rejection> rejectionOfSurplus(
-            Entry<SlotRequest> entry, Duration wait, Pace pace) {
-        if (hasRoomFor(entry.request(), pace.nowNanos())) {
-            return Optional.empty();
-        }
-        Optional<Rejection> tooLate =
-                rejections.ifTooLate(entry.request(), Refusal.DISPLACED, wait, pace.nowNanos());
-        if (tooLate.isPresent() || waiting.isStarved(entry.priority(), entry.workspace())) {
-            return tooLate;
-        }
-        return rejections.ifBetterAfterWave(entry, wait, pace.timePerRequest(), pace.nowNanos());
-    }
-
-    /** Refuses late requests that will not start in time. */
-    private void refuseHopeless(long now, List<SlotDecision> decisions) {
-        if (waiting.size() == 0) {
-            return;
-        }
-        Pace pace = pace(now);
-        for (Position<SlotRequest> position : waiting.hopeless(pace)) {
-            SlotRequest request = position.entry().request();
-            if (!request.workspace().isEmpty() && !hasRoomFor(request, now)) {
-                Duration wait = pace.expectedWait(position.costAhead());
-                refuse(request, new Rejection(Refusal.DISPLACED, wait), decisions);
-            }
-        }
-    }
-
-    private void refuse(SlotRequest request, Rejection rejection, List<SlotDecision> decisions) {
-        waiting.remove(request);
-        decisions.add(refusal(request, rejection));
-    }
-
     /** Handles the release of a slot, or the withdrawal of a waiting request. */
     public List<SlotDecision> release(String holder, long ticket, RunReport report, long now) {
         checkNotNull(report, "report");
@@ -313,11 +240,8 @@
 
     /** Refuses the waiting requests whose latest useful start has passed, and fills free slots. */
     public List<SlotDecision> checkTimes(long now) {
-        List<SlotDecision> decisions = new ArrayList<>();
-        for (SlotRequest expired : waiting.removeExpired(now)) {
-            decisions.add(refusal(expired, Refusal.EXPIRED, Duration.ZERO));
-        }
-        refuseHopeless(now, decisions);
+        List<SlotDecision> decisions = new ArrayList<>(waiting.refuseExpired(now));
+        decisions.addAll(waiting.refuseHopeless(request -> hasRoomFor(request, now), pace(now)));
         decisions.addAll(assignFreeSlots(now));
         return decisions;
     }
@@ -572,13 +496,4 @@
         Duration holdTime = Duration.ofNanos((long) holdNanos);
         return new Pace(now, RequestQueue.timePerRequest(slots, holdTime));
     }
-
-    private static SlotDecision refusal(SlotRequest request, Rejection rejection) {
-        return refusal(request, rejection.reason(), rejection.retryAfter());
-    }
-
-    private static SlotDecision refusal(
-            SlotRequest request, Refusal reason, Duration expectedWait) {
-        return new SlotDecision.Refused(request.holder(), request.ticket(), reason, expectedWait);
-    }
 }
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -342,6 +342,19 @@
                                                 }));
     }
 
+    /** Guards against refusing all that waits while targets are replaced. */
+    @Test
+    void whileNoTargetIsKnown_waitingRequestsAreNotRefused() {
+        targets("a");
+        fill("g1");
+        requestOf("small");
+        requestOf("large");
+        now += Duration.ofMillis(500).toNanos();
+        pool.setTargets(List.of(), now);
+        assertThat(pool.checkTimes(now)).isEmpty();
+        assertThat(pool.waitingRequests()).isEqualTo(2);
+    }
+
     /** Guards against requests that wait for a target that no request may use. */
     @Test
     void requestWithoutAnAcceptableTarget_isRefusedUnlessItIsTheLastResort() {
