--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -38,6 +38,9 @@
     /** Assumed time that an online request occupies a slot before one was observed. */
     private static final Duration INITIAL_HOLD_TIME = Duration.ofMillis(300);
 
+    /** Expected work of a request, in multiples of that of an average one. */
+    private static final double AVERAGE_COST = 1;
+
     private static final TargetModel UNKNOWN_MODEL = new TargetModel(0, 1);
 
     private final OnlineWaves waves = new OnlineWaves();
@@ -115,7 +118,7 @@
             return decisions;
         }
         Pace pace = pace(now);
-        double cost = work.estimator().relativeWork(request.size());
+        double cost = cost(request);
         Refusal reason = refusalReason(request, now);
         if (!request.mayWait() || reason == Refusal.NO_TARGET) {
             Duration wait = waiting.expectedWait(request, cost, pace);
@@ -128,6 +131,16 @@
         return decisions;
     }
 
+    /**
+     * Returns the expected work of a request, in multiples of that of an average one. Without
+     * workspaces nobody competes, so all requests count alike.
+     */
+    private double cost(SlotRequest request) {
+        return request.workspace().isEmpty()
+                ? AVERAGE_COST
+                : work.estimator().relativeWork(request.size());
+    }
+
     /** Handles the release of a slot, or the withdrawal of a waiting request. */
     public List<SlotDecision> release(String holder, long ticket, RunReport report, long now) {
         checkNotNull(report, "report");
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
@@ -56,11 +56,8 @@
     /** Factor of the time of an average target from which a target is slow for batch items. */
     private static final double SLOW_FOR_ITEMS = 1.4;
 
-    /**
-     * Difference of due times that makes no item more urgent, so that of items that are due at
-     * about the same time the one that loses least is stopped.
-     */
-    private static final Duration DUE_RESOLUTION = Duration.ofSeconds(1);
+    /** Due times in the same step of this length count as equal for preemption. */
+    private static final Duration DUE_STEP = Duration.ofSeconds(5);
 
     private final String id;
     private final TargetReliability reliability = new TargetReliability();
@@ -266,9 +263,8 @@
     }
 
     /**
-     * Returns the batch item to preempt first, empty if there is none: the one with the latest due
-     * time and, of several that are due within about a second, the one that started last and so
-     * loses least.
+     * Returns the batch item to preempt first, empty if there is none: of those that are due last,
+     * give or take {@link #DUE_STEP}, the one that started last and so loses least.
      */
     Optional<Lease> firstToPreempt() {
         Lease first = null;
@@ -293,7 +289,7 @@
 
     /** Returns the due time of a batch item in steps of the differences that matter. */
     static long dueStep(Lease lease) {
-        return lease.dueMillis() / DUE_RESOLUTION.toMillis();
+        return lease.dueMillis() / DUE_STEP.toMillis();
     }
 
     boolean isUnavailable(long now) {
