--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
@@ -108,11 +108,18 @@
      *
      * <p>A submission that fits into the transaction is stored in rows; a larger one is stored as
      * an object before the transaction.
+     *
+     * @param job the job
+     * @param submission the submission as received
+     * @param recentJobs the row that is replaced together with it, if it still has its version;
+     *     empty if there is none
      */
-    CompletableFuture<CommitResult> create(JobRecord job, byte[] submission) {
+    CompletableFuture<CommitResult> create(
+            JobRecord job, byte[] submission, Optional<RecentJobsRow> recentJobs) {
+        RowTransaction.Builder transaction = creation(job, recentJobs);
         if (submission.length <= MAX_COMMIT_BYTES) {
             return store.commit(
-                    transaction(job, 0)
+                    transaction
                             .writeAll(chunkRows(SUBMISSIONS, job.id(), job.id() + "/", submission))
                             .build());
         }
@@ -121,11 +128,30 @@
                 .thenCompose(
                         stored ->
                                 stored
-                                        ? update(job, 0, List.of())
+                                        ? store.commit(transaction.build())
                                         : CompletableFuture.completedFuture(
                                                 new CommitResult.NotDone("submission not stored")));
     }
 
+    private static RowTransaction.Builder creation(
+            JobRecord job, Optional<RecentJobsRow> recentJobs) {
+        if (recentJobs.isEmpty()) {
+            return transaction(job, 0);
+        }
+        RecentJobsRow row = recentJobs.get();
+        return write(RowTransaction.acrossPartitions(), job, 0)
+                .expect(row.key(), row.version())
+                .write(row.key(), row.encode());
+    }
+
+    /** Returns the stored job among the current rows of a conflict, empty if it is not there. */
+    static Optional<VersionedJob> jobAmong(List<StoredRow> rows) {
+        return rows.stream()
+                .filter(row -> row.key().table().equals(JOBS))
+                .findFirst()
+                .flatMap(JobStore::decode);
+    }
+
     /**
      * Returns the submission of a job, empty if there is none.
      *
@@ -149,11 +175,13 @@
     }
 
     private static RowTransaction.Builder transaction(JobRecord job, long version) {
-        String partition = partition(job.id());
-        RowKey key = new RowKey(JOBS, partition, job.id());
-        return RowTransaction.inPartition(partition)
-                .expect(key, version)
-                .write(key, JobCodec.encode(job));
+        return write(RowTransaction.inPartition(partition(job.id())), job, version);
+    }
+
+    private static RowTransaction.Builder write(
+            RowTransaction.Builder transaction, JobRecord job, long version) {
+        RowKey key = new RowKey(JOBS, partition(job.id()), job.id());
+        return transaction.expect(key, version).write(key, JobCodec.encode(job));
     }
 
     /**
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
@@ -7,8 +7,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -29,6 +28,7 @@
 import org.fuchsiaspindle.platform.job.JobApiCodec;
 import org.fuchsiaspindle.platform.store.CommitResult;
 import org.fuchsiaspindle.platform.store.StoreClock;
+import org.fuchsiaspindle.platform.store.StoredRow;
 
 /**
  * Accepts batch jobs; a job is acknowledged only after its submission and its row are stored.
@@ -56,6 +56,12 @@
      */
     private static final int RETRY_AFTER_DIVISOR = 3;
 
+    /**
+     * How often other acceptances of the same workspace may come first before a job is refused with
+     * a retry time.
+     */
+    private static final int MAX_LIMIT_CONFLICTS = 16;
+
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(150);
     private static final Duration QUOTA_RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -67,7 +73,7 @@
     private final JobOwner self;
     private final StoreClock storeClock;
     private final StoreHealth storeHealth;
-    private final Map<String, PendingJob> pendingJobs = new HashMap<>();
+    private final WaitingLimit waitingLimit;
 
     private JobSubmissionHandler(Dependencies dependencies) {
         this.loop = dependencies.loop();
@@ -78,6 +84,7 @@
         this.self = dependencies.self();
         this.storeClock = dependencies.storeClock();
         this.storeHealth = dependencies.storeHealth();
+        this.waitingLimit = new WaitingLimit(dependencies.jobTable());
     }
 
     /**
@@ -102,9 +109,6 @@
             StoreClock storeClock,
             StoreHealth storeHealth) {}
 
-    /** The tokens of a job that is being stored; they count towards the limit of its route. */
-    private record PendingJob(String route, String workspace, long tokens) {}
-
     /** A decoded submission of a job that is not known yet. */
     private record Submission(
             ClientExchange exchange,
@@ -231,48 +235,27 @@
             relayOrRetry(submission);
             return;
         }
-        if (exceedsLimit(submission)) {
+        create(submission, newJob(submission, storeNow.getAsLong()), 0);
+    }
+
+    /**
+     * Stores a job unless it exceeds the limit of its route, which is checked again on conflicts.
+     */
+    private void create(Submission submission, JobRecord job, int conflicts) {
+        if (waitingLimit.isExceededBy(job, submission.route())) {
             refuse(
                     submission.exchange(),
-                    submission.id(),
+                    job.id(),
                     STATUS_TOO_MANY_REQUESTS,
                     ResultCode.JOB_LIMITED,
                     QUOTA_RETRY_AFTER);
             return;
         }
-        create(submission, storeNow.getAsLong());
-    }
-
-    private boolean exceedsLimit(Submission submission) {
-        Route route = submission.route();
-        long limit = route.batch().orElseThrow().maxWaitingTokens();
-        if (limit == 0) {
-            return false;
-        }
-        String workspace = submission.workspace();
-        long total = jobTable.waitingTokens(route.name(), workspace) + submission.tokens();
-        for (PendingJob pendingJob : pendingJobs.values()) {
-            boolean counts =
-                    pendingJob.route().equals(route.name())
-                            && pendingJob.workspace().equals(workspace);
-            total += counts ? pendingJob.tokens() : 0;
-        }
-        return total > limit;
-    }
-
-    private void create(Submission submission, long storeNow) {
-        String id = submission.id();
-        pendingJobs.put(
-                id,
-                new PendingJob(
-                        submission.route().name(), submission.workspace(), submission.tokens()));
-        JobRecord job = newJob(submission, storeNow);
-        jobStore.create(job, submission.exchange().request().body())
+        Optional<RecentJobsRow> row = waitingLimit.rowWith(job, submission.route());
+        jobStore.create(job, submission.exchange().request().body(), row)
                 .whenCompleteAsync(
-                        (result, failure) -> {
-                            pendingJobs.remove(id);
-                            handleCreateResult(submission, job, result);
-                        },
+                        (result, failure) ->
+                                handleCreateResult(submission, job, row, conflicts, result),
                         loop);
     }
 
@@ -294,19 +277,23 @@
                 ImmutableMap.of());
     }
 
-    private void handleCreateResult(Submission submission, JobRecord job, CommitResult result) {
+    private void handleCreateResult(
+            Submission submission,
+            JobRecord job,
+            Optional<RecentJobsRow> row,
+            int conflicts,
+            CommitResult result) {
         switch (result) {
             case CommitResult.Committed committed -> {
+                row.ifPresent(stored -> waitingLimit.committed(stored, committed.version()));
                 jobTable.offer(new VersionedJob(job, committed.version()));
                 runIfOwn(job.id(), submission.items());
                 acknowledge(
                         submission.exchange(), job.id(), "new items=" + submission.items().size());
             }
             case CommitResult.Conflict conflict -> {
-                Optional<VersionedJob> stored =
-                        conflict.rows().stream().findFirst().flatMap(JobStore::decode);
-                stored.ifPresent(jobTable::offer);
-                acknowledgeKnown(submission.exchange(), job.id(), stored, submission.access());
+                row.ifPresent(expected -> waitingLimit.conflicted(expected, conflict.rows()));
+                handleConflict(submission, job, conflicts, conflict.rows());
             }
             case CommitResult.NotDone notDone -> {
                 DecisionLog.batch(job.id(), "-", "not_stored", notDone.reason());
@@ -317,6 +304,29 @@
         }
     }
 
+    /**
+     * Acknowledges a job that is stored already; otherwise only the row of recent jobs has changed,
+     * and the job is stored with the new one.
+     */
+    private void handleConflict(
+            Submission submission, JobRecord job, int conflicts, List<StoredRow> rows) {
+        Optional<VersionedJob> stored = JobStore.jobAmong(rows);
+        boolean isStored = rows.stream().anyMatch(row -> row.key().table().equals(JobStore.JOBS));
+        if (isStored) {
+            stored.ifPresent(jobTable::offer);
+            acknowledgeKnown(submission.exchange(), job.id(), stored, submission.access());
+        } else if (conflicts < MAX_LIMIT_CONFLICTS) {
+            create(submission, job, conflicts + 1);
+        } else {
+            refuse(
+                    submission.exchange(),
+                    job.id(),
+                    STATUS_UNAVAILABLE,
+                    ResultCode.CONDITION_FAILED,
+                    RETRY_INTERVAL);
+        }
+    }
+
     /**
      * Runs a job unless it was ended or taken over before its creation was confirmed, as the newest
      * known version says.
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/StoreEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/StoreEmulator.java
@@ -22,6 +22,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
 import org.fuchsiaspindle.testbed.emulator.BlockingHttpServer.Connection;
 import org.fuchsiaspindle.testbed.emulator.BlockingHttpServer.Request;
 
@@ -380,7 +381,10 @@
                 transaction.path("expectRev").size()
                         + transaction.path("writes").size()
                         + transaction.path("remove").size();
-        boolean exceeds = entries > MAX_ENTRIES;
+        boolean exceeds =
+                entries > MAX_ENTRIES
+                        || partitionCount(transaction) > 1
+                                && !transaction.path("across").asBoolean(false);
         for (JsonNode write : transaction.path("writes")) {
             exceeds |= write.path("key").asText().length() > MAX_KEY_BYTES;
             exceeds |= write.path("value").asText().length() * 3L / 4 > MAX_ROW_BYTES;
@@ -388,6 +392,14 @@
         return exceeds;
     }
 
+    private static long partitionCount(JsonNode transaction) {
+        return Stream.of("expectRev", "writes", "remove")
+                .flatMap(field -> transaction.path(field).valueStream())
+                .map(row -> row.path("part").asText())
+                .distinct()
+                .count();
+    }
+
     private synchronized ObjectNode get(Request request) {
         String table = request.parameter("table");
         String partition = request.parameter("part");
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
@@ -13,6 +13,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -240,6 +241,24 @@
         assertThat(post(first, "job-l", body).status()).isEqualTo(429);
     }
 
+    /** Guards against gateways that accept more together than the route allows. */
+    @Test
+    void jobsSubmittedAtOnceAtSeveralGateways_stayWithinTheTokenLimit() throws Exception {
+        List<CompletableFuture<Integer>> statuses = new ArrayList<>();
+        for (int job = 0; job < 12; job++) {
+            String id = "many-" + job;
+            String ip = job % 2 == 0 ? first : second;
+            String body = submission(item(id, "X-Events", "2000")).replace("100}", "20000}");
+            statuses.add(CompletableFuture.supplyAsync(() -> statusOfPost(ip, id, body)));
+        }
+        List<Integer> results = new ArrayList<>();
+        for (CompletableFuture<Integer> status : statuses) {
+            results.add(status.get());
+        }
+        assertThat(results).containsOnly(202, 429);
+        assertThat(results.stream().filter(status -> status == 202)).hasSize(5);
+    }
+
     /** Guards against online requests that wait behind batch items. */
     @Test
     void onlineRequests_preemptBatchItemsWhichThenResume() throws Exception {
