--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -20,10 +20,8 @@
 import org.fuchsiaspindle.core.job.JobOwner;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.serving.Route;
-import org.fuchsiaspindle.core.serving.ServingConfig;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.workspace.TargetIdentity;
-import org.fuchsiaspindle.core.workspace.WorkspaceDirectory;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.BatchDemands;
@@ -467,13 +465,7 @@
     }
 
     private TargetIdentity targetIdentity(JobRecord job) {
-        WorkspaceDirectory directory =
-                viewHolder
-                        .view()
-                        .config()
-                        .map(ServingConfig::workspaces)
-                        .orElse(WorkspaceDirectory.NONE);
-        return TargetIdentity.ofJob(directory, job.workspace());
+        return TargetIdentity.ofJob(viewHolder.view().workspaces(), job.workspace());
     }
 
     private void finish(ItemRun run, boolean completed, String reason) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
@@ -8,10 +8,8 @@
 import java.util.function.Supplier;
 import org.fuchsiaspindle.core.contract.KeyDigest;
 import org.fuchsiaspindle.core.serving.Route;
-import org.fuchsiaspindle.core.serving.ServingConfig;
 import org.fuchsiaspindle.core.serving.StopWindow;
 import org.fuchsiaspindle.core.workspace.CallerAccess;
-import org.fuchsiaspindle.core.workspace.WorkspaceDirectory;
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.SlotClient;
 import org.fuchsiaspindle.gateway.target.TargetFleet;
@@ -88,13 +86,7 @@
 
     /** Returns the access that the configuration in force gives to a caller on a route. */
     CallerAccess access(Route route, Optional<KeyDigest> key) {
-        WorkspaceDirectory directory =
-                viewHolder
-                        .view()
-                        .config()
-                        .map(ServingConfig::workspaces)
-                        .orElse(WorkspaceDirectory.NONE);
-        return CallerAccess.of(directory, !route.isPublic(), key);
+        return CallerAccess.of(viewHolder.view().workspaces(), !route.isPublic(), key);
     }
 
     EventLoop loop() {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/view/FleetView.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/view/FleetView.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.fuchsiaspindle.core.serving.ClientLimits;
 import org.fuchsiaspindle.core.serving.ServingConfig;
+import org.fuchsiaspindle.core.workspace.WorkspaceDirectory;
 
 /**
  * An immutable snapshot of the configuration and the targets, from which requests are routed.
@@ -33,6 +34,11 @@
         return config.map(ServingConfig::version).orElse(0L);
     }
 
+    /** Returns the workspaces in force, none if no configuration is known. */
+    public WorkspaceDirectory workspaces() {
+        return config.map(ServingConfig::workspaces).orElse(WorkspaceDirectory.NONE);
+    }
+
     /** Returns the client limits in force, the defaults if no configuration is known. */
     public ClientLimits limits() {
         return config.map(ServingConfig::limits).orElse(ClientLimits.INITIAL);
