--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
@@ -17,6 +17,7 @@
 import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
 import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
+import org.fuchsiaspindle.gateway.telemetry.KeyRejection;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
 import org.fuchsiaspindle.platform.ingress.ClientExchange;
 import org.fuchsiaspindle.platform.ingress.ClientRequest;
@@ -131,7 +132,8 @@
 
     private void refuseKey(ClientExchange exchange, Optional<Route> route) {
         logRefusal(exchange, route, ResultCode.INVALID_KEY);
-        metrics.countRefusal(ResultCode.INVALID_KEY);
+        boolean hasKey = exchange.request().key().isPresent();
+        metrics.countKeyRejection(hasKey ? KeyRejection.UNKNOWN : KeyRejection.MISSING);
         exchange.refuse(Refusal.of(STATUS_UNAUTHORIZED, ResultCode.INVALID_KEY));
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -26,6 +26,7 @@
 import org.fuchsiaspindle.gateway.target.CallListener;
 import org.fuchsiaspindle.gateway.target.TargetCall;
 import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
+import org.fuchsiaspindle.gateway.telemetry.KeyRejection;
 import org.fuchsiaspindle.platform.ingress.ClientExchange;
 import org.fuchsiaspindle.platform.ingress.Refusal;
 import org.fuchsiaspindle.platform.target.PromptHeader;
@@ -307,7 +308,7 @@
     private void refuseKey() {
         finish();
         logDecision("refused", ResultCode.INVALID_KEY.name());
-        dispatcher.metrics().countRefusal(ResultCode.INVALID_KEY);
+        dispatcher.metrics().countKeyRejection(KeyRejection.TAKEN_AWAY);
         exchange.refuse(Refusal.of(UNAUTHORIZED, ResultCode.INVALID_KEY));
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
@@ -32,6 +32,12 @@
                     .help("Requests that were refused before they ran.")
                     .labelNames("code")
                     .register(registry);
+    private final Counter keyRejections =
+            Counter.builder()
+                    .name("fuchsiaspindle_key_rejections_total")
+                    .help("Requests that were refused for their key, by the reason.")
+                    .labelNames("cause")
+                    .register(registry);
     private final Counter items =
             Counter.builder()
                     .name("fuchsiaspindle_batch_items_total")
@@ -85,6 +91,12 @@
         refusals.labelValues(code.name()).inc();
     }
 
+    /** Counts a request that was refused for its key, also among all refusals. */
+    public void countKeyRejection(KeyRejection cause) {
+        keyRejections.labelValues(cause.label()).inc();
+        countRefusal(ResultCode.INVALID_KEY);
+    }
+
     /** Counts a batch item with an outcome. */
     public void countItem(String outcome) {
         items.labelValues(outcome).inc();
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
@@ -96,7 +96,9 @@
     /** Guards against requests that are served without a key, and unknown routes that need one. */
     @Test
     void requestWithoutAKnownKey_isRefusedUnlessItsRouteIsPublicOrUnknown() throws Exception {
-        assertThat(call(first, SAFE + "x", NO_KEY).status()).isEqualTo(401);
+        Response refused = call(first, SAFE + "x", NO_KEY);
+        assertThat(refused.status()).isEqualTo(401);
+        assertThat(refused.headers()).containsEntry("WWW-Authenticate", "Bearer");
         assertThat(call(first, SAFE + "x", "unknown").status()).isEqualTo(401);
         assertThat(call(first, SAFE + "x", KEY).status()).isEqualTo(200);
         assertThat(call(first, PUBLIC + "x", NO_KEY).status()).isEqualTo(200);
@@ -159,6 +161,8 @@
         assertThat(activeModelRuns()).isEqualTo(MODEL_SLOTS);
         assertThat(waiting.get().status()).isEqualTo(401);
         assertThat(runs("waiting")).isEmpty();
+        assertThat(platform.metric("fuchsiaspindle_key_rejections_total{cause=\"taken_away\""))
+                .isEqualTo(1);
         for (CompletableFuture<Response> response : running) {
             assertThat(response.get().complete()).isTrue();
             assertThat(response.get().status()).isEqualTo(200);
