--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRelay.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRelay.java
@@ -99,7 +99,8 @@
         connection.send(request(exchange.request()), relayed);
     }
 
-    private static FullHttpRequest request(ClientRequest original) {
+    /** Returns the request that another gateway receives, which names the key by its digest. */
+    static FullHttpRequest request(ClientRequest original) {
         FullHttpRequest request =
                 new DefaultFullHttpRequest(
                         HttpVersion.HTTP_1_1,
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
@@ -192,7 +192,7 @@
 
     /**
      * Guards against a gateway that the store turns away and that goes on accepting a key which was
-     * taken away, and against keys that reach other gateways.
+     * taken away.
      */
     @Test
     void keyTakenAwayWhileTheStoreRefusesAGateway_isLearnedFromAPeer() throws Exception {
