--- a/core/src/main/java/org/fuchsiaspindle/core/job/RecentJobs.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/job/RecentJobs.java
@@ -8,11 +8,12 @@
 import java.util.function.Predicate;
 
 /**
- * The jobs of one workspace on one route that were accepted in the last seconds, by any gateway.
+ * The jobs of one workspace on one route that any gateway reserved room for in the last seconds.
  *
- * <p>Gateways learn of each other's jobs with a delay. A job is accepted only together with a new
- * version of this list that contains it, so an acceptance sees all earlier ones: those of the last
- * seconds here, the others among the jobs that the gateway knows. Immutable.
+ * <p>Gateways learn of each other's jobs with a delay. A job is stored only after a new version of
+ * this list that contains it, so a gateway that adds a job sees all earlier ones: those of the last
+ * seconds here, the others among the jobs that it knows. A job that was not stored after all counts
+ * until it is not recent any more. Immutable.
  *
  * @param jobs the jobs, oldest first
  */
@@ -25,13 +26,13 @@
     public static final Duration MAX_AGE = Duration.ofSeconds(10);
 
     /**
-     * An accepted job.
+     * A job for which there is room.
      *
      * @param id its identifier, not null
      * @param tokens the tokens of all its items
-     * @param acceptedAtMillis when it was accepted, on the store's steady clock, in milliseconds
+     * @param reservedAtMillis when it was added, on the store's steady clock, in milliseconds
      */
-    public record RecentJob(String id, long tokens, long acceptedAtMillis) {
+    public record RecentJob(String id, long tokens, long reservedAtMillis) {
 
         /** Validates the components. */
         public RecentJob {
@@ -59,16 +60,27 @@
                 .sum();
     }
 
-    /** Returns the list with a job added, without those that are not recent any more. */
+    /** Returns whether a job is in the list, and will be for the time in which it is stored. */
+    public boolean contains(String id, long nowMillis) {
+        return jobs.stream()
+                .filter(job -> nowMillis - job.reservedAtMillis() <= MAX_AGE.toMillis() / 2)
+                .anyMatch(job -> job.id().equals(id));
+    }
+
+    /**
+     * Returns the list with a job added in place of an earlier entry of it, without those that are
+     * not recent any more.
+     */
     public RecentJobs with(RecentJob added) {
         ImmutableList.Builder<RecentJob> remaining = ImmutableList.builder();
         jobs.stream()
-                .filter(job -> isRecent(job, added.acceptedAtMillis()))
+                .filter(job -> isRecent(job, added.reservedAtMillis()))
+                .filter(job -> !job.id().equals(added.id()))
                 .forEach(remaining::add);
         return new RecentJobs(remaining.add(added).build());
     }
 
     private static boolean isRecent(RecentJob job, long nowMillis) {
-        return nowMillis - job.acceptedAtMillis() <= MAX_AGE.toMillis();
+        return nowMillis - job.reservedAtMillis() <= MAX_AGE.toMillis();
     }
 }
--- a/core/src/test/java/org/fuchsiaspindle/core/job/RecentJobsTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/job/RecentJobsTest.java
@@ -19,6 +19,17 @@
         assertThat(jobs.unknownTokens(id -> id.equals("a"), 2)).isEqualTo(5);
     }
 
+    /** Guards against a submission that counts once for each of its attempts. */
+    @Test
+    void jobThatIsAddedAgain_countsOnce() {
+        RecentJobs jobs =
+                RecentJobs.NONE.with(new RecentJob("a", 10, 0)).with(new RecentJob("a", 10, 5));
+        assertThat(jobs.unknownTokens(id -> false, 6)).isEqualTo(10);
+        assertThat(jobs.contains("a", 6)).isTrue();
+        assertThat(jobs.contains("a", MAX_AGE_MILLIS)).isFalse();
+        assertThat(jobs.contains("b", 6)).isFalse();
+    }
+
     /** Guards against a list that grows without bound, and against jobs that count for ever. */
     @Test
     void oldJob_neitherCountsNorStaysInTheList() {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.job.ListedItem;
+import org.fuchsiaspindle.core.job.RecentJobs;
 import org.fuchsiaspindle.platform.job.JobApiCodec;
 import org.fuchsiaspindle.platform.store.CommitResult;
 import org.fuchsiaspindle.platform.store.RowKey;
@@ -108,18 +109,11 @@
      *
      * <p>A submission that fits into the transaction is stored in rows; a larger one is stored as
      * an object before the transaction.
-     *
-     * @param job the job
-     * @param submission the submission as received
-     * @param recentJobs the row that is replaced together with it, if it still has its version;
-     *     empty if there is none
      */
-    CompletableFuture<CommitResult> create(
-            JobRecord job, byte[] submission, Optional<RecentJobsRow> recentJobs) {
-        RowTransaction.Builder transaction = creation(job, recentJobs);
+    CompletableFuture<CommitResult> create(JobRecord job, byte[] submission) {
         if (submission.length <= MAX_COMMIT_BYTES) {
             return store.commit(
-                    transaction
+                    transaction(job, 0)
                             .writeAll(chunkRows(SUBMISSIONS, job.id(), job.id() + "/", submission))
                             .build());
         }
@@ -128,30 +122,11 @@
                 .thenCompose(
                         stored ->
                                 stored
-                                        ? store.commit(transaction.build())
+                                        ? update(job, 0, List.of())
                                         : CompletableFuture.completedFuture(
                                                 new CommitResult.NotDone("submission not stored")));
     }
 
-    private static RowTransaction.Builder creation(
-            JobRecord job, Optional<RecentJobsRow> recentJobs) {
-        if (recentJobs.isEmpty()) {
-            return transaction(job, 0);
-        }
-        RecentJobsRow row = recentJobs.get();
-        return write(RowTransaction.acrossPartitions(), job, 0)
-                .expect(row.key(), row.version())
-                .write(row.key(), row.encode());
-    }
-
-    /** Returns the stored job among the current rows of a conflict, empty if it is not there. */
-    static Optional<VersionedJob> jobAmong(List<StoredRow> rows) {
-        return rows.stream()
-                .filter(row -> row.key().table().equals(JOBS))
-                .findFirst()
-                .flatMap(JobStore::decode);
-    }
-
     /**
      * Returns the submission of a job, empty if there is none.
      *
@@ -168,6 +143,15 @@
                                                 Optional.of(joinChunks(page.rows()))));
     }
 
+    /** Replaces a row of recent jobs by one with other jobs if it still has its version. */
+    CompletableFuture<CommitResult> update(RecentJobsRow row, RecentJobs jobs) {
+        return store.commit(
+                RowTransaction.inPartition(row.key().partition())
+                        .expect(row.key(), row.version())
+                        .write(row.key(), RecentJobsRow.encode(jobs))
+                        .build());
+    }
+
     private static byte[] joinChunks(List<StoredRow> rows) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         rows.forEach(row -> bytes.writeBytes(row.value()));
@@ -175,13 +159,11 @@
     }
 
     private static RowTransaction.Builder transaction(JobRecord job, long version) {
-        return write(RowTransaction.inPartition(partition(job.id())), job, version);
-    }
-
-    private static RowTransaction.Builder write(
-            RowTransaction.Builder transaction, JobRecord job, long version) {
-        RowKey key = new RowKey(JOBS, partition(job.id()), job.id());
-        return transaction.expect(key, version).write(key, JobCodec.encode(job));
+        String partition = partition(job.id());
+        RowKey key = new RowKey(JOBS, partition, job.id());
+        return RowTransaction.inPartition(partition)
+                .expect(key, version)
+                .write(key, JobCodec.encode(job));
     }
 
     /**
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
@@ -7,7 +7,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -28,7 +27,6 @@
 import org.fuchsiaspindle.platform.job.JobApiCodec;
 import org.fuchsiaspindle.platform.store.CommitResult;
 import org.fuchsiaspindle.platform.store.StoreClock;
-import org.fuchsiaspindle.platform.store.StoredRow;
 
 /**
  * Accepts batch jobs; a job is acknowledged only after its submission and its row are stored.
@@ -56,12 +54,6 @@
      */
     private static final int RETRY_AFTER_DIVISOR = 3;
 
-    /**
-     * How often other acceptances of the same workspace may come first before a job is refused with
-     * a retry time.
-     */
-    private static final int MAX_LIMIT_CONFLICTS = 16;
-
     private static final Duration RETRY_INTERVAL = Duration.ofMillis(150);
     private static final Duration QUOTA_RETRY_AFTER = Duration.ofSeconds(1);
 
@@ -84,7 +76,7 @@
         this.self = dependencies.self();
         this.storeClock = dependencies.storeClock();
         this.storeHealth = dependencies.storeHealth();
-        this.waitingLimit = new WaitingLimit(dependencies.jobTable());
+        this.waitingLimit = new WaitingLimit(loop, jobStore, jobTable);
     }
 
     /**
@@ -235,28 +227,32 @@
             relayOrRetry(submission);
             return;
         }
-        create(submission, newJob(submission, storeNow.getAsLong()), 0);
+        JobRecord job = newJob(submission, storeNow.getAsLong());
+        waitingLimit.reserve(
+                job, submission.route(), outcome -> handleReservation(submission, job, outcome));
     }
 
-    /**
-     * Stores a job unless it exceeds the limit of its route, which is checked again on conflicts.
-     */
-    private void create(Submission submission, JobRecord job, int conflicts) {
-        if (waitingLimit.isExceededBy(job, submission.route())) {
-            refuse(
-                    submission.exchange(),
-                    job.id(),
-                    STATUS_TOO_MANY_REQUESTS,
-                    ResultCode.JOB_LIMITED,
-                    QUOTA_RETRY_AFTER);
-            return;
+    private void handleReservation(
+            Submission submission, JobRecord job, WaitingLimit.Outcome outcome) {
+        switch (outcome) {
+            case RESERVED -> create(submission, job);
+            case EXCEEDED ->
+                    refuse(
+                            submission.exchange(),
+                            job.id(),
+                            STATUS_TOO_MANY_REQUESTS,
+                            ResultCode.JOB_LIMITED,
+                            QUOTA_RETRY_AFTER);
+            // Nothing of the job is stored yet.
+            case UNAVAILABLE -> relayOrRetry(submission);
+            default -> throw new AssertionError(outcome);
         }
-        Optional<RecentJobsRow> row = waitingLimit.rowWith(job, submission.route());
-        jobStore.create(job, submission.exchange().request().body(), row)
+    }
+
+    private void create(Submission submission, JobRecord job) {
+        jobStore.create(job, submission.exchange().request().body())
                 .whenCompleteAsync(
-                        (result, failure) ->
-                                handleCreateResult(submission, job, row, conflicts, result),
-                        loop);
+                        (result, failure) -> handleCreateResult(submission, job, result), loop);
     }
 
     private JobRecord newJob(Submission submission, long storeNow) {
@@ -277,23 +273,19 @@
                 ImmutableMap.of());
     }
 
-    private void handleCreateResult(
-            Submission submission,
-            JobRecord job,
-            Optional<RecentJobsRow> row,
-            int conflicts,
-            CommitResult result) {
+    private void handleCreateResult(Submission submission, JobRecord job, CommitResult result) {
         switch (result) {
             case CommitResult.Committed committed -> {
-                row.ifPresent(stored -> waitingLimit.committed(stored, committed.version()));
                 jobTable.offer(new VersionedJob(job, committed.version()));
                 runIfOwn(job.id(), submission.items());
                 acknowledge(
                         submission.exchange(), job.id(), "new items=" + submission.items().size());
             }
             case CommitResult.Conflict conflict -> {
-                row.ifPresent(expected -> waitingLimit.conflicted(expected, conflict.rows()));
-                handleConflict(submission, job, conflicts, conflict.rows());
+                Optional<VersionedJob> stored =
+                        conflict.rows().stream().findFirst().flatMap(JobStore::decode);
+                stored.ifPresent(jobTable::offer);
+                acknowledgeKnown(submission.exchange(), job.id(), stored, submission.access());
             }
             case CommitResult.NotDone notDone -> {
                 DecisionLog.batch(job.id(), "-", "not_stored", notDone.reason());
@@ -304,29 +296,6 @@
         }
     }
 
-    /**
-     * Acknowledges a job that is stored already; otherwise only the row of recent jobs has changed,
-     * and the job is stored with the new one.
-     */
-    private void handleConflict(
-            Submission submission, JobRecord job, int conflicts, List<StoredRow> rows) {
-        Optional<VersionedJob> stored = JobStore.jobAmong(rows);
-        boolean isStored = rows.stream().anyMatch(row -> row.key().table().equals(JobStore.JOBS));
-        if (isStored) {
-            stored.ifPresent(jobTable::offer);
-            acknowledgeKnown(submission.exchange(), job.id(), stored, submission.access());
-        } else if (conflicts < MAX_LIMIT_CONFLICTS) {
-            create(submission, job, conflicts + 1);
-        } else {
-            refuse(
-                    submission.exchange(),
-                    job.id(),
-                    STATUS_UNAVAILABLE,
-                    ResultCode.CONDITION_FAILED,
-                    RETRY_INTERVAL);
-        }
-    }
-
     /**
      * Runs a job unless it was ended or taken over before its creation was confirmed, as the newest
      * known version says.
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/RecentJobsRow.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/RecentJobsRow.java
@@ -63,14 +63,14 @@
                 .orElse(unknown(key));
     }
 
-    byte[] encode() {
+    static byte[] encode(RecentJobs jobs) {
         StoredRecentJobs.Builder stored = StoredRecentJobs.newBuilder();
         for (RecentJobs.RecentJob job : jobs.jobs()) {
             stored.addJobs(
                     StoredRecentJob.newBuilder()
                             .setId(job.id())
                             .setTokens(job.tokens())
-                            .setAcceptedAtMillis(job.acceptedAtMillis()));
+                            .setReservedAtMillis(job.reservedAtMillis()));
         }
         return stored.build().toByteArray();
     }
@@ -81,7 +81,7 @@
             for (StoredRecentJob job : StoredRecentJobs.parseFrom(row.value()).getJobsList()) {
                 jobs.add(
                         new RecentJobs.RecentJob(
-                                job.getId(), job.getTokens(), job.getAcceptedAtMillis()));
+                                job.getId(), job.getTokens(), job.getReservedAtMillis()));
             }
             return new RecentJobs(jobs.build());
         } catch (InvalidProtocolBufferException | IllegalArgumentException failure) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/WaitingLimit.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/WaitingLimit.java
@@ -2,78 +2,128 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import io.netty.channel.EventLoop;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
-import java.util.Optional;
+import java.util.function.Consumer;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.job.RecentJobs;
 import org.fuchsiaspindle.core.serving.Route;
+import org.fuchsiaspindle.platform.store.CommitResult;
 import org.fuchsiaspindle.platform.store.RowKey;
-import org.fuchsiaspindle.platform.store.StoredRow;
 
 /**
  * Bounds the waiting tokens of each workspace on each route over all gateways.
  *
- * <p>A job on a limited route is stored together with a new version of the row of recent jobs, on
- * the condition that the row still is as it was when the tokens were summed. Another acceptance in
- * between fails the condition, and the sum is taken again. Confined to the event loop of the
- * request path.
+ * <p>Before a job on a limited route is stored, it is added to the stored list of recent jobs, on
+ * the condition that the list still is as it was when the tokens were summed. If another gateway
+ * has added a job in between, the sum is taken again. Confined to the event loop of the request
+ * path.
  */
 final class WaitingLimit {
 
+    /** How often other gateways may come first before a reservation is given up. */
+    private static final int MAX_CONFLICTS = 16;
+
+    private final EventLoop loop;
+    private final JobStore jobStore;
     private final JobTable jobTable;
     private final Map<RowKey, RecentJobsRow> rows = new HashMap<>();
 
-    WaitingLimit(JobTable jobTable) {
+    WaitingLimit(EventLoop loop, JobStore jobStore, JobTable jobTable) {
+        this.loop = checkNotNull(loop, "loop");
+        this.jobStore = checkNotNull(jobStore, "jobStore");
         this.jobTable = checkNotNull(jobTable, "jobTable");
     }
 
-    /** Returns whether a new job exceeds the limit, as far as this gateway knows. */
-    boolean isExceededBy(JobRecord job, Route route) {
-        if (!isLimited(route)) {
-            return false;
-        }
-        long recentTokens =
-                row(job).jobs()
-                        .unknownTokens(id -> jobTable.job(id).isPresent(), job.acceptedAtMillis());
-        long total =
-                jobTable.waitingTokens(job.route(), job.workspace())
-                        + recentTokens
-                        + job.waitingTokens();
-        return total > route.batch().orElseThrow().maxWaitingTokens();
+    /** Whether a job may be stored. */
+    enum Outcome {
+        /** There is room for the job, which now counts at all gateways. */
+        RESERVED,
+        /** The job exceeds the limit. */
+        EXCEEDED,
+        /** The store did not answer as expected; a later attempt may succeed. */
+        UNAVAILABLE
     }
 
     /**
-     * Returns the row to store together with a new job, with the version that it must have until
-     * then; empty if the route has no limit.
+     * Reserves room for the tokens of a new job.
+     *
+     * @param job the job as it would be stored, not null
+     * @param route its route, which has batch limits
+     * @param listener receives the outcome on the event loop, now or later
      */
-    Optional<RecentJobsRow> rowWith(JobRecord job, Route route) {
-        if (!isLimited(route)) {
-            return Optional.empty();
+    void reserve(JobRecord job, Route route, Consumer<Outcome> listener) {
+        long limit = route.batch().orElseThrow().maxWaitingTokens();
+        if (limit == 0) {
+            listener.accept(Outcome.RESERVED);
+        } else {
+            reserve(job, limit, 0, listener);
         }
-        RecentJobsRow row = row(job);
-        RecentJobs.RecentJob added =
-                new RecentJobs.RecentJob(job.id(), job.waitingTokens(), job.acceptedAtMillis());
-        return Optional.of(new RecentJobsRow(row.key(), row.version(), row.jobs().with(added)));
     }
 
-    /** Records that a row was stored with a job. */
-    void committed(RecentJobsRow stored, long version) {
-        rows.put(stored.key(), new RecentJobsRow(stored.key(), version, stored.jobs()));
+    private void reserve(JobRecord job, long limit, int conflicts, Consumer<Outcome> listener) {
+        RowKey key = RecentJobsRow.key(job.workspace(), job.route());
+        RecentJobsRow row = rows.getOrDefault(key, RecentJobsRow.unknown(key));
+        if (tokensWith(job, row.jobs()) > limit) {
+            listener.accept(Outcome.EXCEEDED);
+        } else if (row.jobs().contains(job.id(), job.acceptedAtMillis())) {
+            listener.accept(Outcome.RESERVED);
+        } else if (conflicts > MAX_CONFLICTS) {
+            listener.accept(Outcome.UNAVAILABLE);
+        } else {
+            add(job, row, limit, conflicts, listener);
+        }
     }
 
-    /** Records the current rows that a conflict returned. */
-    void conflicted(RecentJobsRow expected, List<StoredRow> currentRows) {
-        rows.put(expected.key(), RecentJobsRow.of(expected.key(), currentRows));
+    /** Returns the waiting tokens of the job's workspace on its route, including the job. */
+    private long tokensWith(JobRecord job, RecentJobs recentJobs) {
+        long recentTokens =
+                recentJobs.unknownTokens(
+                        id -> id.equals(job.id()) || jobTable.job(id).isPresent(),
+                        job.acceptedAtMillis());
+        return jobTable.waitingTokens(job.route(), job.workspace())
+                + recentTokens
+                + job.waitingTokens();
     }
 
-    private RecentJobsRow row(JobRecord job) {
-        RowKey key = RecentJobsRow.key(job.workspace(), job.route());
-        return rows.getOrDefault(key, RecentJobsRow.unknown(key));
+    private void add(
+            JobRecord job,
+            RecentJobsRow row,
+            long limit,
+            int conflicts,
+            Consumer<Outcome> listener) {
+        RecentJobs jobs =
+                row.jobs()
+                        .with(
+                                new RecentJobs.RecentJob(
+                                        job.id(), job.waitingTokens(), job.acceptedAtMillis()));
+        jobStore.update(row, jobs)
+                .whenCompleteAsync(
+                        (result, failure) -> {
+                            switch (result) {
+                                case CommitResult.Committed committed -> {
+                                    learn(new RecentJobsRow(row.key(), committed.version(), jobs));
+                                    listener.accept(Outcome.RESERVED);
+                                }
+                                case CommitResult.Conflict conflict -> {
+                                    learn(RecentJobsRow.of(row.key(), conflict.rows()));
+                                    reserve(job, limit, conflicts + 1, listener);
+                                }
+                                case CommitResult.NotDone notDone ->
+                                        listener.accept(Outcome.UNAVAILABLE);
+                                case CommitResult.Unknown unknown ->
+                                        listener.accept(Outcome.UNAVAILABLE);
+                                case null -> listener.accept(Outcome.UNAVAILABLE);
+                            }
+                        },
+                        loop);
     }
 
-    private static boolean isLimited(Route route) {
-        return route.batch().map(limits -> limits.maxWaitingTokens() > 0).orElse(false);
+    /**
+     * Replaces what is known of a row, also by an older version, which a conflict then corrects.
+     */
+    private void learn(RecentJobsRow row) {
+        rows.put(row.key(), row);
     }
 }
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/StoreEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/StoreEmulator.java
@@ -381,10 +381,7 @@
                 transaction.path("expectRev").size()
                         + transaction.path("writes").size()
                         + transaction.path("remove").size();
-        boolean exceeds =
-                entries > MAX_ENTRIES
-                        || partitionCount(transaction) > 1
-                                && !transaction.path("across").asBoolean(false);
+        boolean exceeds = entries > MAX_ENTRIES || partitionCount(transaction) > 1;
         for (JsonNode write : transaction.path("writes")) {
             exceeds |= write.path("key").asText().length() > MAX_KEY_BYTES;
             exceeds |= write.path("value").asText().length() * 3L / 4 > MAX_ROW_BYTES;
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayBatchTest.java
@@ -4,6 +4,7 @@
 import static org.fuchsiaspindle.testbed.emulator.EmulatorJobs.item;
 import static org.fuchsiaspindle.testbed.emulator.EmulatorJobs.submission;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.BATCH;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.UNLIMITED;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.await;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.awaitReady;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
@@ -191,13 +192,26 @@
     @Test
     void submissionWithAnUnknownOutcome_isNotReportedAsNotRun() throws Exception {
         platform.store().setFaultMode(StoreEmulator.FaultMode.DROPPING_RESPONSES);
-        int status = post(first, "job-i", submission("job-i", 1, 2)).status();
+        int status = post(first, UNLIMITED + "job-i", submission("job-i", 1, 2)).status();
         assertThat(status).isNotIn(408, 421, 429, 503);
         platform.store().setFaultMode(StoreEmulator.FaultMode.SERVING);
-        submit(second, "job-i", submission("job-i", 1, 2));
+        submit(second, UNLIMITED + "job-i", submission("job-i", 1, 2));
         awaitResults(second, "job-i", 1);
     }
 
+    /**
+     * Guards against a job that is refused, or needs twice the room, because the answer to the
+     * reservation of room for it was lost.
+     */
+    @Test
+    void submissionWhoseReservationHasAnUnknownOutcome_isAccepted() throws Exception {
+        String body = submission(item("job-w-0", "X-Events", "300")).replace("100}", "60000}");
+        platform.store().dropNextResponses(1);
+        submit(first, "job-w", body);
+        assertThat(platform.store().values("job", "job-w")).hasSize(1);
+        assertThat(post(second, "job-y", body).status()).isEqualTo(429);
+    }
+
     /** Guards against reporting a job as not found while the store is unavailable. */
     @Test
     void storeOutage_isReportedAsUnavailableAndLosesNoJob() throws Exception {
@@ -341,9 +355,9 @@
         String body = submission("job-u", 4, 300);
         platform.store().delayNextResponse(Duration.ofMillis(1500));
         CompletableFuture<Integer> submitted =
-                CompletableFuture.supplyAsync(() -> statusOfPost(first, "job-u", body));
+                CompletableFuture.supplyAsync(() -> statusOfPost(first, UNLIMITED + "job-u", body));
         await("job stored", () -> !platform.store().values("job", "job-u").isEmpty());
-        submit(second, "job-u", body);
+        submit(second, UNLIMITED + "job-u", body);
         assertThat(call(second, "DELETE", "/lots/job-u").status()).isEqualTo(200);
         assertThat(submitted.get()).isEqualTo(202);
         // An item would start within milliseconds of the confirmation.
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayFixture.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayFixture.java
@@ -15,6 +15,9 @@
     static final String RESUMABLE = "/resume/";
     static final String BATCH = "/batch/";
 
+    /** Below {@link #BATCH}; its jobs are stored with a single write, as they need no room. */
+    static final String UNLIMITED = "unlimited/";
+
     private GatewayFixture() {}
 
     static void configureAll(PlatformEmulator platform) {
@@ -34,7 +37,14 @@
                     "batch",
                     "model",
                     3,
-                    ",\"deadlineMs\":18000,\"retentionS\":60,\"maxQueued\":100000")
+                    ",\"deadlineMs\":18000,\"retentionS\":60,\"maxQueued\":100000"),
+            PlatformEmulator.route(
+                    "unlimited",
+                    BATCH + UNLIMITED,
+                    "batch",
+                    "model",
+                    3,
+                    ",\"deadlineMs\":18000,\"retentionS\":60")
         };
     }
 
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
@@ -38,6 +38,8 @@
     private static final String OTHER_KEY = "key-of-b";
     private static final String NO_KEY = "";
 
+    private static final String QUEUED = "fuchsiaspindle_slot_events_total{event=\"queued\"";
+
     /** Slots of all model engines together. */
     private static final int MODEL_SLOTS = 8;
 
@@ -154,7 +156,9 @@
             running.add(streamLater("busy-" + slot));
         }
         await("all slots are taken", () -> activeModelRuns() == MODEL_SLOTS);
+        double queuedBefore = platform.metric(QUEUED);
         CompletableFuture<Response> waiting = streamLater("waiting");
+        await("the request waits", () -> platform.metric(QUEUED) > queuedBefore);
         platform.setWorkspaces(PlatformEmulator.workspace("a", SECOND_KEY));
         configure();
         await("the key is gone", () -> call(first, SAFE + "later", KEY).status() == 401);
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredRecentJob.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredRecentJob.java
@@ -102,42 +102,42 @@
     tokens_ = 0L;
   }
 
-  public static final int ACCEPTED_AT_MILLIS_FIELD_NUMBER = 3;
-  private long acceptedAtMillis_;
+  public static final int RESERVED_AT_MILLIS_FIELD_NUMBER = 3;
+  private long reservedAtMillis_;
   /**
    * <pre>
-   * As in StoredJob.
+   * Time of the reservation on the store's steady clock, in milliseconds.
    * </pre>
    *
-   * <code>int64 accepted_at_millis = 3;</code>
-   * @return The acceptedAtMillis.
+   * <code>int64 reserved_at_millis = 3;</code>
+   * @return The reservedAtMillis.
    */
   @java.lang.Override
-  public long getAcceptedAtMillis() {
-    return acceptedAtMillis_;
+  public long getReservedAtMillis() {
+    return reservedAtMillis_;
   }
   /**
    * <pre>
-   * As in StoredJob.
+   * Time of the reservation on the store's steady clock, in milliseconds.
    * </pre>
    *
-   * <code>int64 accepted_at_millis = 3;</code>
-   * @param value The acceptedAtMillis to set.
+   * <code>int64 reserved_at_millis = 3;</code>
+   * @param value The reservedAtMillis to set.
    */
-  private void setAcceptedAtMillis(long value) {
+  private void setReservedAtMillis(long value) {
     
-    acceptedAtMillis_ = value;
+    reservedAtMillis_ = value;
   }
   /**
    * <pre>
-   * As in StoredJob.
+   * Time of the reservation on the store's steady clock, in milliseconds.
    * </pre>
    *
-   * <code>int64 accepted_at_millis = 3;</code>
+   * <code>int64 reserved_at_millis = 3;</code>
    */
-  private void clearAcceptedAtMillis() {
+  private void clearReservedAtMillis() {
 
-    acceptedAtMillis_ = 0L;
+    reservedAtMillis_ = 0L;
   }
 
   public static org.fuchsiaspindle.wire.peer.StoredRecentJob parseFrom(
@@ -328,41 +328,41 @@
 
     /**
      * <pre>
-     * As in StoredJob.
+     * Time of the reservation on the store's steady clock, in milliseconds.
      * </pre>
      *
-     * <code>int64 accepted_at_millis = 3;</code>
-     * @return The acceptedAtMillis.
+     * <code>int64 reserved_at_millis = 3;</code>
+     * @return The reservedAtMillis.
      */
     @java.lang.Override
-    public long getAcceptedAtMillis() {
-      return instance.getAcceptedAtMillis();
+    public long getReservedAtMillis() {
+      return instance.getReservedAtMillis();
     }
     /**
      * <pre>
-     * As in StoredJob.
+     * Time of the reservation on the store's steady clock, in milliseconds.
      * </pre>
      *
-     * <code>int64 accepted_at_millis = 3;</code>
-     * @param value The acceptedAtMillis to set.
+     * <code>int64 reserved_at_millis = 3;</code>
+     * @param value The reservedAtMillis to set.
      * @return This builder for chaining.
      */
-    public Builder setAcceptedAtMillis(long value) {
+    public Builder setReservedAtMillis(long value) {
       copyOnWrite();
-      instance.setAcceptedAtMillis(value);
+      instance.setReservedAtMillis(value);
       return this;
     }
     /**
      * <pre>
-     * As in StoredJob.
+     * Time of the reservation on the store's steady clock, in milliseconds.
      * </pre>
      *
-     * <code>int64 accepted_at_millis = 3;</code>
+     * <code>int64 reserved_at_millis = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearAcceptedAtMillis() {
+    public Builder clearReservedAtMillis() {
       copyOnWrite();
-      instance.clearAcceptedAtMillis();
+      instance.clearReservedAtMillis();
       return this;
     }
 
@@ -384,7 +384,7 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "id_",
             "tokens_",
-            "acceptedAtMillis_",
+            "reservedAtMillis_",
           };
           java.lang.String info =
               "\u0000\u0003\u0000\u0000\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u0208\u0002\u0002" +
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredRecentJobOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredRecentJobOrBuilder.java
@@ -34,11 +34,11 @@
 
   /**
    * <pre>
-   * As in StoredJob.
+   * Time of the reservation on the store's steady clock, in milliseconds.
    * </pre>
    *
-   * <code>int64 accepted_at_millis = 3;</code>
-   * @return The acceptedAtMillis.
+   * <code>int64 reserved_at_millis = 3;</code>
+   * @return The reservedAtMillis.
    */
-  long getAcceptedAtMillis();
+  long getReservedAtMillis();
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredRecentJobs.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/StoredRecentJobs.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * The jobs of one workspace on one route that were accepted in the last seconds.
+ * The jobs of one workspace on one route that room was reserved for in the last seconds.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.peer.StoredRecentJobs}
@@ -200,7 +200,7 @@
 
   /**
    * <pre>
-   * The jobs of one workspace on one route that were accepted in the last seconds.
+   * The jobs of one workspace on one route that room was reserved for in the last seconds.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.peer.StoredRecentJobs}
