--- a/core/src/main/java/org/fuchsiaspindle/core/error/ResultCode.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/error/ResultCode.java
@@ -40,6 +40,8 @@
     RATE_LIMITED(2001, 429, Executed.NO, "The customer has exceeded its request rate limit."),
     CONCURRENCY_LIMITED(2002, 429, Executed.NO, "The customer has too many concurrent requests."),
     JOB_LIMITED(2003, 429, Executed.NO, "The customer has too many open jobs or items."),
+    LIMIT_UNDECIDED(
+            2004, 503, Executed.NO, "No process could tell whether the rate limit is exceeded."),
 
     OVERLOADED(3001, 503, Executed.NO, "No target can start the request in time."),
     NO_TARGET(3002, 503, Executed.NO, "No target of the model or service is available."),
@@ -54,6 +56,8 @@
 
     PROMPT_QUARANTINED(
             3011, 503, Executed.NO, "A part of the prompt crashes the targets of the service."),
+    REQUEST_TOO_LARGE(
+            3012, 413, Executed.NO, "The request needs more memory than a target has in all."),
 
     TABLE_UNAVAILABLE(4001, 503, Executed.NO, "The table service is not available."),
     OBJECT_STORE_UNAVAILABLE(4002, 503, Executed.NO, "The object store is not available."),
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -9,15 +9,14 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
 import org.fuchsiaspindle.core.serving.RequestQueue;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.serving.TargetModel;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
 import org.fuchsiaspindle.core.slot.TargetSlots.Lease;
 
@@ -44,10 +43,15 @@
     /** Time for which a preemption keeps one free slot from batch items. */
     private static final Duration PREEMPTION_MEMORY = Duration.ofMillis(100);
 
+    private static final TargetModel UNKNOWN_MODEL = new TargetModel(0, 1);
+
     private final Deque<Long> preemptionNanos = new ArrayDeque<>();
     private final Map<String, TargetSlots> targets = new LinkedHashMap<>();
+    private final PoolWork work = new PoolWork();
+    private final TargetChoice choice = new TargetChoice(targets.values(), work);
     private final Map<String, Holder> holders = new LinkedHashMap<>();
     private final RequestQueue<SlotRequest> waiting = new RequestQueue<>();
+    private TargetModel model = UNKNOWN_MODEL;
     private double holdNanos = INITIAL_HOLD_TIME.toNanos();
     private long nextBatchTicket;
 
@@ -89,11 +93,26 @@
         return assignFreeSlots(now);
     }
 
+    /** Sets what the configuration says about the targets, empty if they run no model. */
+    public void setModel(Optional<TargetModel> newModel) {
+        TargetModel known = newModel.orElse(UNKNOWN_MODEL);
+        if (!known.equals(model)) {
+            model = known;
+            work.estimator().setTokensPerEvent(known.tokensPerEvent());
+            targets.values().forEach(target -> target.setMemory(known.memoryTokens()));
+        }
+    }
+
+    /** Sets the listener that is told what is expected of requests and what came of it. */
+    public void setWorkListener(WorkListener listener) {
+        work.setListener(listener);
+    }
+
     /** Handles the request of a gateway for a slot for an online request. */
     public List<SlotDecision> request(SlotRequest request, long now) {
         checkNotNull(request, "request");
         List<SlotDecision> decisions = new ArrayList<>();
-        Optional<TargetSlots> target = chooseForOnline(request, now);
+        Optional<TargetSlots> target = choice.forOnline(request, now);
         if (target.isPresent()) {
             grant(request, target.get(), now, decisions);
             return decisions;
@@ -130,6 +149,7 @@
         }
         lease.target().remove(lease);
         recordOutcome(lease, report.outcome(), now);
+        work.end(lease, report, now);
         removeUnusedTargets();
         return assignFreeSlots(now);
     }
@@ -182,7 +202,8 @@
                             slot.trafficClass(),
                             slot.dueMillis(),
                             0,
-                            now));
+                            now,
+                            ExpectedRun.ofTokens(slot.reservedTokens())));
         }
         List<SlotDecision> decisions = new ArrayList<>();
         preemptExcess(decisions);
@@ -256,7 +277,13 @@
     }
 
     private TargetSlots target(String id) {
-        return targets.computeIfAbsent(id, TargetSlots::new);
+        return targets.computeIfAbsent(
+                id,
+                newId -> {
+                    TargetSlots created = new TargetSlots(newId);
+                    created.setMemory(model.memoryTokens());
+                    return created;
+                });
     }
 
     private Holder holder(String ip) {
@@ -264,7 +291,15 @@
     }
 
     private void removeUnusedTargets() {
-        targets.values().removeIf(target -> !target.isOpen() && target.isEmpty());
+        targets.values()
+                .removeIf(
+                        target -> {
+                            boolean unused = !target.isOpen() && target.isEmpty();
+                            if (unused) {
+                                work.forgetPrompts(target);
+                            }
+                            return unused;
+                        });
     }
 
     /** Removes what a gateway holds and wants, but for grants that it had not received. */
@@ -292,9 +327,7 @@
     /** Preempts the batch items for which online requests leave no slots. */
     private void preemptExcess(List<SlotDecision> decisions) {
         for (TargetSlots target : targets.values()) {
-            while (target.isOpen()
-                    && target.total() > target.slots()
-                    && preemptFirst(target, decisions)) {
+            while (target.isOpen() && target.isOverfull() && preemptFirst(target, decisions)) {
                 continue;
             }
         }
@@ -322,7 +355,7 @@
 
     private void startWaitingRequests(long now, List<SlotDecision> decisions) {
         for (SlotRequest request : waiting.inStartOrder(now)) {
-            Optional<TargetSlots> target = chooseForOnline(request, now);
+            Optional<TargetSlots> target = choice.forOnline(request, now);
             if (target.isPresent()) {
                 waiting.remove(request);
                 grant(request, target.get(), now, decisions);
@@ -332,8 +365,7 @@
 
     private void grant(
             SlotRequest request, TargetSlots target, long now, List<SlotDecision> decisions) {
-        if (!target.hasFreeSlot()) {
-            preemptFirst(target, decisions);
+        while (!target.hasRoom(request.size().maxTokens()) && preemptFirst(target, decisions)) {
             preemptionNanos.addLast(now);
         }
         add(
@@ -345,7 +377,8 @@
                         TrafficClass.ONLINE,
                         0,
                         0,
-                        now));
+                        now,
+                        work.start(request, target, now)));
         target.requestGranted(now);
         decisions.add(
                 new SlotDecision.Granted(
@@ -353,7 +386,12 @@
     }
 
     private void startBatchItems(long now, List<SlotDecision> decisions) {
-        List<TargetSlots> free = targetsForBatch(now);
+        List<TargetSlots> free =
+                choice.openToBatchItems(
+                        target ->
+                                waiting.anyMatch(
+                                        request -> !request.avoided().contains(target.id())),
+                        now);
         int startable =
                 free.stream().mapToInt(TargetSlots::freeSlots).sum() - recentPreemptions(now);
         if (startable <= 0) {
@@ -384,39 +422,19 @@
         return preemptionNanos.size();
     }
 
-    private List<TargetSlots> targetsForBatch(long now) {
-        List<TargetSlots> free = new ArrayList<>();
-        Set<TargetSlots> ejected = null;
-        for (TargetSlots target : targets.values()) {
-            if (!target.isOpen() || !target.hasSlotForBatch(now) || target.isUnavailable(now)) {
-                continue;
-            }
-            ejected = ejected == null ? ejectedTargets(now) : ejected;
-            boolean wantedByOnline =
-                    waiting.anyMatch(request -> !request.avoided().contains(target.id()));
-            if (!ejected.contains(target) && !wantedByOnline) {
-                free.add(target);
-            }
-        }
-        return free;
-    }
-
     private boolean startBatchItem(
             String ip,
             Holder holder,
             List<TargetSlots> free,
             long now,
             List<SlotDecision> decisions) {
-        Optional<TargetSlots> chosen =
-                free.stream()
-                        .filter(target -> target.hasSlotForBatch(now))
-                        .filter(target -> !holder.demand.avoided().contains(target.id()))
-                        .min(Comparator.comparingDouble(target -> target.batchCost(now)));
+        Optional<TargetSlots> chosen = choice.forBatchItem(free, holder.demand, now);
         if (chosen.isEmpty()) {
             return false;
         }
         long ticket = nextBatchTicket++;
         long dueMillis = holder.demand.dueMillis();
+        int reservedTokens = holder.demand.largestItemTokens();
         holder.batchGrants++;
         add(
                 holder,
@@ -427,76 +445,20 @@
                         TrafficClass.BATCH,
                         dueMillis,
                         holder.batchGrants,
-                        now));
+                        now,
+                        PoolWork.startItem(chosen.get(), reservedTokens)));
         chosen.get().requestGranted(now);
         decisions.add(
                 new SlotDecision.BatchGranted(
-                        ip, ticket, chosen.get().id(), dueMillis, chosen.get().hasRequestLimit()));
+                        ip,
+                        ticket,
+                        chosen.get().id(),
+                        dueMillis,
+                        chosen.get().hasRequestLimit(),
+                        reservedTokens));
         return true;
     }
 
-    private Optional<TargetSlots> chooseForOnline(SlotRequest request, long now) {
-        Set<TargetSlots> ejected = Set.of();
-        if (!request.lastResort()) {
-            ejected = ejectedTargets(now);
-        }
-        TargetSlots best = null;
-        for (TargetSlots target : targets.values()) {
-            boolean acceptable =
-                    target.isOpen()
-                            && target.hasSlotForOnline(now)
-                            && (request.lastResort()
-                                    || !ejected.contains(target)
-                                            && !request.avoided().contains(target.id())
-                                            && !target.isUnavailable(now));
-            if (acceptable && (best == null || isBetterForOnline(target, best))) {
-                best = target;
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
-    /** Prefers free slots, then slots whose batch item loses least, then the lower load. */
-    private static boolean isBetterForOnline(TargetSlots target, TargetSlots other) {
-        if (target.hasFreeSlot() != other.hasFreeSlot()) {
-            return target.hasFreeSlot();
-        }
-        if (!target.hasFreeSlot()) {
-            long due = target.firstToPreempt().map(Lease::dueMillis).orElse(0L);
-            long otherDue = other.firstToPreempt().map(Lease::dueMillis).orElse(0L);
-            if (due != otherDue) {
-                return due > otherDue;
-            }
-        }
-        if (target.total() != other.total()) {
-            return target.total() < other.total();
-        }
-        return target.lastGrantNanos() - other.lastGrantNanos() < 0;
-    }
-
-    /**
-     * Returns the targets that receive no requests because too many fail there, at most half of the
-     * open ones.
-     */
-    private Set<TargetSlots> ejectedTargets(long now) {
-        List<TargetSlots> unreliable = new ArrayList<>();
-        int openTargets = 0;
-        for (TargetSlots target : targets.values()) {
-            openTargets += target.isOpen() ? 1 : 0;
-            if (target.isOpen() && target.reliability().isUnreliable(now)) {
-                unreliable.add(target);
-            }
-        }
-        if (unreliable.isEmpty()) {
-            return Set.of();
-        }
-        unreliable.sort(
-                Comparator.comparingDouble(
-                                (TargetSlots target) -> target.reliability().failureShare(now))
-                        .reversed());
-        return new HashSet<>(unreliable.subList(0, Math.min(unreliable.size(), openTargets / 2)));
-    }
-
     private Refusal refusalReason(SlotRequest request, long now) {
         boolean anyAcceptable =
                 targets.values().stream()
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
@@ -2,11 +2,13 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.time.Duration;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
+import org.fuchsiaspindle.core.work.TargetSpeed;
 
 /** The slots of one target with what occupies them; not thread-safe. */
 final class TargetSlots {
@@ -22,6 +24,7 @@
      * @param grantNumber the number of the grant among the batch slots that the coordinator granted
      *     to the holder, 0 if the holder reported the slot or it is that of an online request
      * @param grantedNanos when it was granted, in monotonic nanoseconds
+     * @param work what was expected of the run when the slot was granted
      */
     record Lease(
             String holder,
@@ -30,7 +33,8 @@
             TrafficClass trafficClass,
             long dueMillis,
             long grantNumber,
-            long grantedNanos) {
+            long grantedNanos,
+            ExpectedRun work) {
 
         @Override
         public boolean equals(Object other) {
@@ -43,12 +47,31 @@
         }
     }
 
+    /**
+     * Smallest share of its duration that a run is expected to have left. One that has outlived the
+     * estimate goes on the longer the longer it has run.
+     */
+    private static final double MIN_REMAINING_SHARE = 0.25;
+
+    /** Factor of the time of an average target from which a target is slow for batch items. */
+    private static final double SLOW_FOR_ITEMS = 1.4;
+
+    /**
+     * Difference of due times that makes no item more urgent, so that of items that are due at
+     * about the same time the one that loses least is stopped.
+     */
+    private static final Duration DUE_RESOLUTION = Duration.ofSeconds(1);
+
     private final String id;
     private final TargetReliability reliability = new TargetReliability();
+    private final TargetSpeed speed = new TargetSpeed();
     private final Set<Lease> leases = new LinkedHashSet<>();
     private int slots = 1;
     private boolean open;
     private int online;
+    private int memoryTokens;
+    private long reservedTokens;
+    private long onlineTokens;
     private long lastGrantNanos;
     private RequestLimit requestLimit;
 
@@ -64,6 +87,11 @@
         return reliability;
     }
 
+    /** Returns how fast the target works now. */
+    TargetSpeed speed() {
+        return speed;
+    }
+
     int slots() {
         return slots;
     }
@@ -88,8 +116,39 @@
         return freeSlots() > 0;
     }
 
+    /** Sets the memory for requests and prompts, in tokens; 0 if unknown. */
+    void setMemory(int tokens) {
+        memoryTokens = tokens;
+    }
+
+    /** Returns whether a request can start without preempting a batch item. */
+    boolean hasRoom(int tokens) {
+        return hasFreeSlot() && fits(reservedTokens, tokens);
+    }
+
+    /**
+     * Returns whether a request fits beside some tokens. One of unknown size always does, and so do
+     * all while the memory is unknown.
+     */
+    private boolean fits(long occupiedTokens, int tokens) {
+        return memoryTokens == 0 || tokens == 0 || occupiedTokens + tokens <= memoryTokens;
+    }
+
+    /** Returns whether more runs on the target than it has slots and memory for. */
+    boolean isOverfull() {
+        return leases.size() > slots || memoryTokens > 0 && reservedTokens > memoryTokens;
+    }
+
+    /** Returns whether an online request of unknown size can start. */
     boolean hasSlotForOnline(long now) {
-        return online < slots && (requestLimit == null || requestLimit.allowsOnline(now));
+        return hasRoomForOnline(0, now);
+    }
+
+    /** Returns whether an online request can start, possibly in place of batch items. */
+    boolean hasRoomForOnline(int tokens, long now) {
+        return online < slots
+                && fits(onlineTokens, tokens)
+                && (requestLimit == null || requestLimit.allowsOnline(now));
     }
 
     boolean hasSlotForBatch(long now) {
@@ -146,19 +205,57 @@
 
     void add(Lease lease) {
         leases.add(lease);
-        online += lease.trafficClass() == TrafficClass.ONLINE ? 1 : 0;
+        count(lease, 1);
         lastGrantNanos = lease.grantedNanos();
     }
 
     void remove(Lease lease) {
         if (leases.remove(lease)) {
-            online -= lease.trafficClass() == TrafficClass.ONLINE ? 1 : 0;
+            count(lease, -1);
+        }
+    }
+
+    private void count(Lease lease, int sign) {
+        int tokens = lease.work().reservedTokens();
+        reservedTokens += (long) sign * tokens;
+        if (lease.trafficClass() == TrafficClass.ONLINE) {
+            online += sign;
+            onlineTokens += (long) sign * tokens;
         }
     }
 
-    /** Returns the cost of a further batch item: the load, higher if requests fail here. */
+    /**
+     * Returns how many of the present requests run beside a new one on average.
+     *
+     * @param nanos how long the new one is expected to take, positive
+     * @param now the time
+     */
+    double expectedRunning(double nanos, long now) {
+        double running = 0;
+        for (Lease lease : leases) {
+            running += Math.min(1, remainingNanos(lease, now) / nanos);
+        }
+        return running;
+    }
+
+    /** Returns how long a run is expected to go on, infinite if unknown. */
+    private static double remainingNanos(Lease lease, long now) {
+        double expected = lease.work().nanos();
+        if (expected == 0) {
+            return Double.POSITIVE_INFINITY;
+        }
+        double elapsed = now - lease.grantedNanos();
+        return Math.max(expected - elapsed, MIN_REMAINING_SHARE * Math.max(expected, elapsed));
+    }
+
+    /**
+     * Returns the cost of a further batch item: the load, higher if requests fail here. A slow
+     * target costs more than any other one that has room, because items are long: it is left to
+     * online requests.
+     */
     double batchCost(long now) {
-        return leases.size() + slots * reliability.failureShare(now);
+        double slowCost = speed.slowness(now) > SLOW_FOR_ITEMS ? slots : 0;
+        return leases.size() + slots * reliability.failureShare(now) + slowCost;
     }
 
     /** Returns the number of gateways that hold slots of the target. */
@@ -170,7 +267,8 @@
 
     /**
      * Returns the batch item to preempt first, empty if there is none: the one with the latest due
-     * time and, of several, the one that started last and so loses least.
+     * time and, of several that are due within about a second, the one that started last and so
+     * loses least.
      */
     Optional<Lease> firstToPreempt() {
         Lease first = null;
@@ -184,9 +282,14 @@
     }
 
     private static boolean isPreemptedBefore(Lease lease, Lease other) {
-        return lease.dueMillis() == other.dueMillis()
-                ? lease.grantedNanos() - other.grantedNanos() > 0
-                : lease.dueMillis() > other.dueMillis();
+        long due = dueStep(lease);
+        long otherDue = dueStep(other);
+        return due == otherDue ? lease.grantedNanos() - other.grantedNanos() > 0 : due > otherDue;
+    }
+
+    /** Returns the due time of a batch item in steps of the differences that matter. */
+    static long dueStep(Lease lease) {
+        return lease.dueMillis() / DUE_RESOLUTION.toMillis();
     }
 
     boolean isUnavailable(long now) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineDispatcher.java
@@ -10,6 +10,7 @@
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.StopWindow;
 import org.fuchsiaspindle.core.workspace.CallerAccess;
+import org.fuchsiaspindle.gateway.limit.WorkspaceLimits;
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
 import org.fuchsiaspindle.gateway.slot.SlotClient;
 import org.fuchsiaspindle.gateway.target.TargetFleet;
@@ -29,6 +30,7 @@
     private final TargetFleet fleet;
     private final SlotClient slots;
     private final PromptGuard promptGuard;
+    private final WorkspaceLimits limits;
     private final GatewayMetrics metrics;
     private final Supplier<Optional<StopWindow>> stopWindow;
     private final ServiceTimes serviceTimes = new ServiceTimes();
@@ -39,6 +41,7 @@
             TargetFleet fleet,
             SlotClient slots,
             PromptGuard promptGuard,
+            WorkspaceLimits limits,
             GatewayMetrics metrics,
             Supplier<Optional<StopWindow>> stopWindow) {
         this.loop = loop;
@@ -46,6 +49,7 @@
         this.fleet = fleet;
         this.slots = slots;
         this.promptGuard = promptGuard;
+        this.limits = limits;
         this.metrics = metrics;
         this.stopWindow = stopWindow;
     }
@@ -58,6 +62,7 @@
      * @param fleet the targets, not null
      * @param slots assigns slots of targets, not null
      * @param promptGuard knows the prompts that crash targets, not null
+     * @param limits the limits of workspaces, not null
      * @param metrics counts requests, not null
      * @param stopWindow the graceful stop in progress, if there is one; not null
      */
@@ -67,6 +72,7 @@
             TargetFleet fleet,
             SlotClient slots,
             PromptGuard promptGuard,
+            WorkspaceLimits limits,
             GatewayMetrics metrics,
             Supplier<Optional<StopWindow>> stopWindow) {
         return new OnlineDispatcher(
@@ -75,6 +81,7 @@
                 checkNotNull(fleet, "fleet"),
                 checkNotNull(slots, "slots"),
                 checkNotNull(promptGuard, "promptGuard"),
+                checkNotNull(limits, "limits"),
                 checkNotNull(metrics, "metrics"),
                 checkNotNull(stopWindow, "stopWindow"));
     }
@@ -105,6 +112,10 @@
         return promptGuard;
     }
 
+    WorkspaceLimits limits() {
+        return limits;
+    }
+
     GatewayMetrics metrics() {
         return metrics;
     }
