--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/WaitingLimit.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/WaitingLimit.java
@@ -3,8 +3,11 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import io.netty.channel.EventLoop;
+import java.time.Duration;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.job.RecentJobs;
@@ -25,6 +28,11 @@
     /** How often other gateways may come first before a reservation is given up. */
     private static final int MAX_CONFLICTS = 16;
 
+    /** About the time of one conditional write; grows with each conflict of a reservation. */
+    private static final Duration BACKOFF = Duration.ofMillis(10);
+
+    private static final Duration MAX_BACKOFF = Duration.ofMillis(60);
+
     private final EventLoop loop;
     private final JobStore jobStore;
     private final JobTable jobTable;
@@ -108,7 +116,7 @@
                                 }
                                 case CommitResult.Conflict conflict -> {
                                     learn(RecentJobsRow.of(row.key(), conflict.rows()));
-                                    reserve(job, limit, conflicts + 1, listener);
+                                    retry(job, limit, conflicts + 1, listener);
                                 }
                                 case CommitResult.NotDone notDone ->
                                         listener.accept(Outcome.UNAVAILABLE);
@@ -120,6 +128,22 @@
                         loop);
     }
 
+    /**
+     * Reserves with the row that a conflict returned. The first conflict says that the known row
+     * was old; further ones say that others reserve at the same time, so attempts are spread.
+     */
+    private void retry(JobRecord job, long limit, int conflicts, Consumer<Outcome> listener) {
+        if (conflicts == 1) {
+            reserve(job, limit, conflicts, listener);
+            return;
+        }
+        long maxDelay = Math.min(MAX_BACKOFF.toNanos(), conflicts * BACKOFF.toNanos());
+        loop.schedule(
+                () -> reserve(job, limit, conflicts, listener),
+                ThreadLocalRandom.current().nextLong(maxDelay),
+                TimeUnit.NANOSECONDS);
+    }
+
     /**
      * Replaces what is known of a row, also by an older version, which a conflict then corrects.
      */
