--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
@@ -29,7 +29,6 @@
 /** Routes requests to the handlers of online requests, job submissions, and existing jobs. */
 final class RequestRouter implements ClientRequestHandler {
 
-    private static final int STATUS_UNAUTHORIZED = 401;
     private static final int STATUS_NOT_FOUND = 404;
     private static final int STATUS_BAD_REQUEST = 400;
     private static final Duration CONFIG_RETRY_AFTER = Duration.ofMillis(300);
@@ -134,7 +133,7 @@
         logRefusal(exchange, route, ResultCode.INVALID_KEY);
         boolean hasKey = exchange.request().key().isPresent();
         metrics.countKeyRejection(hasKey ? KeyRejection.UNKNOWN : KeyRejection.MISSING);
-        exchange.refuse(Refusal.of(STATUS_UNAUTHORIZED, ResultCode.INVALID_KEY));
+        exchange.refuse(Refusal.of(ResultCode.INVALID_KEY));
     }
 
     private static void refuse(ClientExchange exchange, Optional<Route> route, ResultCode code) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
@@ -39,7 +39,6 @@
     private static final int STATUS_ACCEPTED = 202;
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
     private static final int STATUS_BAD_REQUEST = 400;
-    private static final int STATUS_CONFLICT = 409;
     private static final int STATUS_UNAVAILABLE = 503;
 
     /** Deadline of a request without a deadline header. */
@@ -344,7 +343,7 @@
             CallerAccess access) {
         if (stored.filter(job -> !access.mayUseJob(job.job().workspace())).isPresent()) {
             DecisionLog.batch(id, "-", "refused", ResultCode.JOB_CONFLICT.name());
-            exchange.refuse(Refusal.of(STATUS_CONFLICT, ResultCode.JOB_CONFLICT));
+            exchange.refuse(Refusal.of(ResultCode.JOB_CONFLICT));
         } else {
             acknowledge(exchange, id, "known");
         }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -47,7 +47,6 @@
 final class OnlineCall {
 
     private static final int SERVER_ERROR = 500;
-    private static final int UNAUTHORIZED = 401;
 
     /** Number of refusals by targets after which the request is refused with a retry time. */
     private static final int MAX_TARGET_REFUSALS = 6;
@@ -145,7 +144,7 @@
         finish();
         logDecision("refused", code.name());
         dispatcher.metrics().countRefusal(code);
-        exchange.refuse(Refusal.of(code.httpStatus(), code));
+        exchange.refuse(Refusal.of(code));
     }
 
     /** Obtains what the next attempt needs, waiting if necessary, and sends the request. */
@@ -346,7 +345,7 @@
         finish();
         logDecision("refused", ResultCode.INVALID_KEY.name());
         dispatcher.metrics().countKeyRejection(KeyRejection.TAKEN_AWAY);
-        exchange.refuse(Refusal.of(UNAUTHORIZED, ResultCode.INVALID_KEY));
+        exchange.refuse(Refusal.of(ResultCode.INVALID_KEY));
     }
 
     private static Duration clampRetryAfter(Duration time) {
