--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
@@ -266,6 +266,26 @@
         assertThat(call(proxied, "GET", "/lots/job-c", NO_KEY, "").status()).isEqualTo(401);
     }
 
+    /** Guards against losing jobs that were accepted before the configuration had workspaces. */
+    @Test
+    void jobAcceptedBeforeThereWereWorkspaces_isServedToEveryKnownKey() throws Exception {
+        platform.setWorkspaces();
+        configure();
+        await("no key needed", () -> call(first, SAFE + "x", NO_KEY).status() == 200);
+        String body = submission("job-d", 6, 50);
+        assertThat(call(first, "POST", BATCH + "job-d", NO_KEY, body).status()).isEqualTo(202);
+        platform.setWorkspaces(PlatformEmulator.workspace("a", KEY));
+        configure();
+        await("a key is needed", () -> call(first, SAFE + "x", NO_KEY).status() == 401);
+        await(
+                "all items complete",
+                () ->
+                        call(first, "GET", "/lots/job-d", KEY, "").body().split("completed").length
+                                == 7);
+        assertThat(call(first, "GET", "/lots/job-d", NO_KEY, "").status()).isEqualTo(401);
+        assertIdentity("job-d-5", "");
+    }
+
     /** Guards against a change of what is served where the configuration has no workspaces. */
     @Test
     void withoutWorkspaces_theHeadersOfTheCallerAreForwarded() throws Exception {
