--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -9,6 +9,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.stream.IntStream;
@@ -17,6 +18,7 @@
 import org.fuchsiaspindle.core.slot.SlotDecision.Granted;
 import org.fuchsiaspindle.core.slot.SlotDecision.Preempted;
 import org.fuchsiaspindle.core.slot.SlotDecision.Queued;
+import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refused;
 import org.fuchsiaspindle.core.work.RequestSize;
 import org.junit.jupiter.api.Test;
@@ -190,6 +192,43 @@
         assertThat(pool.checkTimes(now)).singleElement().isInstanceOf(BatchGranted.class);
     }
 
+    /**
+     * Load: online demand that goes up and down within a wave. Guards against items that start in a
+     * slot which is taken back before their run was worth its start, again and again.
+     */
+    @Test
+    void itemPreemptedSoonAfterItsStart_keepsASlotFreeForLonger() {
+        targets("a");
+        long item = batchGranted(demand("g1", 1, 1000)).ticket();
+        RunReport report =
+                new RunReport(
+                        LeaseOutcome.DONE,
+                        1,
+                        Optional.of(Duration.ofMillis(50)),
+                        Duration.ofSeconds(1));
+        pool.release("g1", item, report, now);
+        pool.demand("g1", new BatchDemand(10, 1000, 1, ImmutableSet.of()), now);
+        Granted online = granted(request("g2", false));
+        now += Duration.ofMillis(101).toNanos();
+        assertThat(release("g2", online.ticket(), LeaseOutcome.DONE)).isEmpty();
+        now += Duration.ofMillis(400).toNanos();
+        assertThat(pool.checkTimes(now)).hasOnlyElementsOfType(BatchGranted.class).hasSize(1);
+    }
+
+    /** Guards against preempting an item that has nearly finished for a small difference in due. */
+    @Test
+    void ofItemsDueAtAboutTheSameTime_theOneStartedLastIsPreempted() {
+        targets("a");
+        demand("first", SLOTS - 1, 2000);
+        now += Duration.ofMillis(500).toNanos();
+        demand("last", 1, 1000);
+        assertThat(request("g1", false))
+                .filteredOn(Preempted.class::isInstance)
+                .singleElement()
+                .extracting(SlotDecision::holder)
+                .isEqualTo("last");
+    }
+
     /** Guards against more grants than items while a demand and grants cross on the network. */
     @Test
     void grantsOnTheirWay_countAgainstTheDemand() {
@@ -253,9 +292,7 @@
                 .singleElement()
                 .isInstanceOfSatisfying(
                         Refused.class,
-                        refused ->
-                                assertThat(refused.reason())
-                                        .isEqualTo(SlotDecision.Refusal.EXPIRED));
+                        refused -> assertThat(refused.reason()).isEqualTo(Refusal.EXPIRED));
     }
 
     /** Guards against requests that wait although it is known that they cannot start in time. */
@@ -272,11 +309,39 @@
                 .isInstanceOfSatisfying(
                         Refused.class,
                         refused -> {
-                            assertThat(refused.reason()).isEqualTo(SlotDecision.Refusal.OVERLOADED);
+                            assertThat(refused.reason()).isEqualTo(Refusal.OVERLOADED);
                             assertThat(refused.expectedWait()).isGreaterThan(Duration.ofSeconds(2));
                         });
     }
 
+    /**
+     * Guards against requests of a workspace under its share that are refused, or wait in vain, for
+     * one that has filled the queue.
+     */
+    @Test
+    void requestOfAnotherWorkspace_displacesOneOfTheWorkspaceThatFillsTheQueue() {
+        targets("a");
+        fill("g1");
+        List<SlotDecision> last = List.of();
+        while (last.stream().noneMatch(Refused.class::isInstance)) {
+            last = requestOf("large");
+        }
+        List<SlotDecision> decisions = requestOf("small");
+        assertThat(decisions.getFirst()).isInstanceOf(Queued.class);
+        assertThat(decisions.subList(1, decisions.size()))
+                .isNotEmpty()
+                .allSatisfy(
+                        decision ->
+                                assertThat(decision)
+                                        .isInstanceOfSatisfying(
+                                                Refused.class,
+                                                refused -> {
+                                                    assertThat(refused.holder()).isEqualTo("large");
+                                                    assertThat(refused.reason())
+                                                            .isEqualTo(Refusal.DISPLACED);
+                                                }));
+    }
+
     /** Guards against requests that wait for a target that no request may use. */
     @Test
     void requestWithoutAnAcceptableTarget_isRefusedUnlessItIsTheLastResort() {
@@ -286,9 +351,7 @@
                 .singleElement()
                 .isInstanceOfSatisfying(
                         Refused.class,
-                        refused ->
-                                assertThat(refused.reason())
-                                        .isEqualTo(SlotDecision.Refusal.NO_TARGET));
+                        refused -> assertThat(refused.reason()).isEqualTo(Refusal.NO_TARGET));
         assertThat(pool.request(newRequest("g1", false, Set.of("a"), true), now))
                 .singleElement()
                 .isInstanceOf(Granted.class);
@@ -421,6 +484,24 @@
         return pool.request(newRequest(holder, mayWait, Set.of(), false), now);
     }
 
+    /** Requests a slot for a workspace whose requests come through a gateway of the same name. */
+    private List<SlotDecision> requestOf(String workspace) {
+        SlotRequest request = newRequest(workspace, true, Set.of(), false);
+        return pool.request(
+                new SlotRequest(
+                        workspace,
+                        request.ticket(),
+                        true,
+                        request.priority(),
+                        workspace,
+                        request.size(),
+                        request.onTimeUntilNanos(),
+                        request.startUntilNanos(),
+                        request.avoided(),
+                        request.lastResort()),
+                now);
+    }
+
     private SlotRequest newRequest(
             String holder, boolean mayWait, Set<String> avoided, boolean lastResort) {
         now++;
@@ -437,6 +518,14 @@
                 lastResort);
     }
 
+    private static BatchGranted batchGranted(List<SlotDecision> decisions) {
+        return decisions.stream()
+                .filter(BatchGranted.class::isInstance)
+                .map(BatchGranted.class::cast)
+                .findFirst()
+                .orElseThrow(() -> new AssertionError("not granted: " + decisions));
+    }
+
     private static Granted granted(List<SlotDecision> decisions) {
         return decisions.stream()
                 .filter(Granted.class::isInstance)
