--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/RequestRouter.java
@@ -17,6 +17,7 @@
 import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
 import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
+import org.fuchsiaspindle.gateway.telemetry.KeyRejection;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
 import org.fuchsiaspindle.platform.ingress.ClientExchange;
 import org.fuchsiaspindle.platform.ingress.ClientRequest;
@@ -28,7 +29,6 @@
 /** Routes requests to the handlers of online requests, job submissions, and existing jobs. */
 final class RequestRouter implements ClientRequestHandler {
 
-    private static final int STATUS_UNAUTHORIZED = 401;
     private static final int STATUS_NOT_FOUND = 404;
     private static final int STATUS_BAD_REQUEST = 400;
     private static final Duration CONFIG_RETRY_AFTER = Duration.ofMillis(300);
@@ -131,8 +131,9 @@
 
     private void refuseKey(ClientExchange exchange, Optional<Route> route) {
         logRefusal(exchange, route, ResultCode.INVALID_KEY);
-        metrics.countRefusal(ResultCode.INVALID_KEY);
-        exchange.refuse(Refusal.of(STATUS_UNAUTHORIZED, ResultCode.INVALID_KEY));
+        boolean hasKey = exchange.request().key().isPresent();
+        metrics.countKeyRejection(hasKey ? KeyRejection.UNKNOWN : KeyRejection.MISSING);
+        exchange.refuse(Refusal.of(ResultCode.INVALID_KEY));
     }
 
     private static void refuse(ClientExchange exchange, Optional<Route> route, ResultCode code) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.job.ListedItem;
+import org.fuchsiaspindle.core.job.RecentJobs;
 import org.fuchsiaspindle.platform.job.JobApiCodec;
 import org.fuchsiaspindle.platform.store.CommitResult;
 import org.fuchsiaspindle.platform.store.RowKey;
@@ -142,6 +143,15 @@
                                                 Optional.of(joinChunks(page.rows()))));
     }
 
+    /** Replaces a row of recent jobs by one with other jobs if it still has its version. */
+    CompletableFuture<CommitResult> update(RecentJobsRow row, RecentJobs jobs) {
+        return store.commit(
+                RowTransaction.inPartition(row.key().partition())
+                        .expect(row.key(), row.version())
+                        .write(row.key(), RecentJobsRow.encode(jobs))
+                        .build());
+    }
+
     private static byte[] joinChunks(List<StoredRow> rows) {
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
         rows.forEach(row -> bytes.writeBytes(row.value()));
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
@@ -7,8 +7,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.handler.codec.http.HttpMethod;
 import java.time.Duration;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
@@ -41,7 +39,6 @@
     private static final int STATUS_ACCEPTED = 202;
     private static final int STATUS_TOO_MANY_REQUESTS = 429;
     private static final int STATUS_BAD_REQUEST = 400;
-    private static final int STATUS_CONFLICT = 409;
     private static final int STATUS_UNAVAILABLE = 503;
 
     /** Deadline of a request without a deadline header. */
@@ -67,7 +64,7 @@
     private final JobOwner self;
     private final StoreClock storeClock;
     private final StoreHealth storeHealth;
-    private final Map<String, PendingJob> pendingJobs = new HashMap<>();
+    private final WaitingLimit waitingLimit;
 
     private JobSubmissionHandler(Dependencies dependencies) {
         this.loop = dependencies.loop();
@@ -78,6 +75,7 @@
         this.self = dependencies.self();
         this.storeClock = dependencies.storeClock();
         this.storeHealth = dependencies.storeHealth();
+        this.waitingLimit = new WaitingLimit(loop, jobStore, jobTable);
     }
 
     /**
@@ -102,9 +100,6 @@
             StoreClock storeClock,
             StoreHealth storeHealth) {}
 
-    /** The tokens of a job that is being stored; they count towards the limit of its route. */
-    private record PendingJob(String route, String workspace, long tokens) {}
-
     /** A decoded submission of a job that is not known yet. */
     private record Submission(
             ClientExchange exchange,
@@ -231,49 +226,32 @@
             relayOrRetry(submission);
             return;
         }
-        if (exceedsLimit(submission)) {
-            refuse(
-                    submission.exchange(),
-                    submission.id(),
-                    STATUS_TOO_MANY_REQUESTS,
-                    ResultCode.JOB_LIMITED,
-                    QUOTA_RETRY_AFTER);
-            return;
-        }
-        create(submission, storeNow.getAsLong());
+        JobRecord job = newJob(submission, storeNow.getAsLong());
+        waitingLimit.reserve(
+                job, submission.route(), outcome -> handleReservation(submission, job, outcome));
     }
 
-    private boolean exceedsLimit(Submission submission) {
-        Route route = submission.route();
-        long limit = route.batch().orElseThrow().maxWaitingTokens();
-        if (limit == 0) {
-            return false;
+    private void handleReservation(
+            Submission submission, JobRecord job, WaitingLimit.Outcome outcome) {
+        switch (outcome) {
+            case RESERVED -> create(submission, job);
+            case EXCEEDED ->
+                    refuse(
+                            submission.exchange(),
+                            job.id(),
+                            STATUS_TOO_MANY_REQUESTS,
+                            ResultCode.JOB_LIMITED,
+                            QUOTA_RETRY_AFTER);
+            // Nothing of the job is stored yet.
+            case UNAVAILABLE -> relayOrRetry(submission);
+            default -> throw new AssertionError(outcome);
         }
-        String workspace = submission.workspace();
-        long total = jobTable.waitingTokens(route.name(), workspace) + submission.tokens();
-        for (PendingJob pendingJob : pendingJobs.values()) {
-            boolean counts =
-                    pendingJob.route().equals(route.name())
-                            && pendingJob.workspace().equals(workspace);
-            total += counts ? pendingJob.tokens() : 0;
-        }
-        return total > limit;
     }
 
-    private void create(Submission submission, long storeNow) {
-        String id = submission.id();
-        pendingJobs.put(
-                id,
-                new PendingJob(
-                        submission.route().name(), submission.workspace(), submission.tokens()));
-        JobRecord job = newJob(submission, storeNow);
+    private void create(Submission submission, JobRecord job) {
         jobStore.create(job, submission.exchange().request().body())
                 .whenCompleteAsync(
-                        (result, failure) -> {
-                            pendingJobs.remove(id);
-                            handleCreateResult(submission, job, result);
-                        },
-                        loop);
+                        (result, failure) -> handleCreateResult(submission, job, result), loop);
     }
 
     private JobRecord newJob(Submission submission, long storeNow) {
@@ -365,7 +343,7 @@
             CallerAccess access) {
         if (stored.filter(job -> !access.mayUseJob(job.job().workspace())).isPresent()) {
             DecisionLog.batch(id, "-", "refused", ResultCode.JOB_CONFLICT.name());
-            exchange.refuse(Refusal.of(STATUS_CONFLICT, ResultCode.JOB_CONFLICT));
+            exchange.refuse(Refusal.of(ResultCode.JOB_CONFLICT));
         } else {
             acknowledge(exchange, id, "known");
         }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -29,6 +29,7 @@
 import org.fuchsiaspindle.gateway.target.CallListener;
 import org.fuchsiaspindle.gateway.target.TargetCall;
 import org.fuchsiaspindle.gateway.telemetry.DecisionLog;
+import org.fuchsiaspindle.gateway.telemetry.KeyRejection;
 import org.fuchsiaspindle.platform.ingress.ClientExchange;
 import org.fuchsiaspindle.platform.ingress.Refusal;
 import org.fuchsiaspindle.platform.target.PromptHeader;
@@ -46,7 +47,6 @@
 final class OnlineCall {
 
     private static final int SERVER_ERROR = 500;
-    private static final int UNAUTHORIZED = 401;
 
     /** Number of refusals by targets after which the request is refused with a retry time. */
     private static final int MAX_TARGET_REFUSALS = 6;
@@ -144,7 +144,7 @@
         finish();
         logDecision("refused", code.name());
         dispatcher.metrics().countRefusal(code);
-        exchange.refuse(Refusal.of(code.httpStatus(), code));
+        exchange.refuse(Refusal.of(code));
     }
 
     /** Obtains what the next attempt needs, waiting if necessary, and sends the request. */
@@ -344,8 +344,8 @@
     private void refuseKey() {
         finish();
         logDecision("refused", ResultCode.INVALID_KEY.name());
-        dispatcher.metrics().countRefusal(ResultCode.INVALID_KEY);
-        exchange.refuse(Refusal.of(UNAUTHORIZED, ResultCode.INVALID_KEY));
+        dispatcher.metrics().countKeyRejection(KeyRejection.TAKEN_AWAY);
+        exchange.refuse(Refusal.of(ResultCode.INVALID_KEY));
     }
 
     private static Duration clampRetryAfter(Duration time) {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
@@ -38,6 +38,8 @@
     private static final String OTHER_KEY = "key-of-b";
     private static final String NO_KEY = "";
 
+    private static final String QUEUED = "fuchsiaspindle_slot_events_total{event=\"queued\"";
+
     /** Slots of all model engines together. */
     private static final int MODEL_SLOTS = 8;
 
@@ -96,7 +98,9 @@
     /** Guards against requests that are served without a key, and unknown routes that need one. */
     @Test
     void requestWithoutAKnownKey_isRefusedUnlessItsRouteIsPublicOrUnknown() throws Exception {
-        assertThat(call(first, SAFE + "x", NO_KEY).status()).isEqualTo(401);
+        Response refused = call(first, SAFE + "x", NO_KEY);
+        assertThat(refused.status()).isEqualTo(401);
+        assertThat(refused.headers()).containsEntry("WWW-Authenticate", "Bearer");
         assertThat(call(first, SAFE + "x", "unknown").status()).isEqualTo(401);
         assertThat(call(first, SAFE + "x", KEY).status()).isEqualTo(200);
         assertThat(call(first, PUBLIC + "x", NO_KEY).status()).isEqualTo(200);
@@ -152,13 +156,17 @@
             running.add(streamLater("busy-" + slot));
         }
         await("all slots are taken", () -> activeModelRuns() == MODEL_SLOTS);
+        double queuedBefore = platform.metric(QUEUED);
         CompletableFuture<Response> waiting = streamLater("waiting");
+        await("the request waits", () -> platform.metric(QUEUED) > queuedBefore);
         platform.setWorkspaces(PlatformEmulator.workspace("a", SECOND_KEY));
         configure();
         await("the key is gone", () -> call(first, SAFE + "later", KEY).status() == 401);
         assertThat(activeModelRuns()).isEqualTo(MODEL_SLOTS);
         assertThat(waiting.get().status()).isEqualTo(401);
         assertThat(runs("waiting")).isEmpty();
+        assertThat(platform.metric("fuchsiaspindle_key_rejections_total{cause=\"taken_away\""))
+                .isEqualTo(1);
         for (CompletableFuture<Response> response : running) {
             assertThat(response.get().complete()).isTrue();
             assertThat(response.get().status()).isEqualTo(200);
@@ -188,7 +196,7 @@
 
     /**
      * Guards against a gateway that the store turns away and that goes on accepting a key which was
-     * taken away, and against keys that reach other gateways.
+     * taken away.
      */
     @Test
     void keyTakenAwayWhileTheStoreRefusesAGateway_isLearnedFromAPeer() throws Exception {
@@ -258,6 +266,26 @@
         assertThat(call(proxied, "GET", "/lots/job-c", NO_KEY, "").status()).isEqualTo(401);
     }
 
+    /** Guards against losing jobs that were accepted before the configuration had workspaces. */
+    @Test
+    void jobAcceptedBeforeThereWereWorkspaces_isServedToEveryKnownKey() throws Exception {
+        platform.setWorkspaces();
+        configure();
+        await("no key needed", () -> call(first, SAFE + "x", NO_KEY).status() == 200);
+        String body = submission("job-d", 6, 50);
+        assertThat(call(first, "POST", BATCH + "job-d", NO_KEY, body).status()).isEqualTo(202);
+        platform.setWorkspaces(PlatformEmulator.workspace("a", KEY));
+        configure();
+        await("a key is needed", () -> call(first, SAFE + "x", NO_KEY).status() == 401);
+        await(
+                "all items complete",
+                () ->
+                        call(first, "GET", "/lots/job-d", KEY, "").body().split("completed").length
+                                == 7);
+        assertThat(call(first, "GET", "/lots/job-d", NO_KEY, "").status()).isEqualTo(401);
+        assertIdentity("job-d-5", "");
+    }
+
     /** Guards against a change of what is served where the configuration has no workspaces. */
     @Test
     void withoutWorkspaces_theHeadersOfTheCallerAreForwarded() throws Exception {
