--- a/core/src/test/java/org/fuchsiaspindle/core/limit/PermitBoundTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/PermitBoundTest.java
@@ -44,6 +44,7 @@
         private final long seed;
         private final Random random;
         private final PermitSimulation simulation;
+        private final boolean large;
         private final RateLimit limit;
         private RateLimit lowered;
         private long loweredEverywhereAt;
@@ -51,10 +52,13 @@
         Case(long seed) {
             this.seed = seed;
             this.random = new Random(seed * 7919);
+            // With a large limit, the fixed part of the bound hides nothing.
+            this.large = random.nextInt(12) == 0;
             double size = random.nextDouble();
-            int gateways = 2 + (int) (11 * size * size);
+            int gateways = 2 + (int) ((large ? 4 : 11) * size * size);
             this.simulation = new PermitSimulation(seed, gateways, gateways);
-            double rate = 0.3 * Math.pow(150, random.nextDouble());
+            double rate =
+                    large ? 100 + random.nextInt(250) : 0.3 * Math.pow(150, random.nextDouble());
             double burst = random.nextInt(3) * random.nextDouble() * rate;
             this.limit = new RateLimit(rate, burst);
         }
@@ -73,7 +77,8 @@
             for (Node node : simulation.nodes) {
                 simulation.schedule(random.nextLong(300 * MILLI), node::start);
             }
-            double demand = limit.requestsPerSecond() * (0.5 + random.nextDouble() * 5);
+            double excess = large ? 2.5 : 0.5 + random.nextDouble() * 5;
+            double demand = limit.requestsPerSecond() * excess;
             simulation.sendRequests(WORKSPACE, demand + 2, 0, END);
             int faults = 1 + random.nextInt(5);
             for (int i = 0; i < faults; i++) {
@@ -86,7 +91,7 @@
         private void addFault() {
             long at = 300 * MILLI + random.nextLong(5 * SECOND);
             Node node = simulation.nodes.get(random.nextInt(simulation.nodes.size()));
-            switch (random.nextInt(6)) {
+            switch (random.nextInt(8)) {
                 case 0 -> cut(at);
                 case 1 -> {
                     simulation.schedule(at, node::freeze);
@@ -98,6 +103,8 @@
                     simulation.schedule(at + SECOND, () -> restart(node, 300 * MILLI));
                 }
                 case 4 -> lower(at);
+                case 5 -> isolateGranters(at);
+                case 6 -> freezeGranters(at);
                 default -> simulation.schedule(at, () -> restart(node, random.nextLong(SECOND)));
             }
         }
@@ -120,6 +127,42 @@
                     () -> simulation.nodes.forEach(node -> node.group = 0));
         }
 
+        /** Cuts one granter after the other off, so that the slices move all the time. */
+        private void isolateGranters(long at) {
+            long period = 300 * MILLI + random.nextLong(SECOND);
+            for (long time = at; time < END; time += period) {
+                simulation.schedule(
+                        time,
+                        () -> {
+                            Node granter = granter();
+                            simulation.nodes.forEach(node -> node.group = node == granter ? 1 : 0);
+                        });
+            }
+        }
+
+        private void freezeGranters(long at) {
+            long period = 300 * MILLI + random.nextLong(SECOND);
+            for (long time = at; time < END; time += period) {
+                simulation.schedule(
+                        time,
+                        () -> {
+                            Node granter = granter();
+                            granter.freeze();
+                            simulation.schedule(period * 3 / 4, granter::thaw);
+                        });
+            }
+        }
+
+        private Node granter() {
+            Node most = simulation.nodes.getFirst();
+            for (Node node : simulation.nodes) {
+                if (!node.frozen && node.share(WORKSPACE) > most.share(WORKSPACE)) {
+                    most = node;
+                }
+            }
+            return most;
+        }
+
         private int restarts;
 
         private void killSome(long at) {
