--- a/core/src/main/java/org/fuchsiaspindle/core/limit/LimitBucket.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/LimitBucket.java
@@ -82,7 +82,9 @@
     Duration promise(long nowNanos) {
         replay();
         double share = history.share();
-        if (share < 1 && nowNanos - history.lastChangeNanos() < MOVE_TIME.toNanos()) {
+        boolean recentlyChanged =
+                history.isEmpty() || nowNanos - history.lastChangeNanos() < MOVE_TIME.toNanos();
+        if (share < 1 && recentlyChanged) {
             return RETRY_AFTER_WHILE_MOVING;
         }
         Duration longest = share < 1 ? MAX_RETRY_AFTER_WITHOUT_SHARE : MAX_RETRY_AFTER;
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
@@ -47,6 +47,9 @@
     /** Retry time if no granter answered: by then the slices are lent to another one. */
     private static final Duration NO_ANSWER_RETRY_AFTER = Duration.ofMillis(500);
 
+    /** Retry time while slices move to another granter. */
+    private static final Duration SHARE_MISSING_RETRY_AFTER = Duration.ofMillis(300);
+
     /** Share of the limit below which a refusal is rather due to missing slices. */
     private static final double USUAL_SHARE = 0.5;
 
@@ -371,11 +374,14 @@
                     account.lastReply.isPresent() ? age : Duration.ZERO);
         }
         PermitReply reply = account.lastReply.get();
+        boolean shareMissing = reply.share() < USUAL_SHARE;
+        Duration retryAfter =
+                shareMissing && reply.retryAfter().compareTo(SHARE_MISSING_RETRY_AFTER) < 0
+                        ? SHARE_MISSING_RETRY_AFTER
+                        : reply.retryAfter();
         return new LimitRefusal(
-                reply.share() < USUAL_SHARE
-                        ? LimitRefusal.Cause.SHARE_MISSING
-                        : LimitRefusal.Cause.OVER_LIMIT,
-                reply.retryAfter(),
+                shareMissing ? LimitRefusal.Cause.SHARE_MISSING : LimitRefusal.Cause.OVER_LIMIT,
+                retryAfter,
                 account.lastGranter,
                 reply.share(),
                 age);
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/ShareHistory.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/ShareHistory.java
@@ -41,9 +41,14 @@
         return changes.isEmpty() ? 0 : changes.getLast().share();
     }
 
-    /** Returns the time of the last change, the oldest possible time if there was none. */
+    /** Returns whether the share was never changed. */
+    boolean isEmpty() {
+        return changes.isEmpty();
+    }
+
+    /** Returns the time of the last change; there must have been one. */
     long lastChangeNanos() {
-        return changes.isEmpty() ? Long.MIN_VALUE / 2 : changes.getLast().atNanos();
+        return changes.getLast().atNanos();
     }
 
     /** Returns the index of the first change kept. */
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
@@ -41,6 +41,9 @@
     /** Time after which a granter that did not answer is chosen again. */
     private static final Duration EXCLUSION_TIME = Duration.ofSeconds(2);
 
+    /** The same for one that has never answered, which may run an earlier version. */
+    private static final Duration UNKNOWN_EXCLUSION_TIME = Duration.ofSeconds(10);
+
     /**
      * Number of times in one interval that a slice brings start tokens which no granter gave back:
      * a granter that crashes loses its slices, and gets them back soon after it is started again.
@@ -164,7 +167,8 @@
             } else if (granter.unanswered
                     && nowNanos - granter.unansweredSinceNanos > answerTime().toNanos()) {
                 granter.excluded = true;
-                granter.excludedUntilNanos = nowNanos + EXCLUSION_TIME.toNanos();
+                Duration exclusion = granter.epoch == 0 ? UNKNOWN_EXCLUSION_TIME : EXCLUSION_TIME;
+                granter.excludedUntilNanos = nowNanos + exclusion.toNanos();
             }
         }
         chooseGranters();
@@ -209,7 +213,11 @@
 
     /** Returns the granter that should decide on requests of a shard, empty if none is known. */
     public Optional<String> granter(int shard) {
-        return shards.granter(shard);
+        Slice slice = slices[shard];
+        // A granter that was just chosen may hold nothing yet.
+        boolean holdsSlice =
+                slice.lentTo != null && !slice.releasing && eligible.contains(slice.lentTo);
+        return holdsSlice ? Optional.of(slice.lentTo) : shards.granter(shard);
     }
 
     /** Returns the number of gateways, which is never too small once the fleet is known. */
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/package-info.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/package-info.java
@@ -1,5 +1,14 @@
 /**
- * Distributed rate and concurrency limits of customers, which hold over all entries together.
+ * Limits of requests that hold over all processes together.
+ *
+ * <p>Limits of workspaces: each gateway owns a slice, limit / N, of every limit, and lends it to
+ * one granter at a time ({@link org.fuchsiaspindle.core.limit.SliceLender}). A granter fills token
+ * buckets from the slices that it holds, and grants permits for single requests ({@link
+ * org.fuchsiaspindle.core.limit.PermitGranter}), which gateways ask for ({@link
+ * org.fuchsiaspindle.core.limit.PermitHolder}). Two granters that do not see each other have
+ * different slices, so the limit holds whatever is cut off, frozen or restarted.
+ *
+ * <p>Rate and concurrency limits of customers at the entries of the own interface:
  *
  * <p>For each customer one entry, the granter, divides the limit among the entries by demand. An
  * entry without a valid grant uses its equal share, limit / N, where N is the number of entries in
