--- a/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
@@ -8,9 +8,11 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.fuchsiaspindle.core.limit.LimitMessage.PermitReply;
@@ -143,6 +145,10 @@
     private final LimitSender sender;
     private final Map<String, Account> accounts = new HashMap<>();
     private final Map<Long, Ask> asks = new HashMap<>();
+
+    /** The workspaces with waiting requests or unused permits. */
+    private final Set<Account> busy = new LinkedHashSet<>();
+
     private long nextId;
 
     private PermitHolder(
@@ -189,6 +195,7 @@
         account.recordDemand(nowNanos);
         Waiting waiting = new Waiting(listener, nowNanos + patience.toNanos());
         account.waiting.add(waiting);
+        busy.add(account);
         serve(account, nowNanos);
         ask(account, nowNanos);
         return waiting;
@@ -197,11 +204,16 @@
     /** Gives back a permit with which no request reached a target. */
     public void giveBack(Permit permit, long nowNanos) {
         Account account = accounts.get(permit.workspace());
-        if (account == null || nowNanos - permit.validUntilNanos() >= 0) {
-            sendReturn(permit, 1);
+        long expiredNanos = nowNanos - permit.validUntilNanos();
+        if (account == null || expiredNanos >= 0) {
+            // The granter takes back nothing that was granted long ago.
+            if (expiredNanos < PermitGranter.RETURN_WINDOW.toNanos()) {
+                sendReturn(permit, 1);
+            }
             return;
         }
         account.stock.add(new Stock(permit, 1));
+        busy.add(account);
         serve(account, nowNanos);
     }
 
@@ -222,6 +234,7 @@
         if (reply.granted() > 0) {
             long validUntilNanos = ask.sentNanos() + PERMIT_VALIDITY.toNanos();
             account.stock.add(new Stock(permit(from, reply, validUntilNanos), reply.granted()));
+            busy.add(account);
             serve(account, nowNanos);
         }
         if (reply.granted() < ask.count()) {
@@ -239,27 +252,29 @@
                 ask.account().asked -= ask.count();
             }
         }
-        for (Account account : List.copyOf(accounts.values())) {
+        for (Account account : List.copyOf(busy)) {
             serve(account, nowNanos);
             refuseExpired(account, nowNanos);
             ask(account, nowNanos);
+            if (account.waiting.isEmpty() && account.stock.isEmpty()) {
+                busy.remove(account);
+            }
         }
+    }
+
+    /** Drops the state of idle workspaces. */
+    public void prune(long nowNanos) {
         accounts.values()
                 .removeIf(
                         account ->
-                                account.waiting.isEmpty()
-                                        && account.stock.isEmpty()
+                                !busy.contains(account)
                                         && account.asked == 0
                                         && nowNanos - account.demandNanos > IDLE_TIME.toNanos());
     }
 
     /** Returns whether {@link #tick} must be called. */
     public boolean isActive() {
-        return !asks.isEmpty() || accounts.values().stream().anyMatch(PermitHolder::isBusy);
-    }
-
-    private static boolean isBusy(Account account) {
-        return !account.waiting.isEmpty() || !account.stock.isEmpty();
+        return !asks.isEmpty() || !busy.isEmpty();
     }
 
     private void serve(Account account, long nowNanos) {
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
@@ -38,12 +38,9 @@
     /** Covers clocks of different speeds and short suspensions that no clock shows. */
     private static final Duration CLOCK_MARGIN = Duration.ofMillis(50);
 
-    /** Time after which a granter that did not answer is chosen again. */
+    /** Time after which a granter that did not answer is chosen again if it then answers. */
     private static final Duration EXCLUSION_TIME = Duration.ofSeconds(2);
 
-    /** The same for one that has never answered, which may run an earlier version. */
-    private static final Duration UNKNOWN_EXCLUSION_TIME = Duration.ofSeconds(10);
-
     /**
      * Number of times in one interval that a slice brings start tokens which no granter gave back:
      * a granter that crashes loses its slices, and gets them back soon after it is started again.
@@ -158,17 +155,12 @@
         boolean paused = nowNanos - lastTickNanos > TICK_INTERVAL.multipliedBy(4).toNanos();
         lastTickNanos = nowNanos;
         for (Granter granter : granters.values()) {
-            if (granter.excluded && nowNanos - granter.excludedUntilNanos >= 0) {
-                granter.excluded = false;
-                granter.unanswered = false;
-            }
             if (paused) {
                 granter.unanswered = false;
             } else if (granter.unanswered
                     && nowNanos - granter.unansweredSinceNanos > answerTime().toNanos()) {
                 granter.excluded = true;
-                Duration exclusion = granter.epoch == 0 ? UNKNOWN_EXCLUSION_TIME : EXCLUSION_TIME;
-                granter.excludedUntilNanos = nowNanos + exclusion.toNanos();
+                granter.excludedUntilNanos = nowNanos + EXCLUSION_TIME.toNanos();
             }
         }
         chooseGranters();
@@ -195,6 +187,10 @@
         granter.answeredSequence = Math.max(granter.answeredSequence, ack.sequence());
         granter.unanswered = granter.answeredSequence < granter.sequence;
         granter.unansweredSinceNanos = nowNanos;
+        if (granter.excluded && nowNanos - granter.excludedUntilNanos >= 0) {
+            granter.excluded = false;
+            chooseGranters();
+        }
         if (!settled || granter.dueNow) {
             lend(nowNanos);
         }
--- a/core/src/test/java/org/fuchsiaspindle/core/limit/PermitFleetTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/PermitFleetTest.java
@@ -180,6 +180,28 @@
         }
     }
 
+    /** Guards against a granter that is chosen again and again while it is cut off. */
+    @Test
+    void granterIsCutOffUnnoticed() {
+        limit("large", LARGE);
+        simulation.startAll();
+        simulation.sendRequests("large", 50, 3 * SECOND, 11 * SECOND);
+        String granter =
+                LimitShards.none()
+                        .among(simulation.nodes.stream().map(node -> node.ip).toList())
+                        .granter(LimitShards.shardOf("large"))
+                        .orElseThrow();
+        simulation.schedule(
+                4 * SECOND,
+                () ->
+                        simulation.nodes.forEach(
+                                node -> node.group = node.ip.equals(granter) ? 1 : 0));
+        simulation.runUntil(12 * SECOND);
+        // 0.7 s of 8 s, and 3% of the requests reach the granter that is cut off.
+        assertAtMost(usage("large").requests / 8.0, usage("large").refusals());
+        assertBound("large", LARGE);
+    }
+
     /** Guards against a process that believes that it is alone while it is cut off. */
     @Test
     void gatewayThatStartsCutOffUsesNoSlice() {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/WorkspaceLimits.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/WorkspaceLimits.java
@@ -118,7 +118,7 @@
         loop.scheduleAtFixedRate(
                 this::tick, 0, SliceLender.TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(
-                () -> granter.prune(clock.nanoTime()),
+                this::prune,
                 PRUNE_INTERVAL.toMillis(),
                 PRUNE_INTERVAL.toMillis(),
                 TimeUnit.MILLISECONDS);
@@ -172,6 +172,7 @@
     public void giveBack(Permit permit) {
         metrics.countLimitEvent("given_back");
         holder.giveBack(permit, clock.nanoTime());
+        startTicking();
     }
 
     /** Returns the limit of a workspace in the configuration in force. */
@@ -225,6 +226,12 @@
         granter.setFleetSize(current.fleetSize(now), current.announcedFleetSize(now), now);
     }
 
+    private void prune() {
+        long now = clock.nanoTime();
+        granter.prune(now);
+        holder.prune(now);
+    }
+
     private boolean hasLimits() {
         long version = viewHolder.view().configVersion();
         if (version != limitedVersion) {
