--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -3,21 +3,22 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.time.Duration;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
-import java.util.Set;
+import org.fuchsiaspindle.core.serving.Pace;
 import org.fuchsiaspindle.core.serving.RequestQueue;
+import org.fuchsiaspindle.core.serving.RequestQueue.Entry;
+import org.fuchsiaspindle.core.serving.RequestQueue.Position;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.serving.TargetModel;
+import org.fuchsiaspindle.core.slot.RejectionPolicy.Rejection;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
 import org.fuchsiaspindle.core.slot.TargetSlots.Lease;
 
@@ -25,11 +26,10 @@
  * The slots of the targets of one pool, as its coordinator assigns them.
  *
  * <p>An online request gets a free slot of the least loaded target, otherwise the slot of a batch
- * item, otherwise it waits. A free slot goes to the waiting online request that starts first and,
- * if there is none, to the gateway whose waiting batch item is due first. Load pattern: bursts that
- * exceed the slots for seconds, between which batch items fill all slots. While online requests
- * preempt batch items, as many free slots as items were just preempted are left to them, because an
- * item that is stopped before its first event has only cost capacity.
+ * item, otherwise it waits or is refused ({@link RejectionPolicy}). A free slot goes to the waiting
+ * online request that starts first ({@link RequestQueue}) and, if there is none, to the gateway
+ * whose waiting batch item is due first, as far as online requests leave room ({@link BatchRoom}).
+ * Load pattern: bursts that exceed the slots for seconds, between which batch items fill the slots.
  *
  * <p>Each method returns the decisions that follow from it. Not thread-safe; times are monotonic
  * nanoseconds.
@@ -41,13 +41,20 @@
     /** Assumed time that an online request occupies a slot before one was observed. */
     private static final Duration INITIAL_HOLD_TIME = Duration.ofMillis(300);
 
-    /** Time for which a preemption keeps one free slot from batch items. */
-    private static final Duration PREEMPTION_MEMORY = Duration.ofMillis(100);
+    /** Expected work of a request, in multiples of that of an average one. */
+    private static final double AVERAGE_COST = 1;
 
-    private final Deque<Long> preemptionNanos = new ArrayDeque<>();
+    private static final TargetModel UNKNOWN_MODEL = new TargetModel(0, 1);
+
+    private final OnlineWaves waves = new OnlineWaves();
+    private final RejectionPolicy rejections = new RejectionPolicy(waves);
+    private final BatchRoom batchRoom = new BatchRoom();
     private final Map<String, TargetSlots> targets = new LinkedHashMap<>();
+    private final PoolWork work = new PoolWork();
+    private final TargetChoice choice = new TargetChoice(targets.values(), work);
     private final Map<String, Holder> holders = new LinkedHashMap<>();
     private final RequestQueue<SlotRequest> waiting = new RequestQueue<>();
+    private TargetModel model = UNKNOWN_MODEL;
     private double holdNanos = INITIAL_HOLD_TIME.toNanos();
     private long nextBatchTicket;
 
@@ -89,47 +96,140 @@
         return assignFreeSlots(now);
     }
 
+    /** Sets what the configuration says about the targets, empty if they run no model. */
+    public void setModel(Optional<TargetModel> newModel) {
+        TargetModel known = newModel.orElse(UNKNOWN_MODEL);
+        if (!known.equals(model)) {
+            model = known;
+            work.estimator().setTokensPerEvent(known.tokensPerEvent());
+            targets.values().forEach(target -> target.setMemory(known.memoryTokens()));
+        }
+    }
+
+    /** Sets the listener that is told what is expected of requests and what came of it. */
+    public void setWorkListener(WorkListener listener) {
+        work.setListener(listener);
+    }
+
     /** Handles the request of a gateway for a slot for an online request. */
     public List<SlotDecision> request(SlotRequest request, long now) {
         checkNotNull(request, "request");
         List<SlotDecision> decisions = new ArrayList<>();
-        Optional<TargetSlots> target = chooseForOnline(request, now);
+        Optional<TargetSlots> target = choice.forOnline(request, now);
         if (target.isPresent()) {
             grant(request, target.get(), now, decisions);
+            waves.record(onlineDemand(), now);
             return decisions;
         }
-        Duration expectedWait = expectedWait(request.priority(), now);
+        Entry<SlotRequest> entry = entry(request, now);
+        Pace pace = pace(now);
+        Duration expectedWait = pace.expectedWait(waiting.costAheadIfAdded(entry, pace));
         Refusal reason = refusalReason(request, now);
         if (!request.mayWait() || reason == Refusal.NO_TARGET) {
             decisions.add(refusal(request, reason, expectedWait));
-        } else if (now + expectedWait.toNanos() - request.startUntilNanos() > 0) {
-            decisions.add(refusal(request, Refusal.OVERLOADED, expectedWait));
-        } else {
-            waiting.add(
-                    new RequestQueue.Entry<>(
-                            request,
-                            request.priority(),
-                            request.onTimeUntilNanos(),
-                            request.startUntilNanos(),
-                            // In place of the arrival, so that a request that moves to another
-                            // coordinator keeps its turn.
-                            request.onTimeUntilNanos()));
-            decisions.add(new SlotDecision.Queued(request.holder(), request.ticket()));
+            return decisions;
         }
+        Optional<Rejection> rejection =
+                rejections.ifTooLate(request, Refusal.OVERLOADED, expectedWait, now);
+        if (rejection.isPresent()) {
+            waiting.recordRefused(request.priority(), request.workspace());
+            decisions.add(refusal(request, rejection.get()));
+            return decisions;
+        }
+        waiting.add(entry);
+        decisions.add(new SlotDecision.Queued(request.holder(), request.ticket()));
+        refuseSurplus(now, decisions);
+        waves.record(onlineDemand(), now);
         return decisions;
     }
 
+    private Entry<SlotRequest> entry(SlotRequest request, long now) {
+        return new Entry<>(
+                request,
+                request.priority(),
+                request.workspace(),
+                cost(request),
+                request.onTimeUntilNanos(),
+                request.startUntilNanos(),
+                now);
+    }
+
+    /**
+     * Returns the expected work of a request, in multiples of that of an average one. Without
+     * workspaces nobody competes, so all requests count alike.
+     */
+    private double cost(SlotRequest request) {
+        return request.workspace().isEmpty()
+                ? AVERAGE_COST
+                : work.estimator().relativeWork(request.size());
+    }
+
+    /**
+     * Refuses waiting requests that gave way to others and for which that is better than to wait.
+     */
+    private void refuseSurplus(long now, List<SlotDecision> decisions) {
+        if (hasSlotForOnline(now)) {
+            return;
+        }
+        Pace pace = pace(now);
+        double refusedCost = 0;
+        for (Position<SlotRequest> position : waiting.surplus(pace)) {
+            Entry<SlotRequest> entry = position.entry();
+            Duration wait = pace.expectedWait(position.costAhead() - refusedCost);
+            Optional<Rejection> rejection = rejectionOfSurplus(entry, wait, pace);
+            if (rejection.isPresent()) {
+                refusedCost += entry.cost();
+                refuse(entry.request(), rejection.get(), decisions);
+            }
+        }
+    }
+
+    private Optional<Rejection> rejectionOfSurplus(
+            Entry<SlotRequest> entry, Duration wait, Pace pace) {
+        Optional<Rejection> tooLate =
+                rejections.ifTooLate(entry.request(), Refusal.DISPLACED, wait, pace.nowNanos());
+        if (tooLate.isPresent() || waiting.isStarved(entry.priority(), entry.workspace())) {
+            return tooLate;
+        }
+        return rejections.ifBetterAfterWave(entry, wait, pace.timePerRequest(), pace.nowNanos());
+    }
+
+    /** Refuses late requests that will not start in time. */
+    private void refuseHopeless(long now, List<SlotDecision> decisions) {
+        if (waiting.size() == 0 || hasSlotForOnline(now)) {
+            return;
+        }
+        Pace pace = pace(now);
+        for (Position<SlotRequest> position : waiting.hopeless(pace)) {
+            if (!position.entry().workspace().isEmpty()) {
+                Duration wait = pace.expectedWait(position.costAhead());
+                Rejection rejection = new Rejection(Refusal.DISPLACED, wait);
+                refuse(position.entry().request(), rejection, decisions);
+            }
+        }
+    }
+
+    private void refuse(SlotRequest request, Rejection rejection, List<SlotDecision> decisions) {
+        waiting.remove(request);
+        decisions.add(refusal(request, rejection));
+    }
+
     /** Handles the release of a slot, or the withdrawal of a waiting request. */
     public List<SlotDecision> release(String holder, long ticket, RunReport report, long now) {
         checkNotNull(report, "report");
-        waiting.removeIf(request -> request.ticket() == ticket && request.holder().equals(holder));
         Holder state = holders.get(holder);
         Lease lease = state == null ? null : state.leases.remove(ticket);
         if (lease == null) {
+            waiting.removeIf(
+                    request -> request.ticket() == ticket && request.holder().equals(holder));
             return List.of();
         }
         lease.target().remove(lease);
         recordOutcome(lease, report.outcome(), now);
+        work.end(lease, report, now);
+        if (lease.trafficClass() == TrafficClass.BATCH) {
+            batchRoom.recordRun(report);
+        }
         removeUnusedTargets();
         return assignFreeSlots(now);
     }
@@ -182,7 +282,8 @@
                             slot.trafficClass(),
                             slot.dueMillis(),
                             0,
-                            now));
+                            now,
+                            ExpectedRun.ofTokens(slot.reservedTokens())));
         }
         List<SlotDecision> decisions = new ArrayList<>();
         preemptExcess(decisions);
@@ -229,6 +330,7 @@
         for (SlotRequest expired : waiting.removeExpired(now)) {
             decisions.add(refusal(expired, Refusal.EXPIRED, Duration.ZERO));
         }
+        refuseHopeless(now, decisions);
         decisions.addAll(assignFreeSlots(now));
         return decisions;
     }
@@ -256,7 +358,13 @@
     }
 
     private TargetSlots target(String id) {
-        return targets.computeIfAbsent(id, TargetSlots::new);
+        return targets.computeIfAbsent(
+                id,
+                newId -> {
+                    TargetSlots created = new TargetSlots(newId);
+                    created.setMemory(model.memoryTokens());
+                    return created;
+                });
     }
 
     private Holder holder(String ip) {
@@ -264,7 +372,15 @@
     }
 
     private void removeUnusedTargets() {
-        targets.values().removeIf(target -> !target.isOpen() && target.isEmpty());
+        targets.values()
+                .removeIf(
+                        target -> {
+                            boolean unused = !target.isOpen() && target.isEmpty();
+                            if (unused) {
+                                work.forgetPrompts(target);
+                            }
+                            return unused;
+                        });
     }
 
     /** Removes what a gateway holds and wants, but for grants that it had not received. */
@@ -292,9 +408,7 @@
     /** Preempts the batch items for which online requests leave no slots. */
     private void preemptExcess(List<SlotDecision> decisions) {
         for (TargetSlots target : targets.values()) {
-            while (target.isOpen()
-                    && target.total() > target.slots()
-                    && preemptFirst(target, decisions)) {
+            while (target.isOpen() && target.isOverfull() && preemptFirst(target, decisions)) {
                 continue;
             }
         }
@@ -313,28 +427,51 @@
 
     private List<SlotDecision> assignFreeSlots(long now) {
         List<SlotDecision> decisions = new ArrayList<>();
-        if (waiting.size() > 0) {
-            startWaitingRequests(now, decisions);
-        }
+        waves.record(onlineDemand(), now);
+        startWaitingRequests(now, decisions);
         startBatchItems(now, decisions);
         return decisions;
     }
 
     private void startWaitingRequests(long now, List<SlotDecision> decisions) {
-        for (SlotRequest request : waiting.inStartOrder(now)) {
-            Optional<TargetSlots> target = chooseForOnline(request, now);
-            if (target.isPresent()) {
-                waiting.remove(request);
-                grant(request, target.get(), now, decisions);
-            }
+        boolean started = true;
+        while (started && waiting.size() > 0 && hasSlotForOnline(now)) {
+            started = startFirstPossible(now, decisions);
         }
     }
 
+    /** Starts the first waiting request for which a target is available, if there is one. */
+    private boolean startFirstPossible(long now, List<SlotDecision> decisions) {
+        Optional<SlotRequest> next =
+                waiting.next(pace(now), request -> choice.forOnline(request, now).isPresent());
+        next.ifPresent(
+                request -> {
+                    waiting.start(request);
+                    TargetSlots target = choice.forOnline(request, now).orElseThrow();
+                    grant(request, target, now, decisions);
+                });
+        return next.isPresent();
+    }
+
+    private boolean hasSlotForOnline(long now) {
+        return targets.values().stream()
+                .anyMatch(target -> target.isOpen() && target.hasSlotForOnline(now));
+    }
+
+    /** Returns the number of slots that online requests hold or wait for. */
+    private int onlineDemand() {
+        return waiting.size() + targets.values().stream().mapToInt(TargetSlots::online).sum();
+    }
+
     private void grant(
             SlotRequest request, TargetSlots target, long now, List<SlotDecision> decisions) {
-        if (!target.hasFreeSlot()) {
+        while (!target.hasRoom(request.size().maxTokens())) {
+            Optional<Lease> item = target.firstToPreempt();
+            if (item.isEmpty()) {
+                break;
+            }
+            batchRoom.recordPreemption(now - item.get().grantedNanos(), now);
             preemptFirst(target, decisions);
-            preemptionNanos.addLast(now);
         }
         add(
                 holder(request.holder()),
@@ -345,7 +482,8 @@
                         TrafficClass.ONLINE,
                         0,
                         0,
-                        now));
+                        now,
+                        work.start(request, target, now)));
         target.requestGranted(now);
         decisions.add(
                 new SlotDecision.Granted(
@@ -353,9 +491,14 @@
     }
 
     private void startBatchItems(long now, List<SlotDecision> decisions) {
-        List<TargetSlots> free = targetsForBatch(now);
+        List<TargetSlots> free =
+                choice.openToBatchItems(
+                        target ->
+                                waiting.anyMatch(
+                                        request -> !request.avoided().contains(target.id())),
+                        now);
         int startable =
-                free.stream().mapToInt(TargetSlots::freeSlots).sum() - recentPreemptions(now);
+                free.stream().mapToInt(TargetSlots::freeSlots).sum() - batchRoom.keptFree(now);
         if (startable <= 0) {
             return;
         }
@@ -376,29 +519,6 @@
         }
     }
 
-    private int recentPreemptions(long now) {
-        while (!preemptionNanos.isEmpty()
-                && now - preemptionNanos.peekFirst() > PREEMPTION_MEMORY.toNanos()) {
-            preemptionNanos.removeFirst();
-        }
-        return preemptionNanos.size();
-    }
-
-    private List<TargetSlots> targetsForBatch(long now) {
-        List<TargetSlots> free = new ArrayList<>();
-        Set<TargetSlots> ejected = null;
-        for (TargetSlots target : targets.values()) {
-            if (!target.isOpen() || !target.hasSlotForBatch(now) || target.isUnavailable(now)) {
-                continue;
-            }
-            ejected = ejected == null ? ejectedTargets(now) : ejected;
-            boolean wantedByOnline =
-                    waiting.anyMatch(request -> !request.avoided().contains(target.id()));
-            if (!ejected.contains(target) && !wantedByOnline) {
-                free.add(target);
-            }
-        }
-        return free;
     }
 
     private boolean startBatchItem(
@@ -407,16 +527,13 @@
             List<TargetSlots> free,
             long now,
             List<SlotDecision> decisions) {
-        Optional<TargetSlots> chosen =
-                free.stream()
-                        .filter(target -> target.hasSlotForBatch(now))
-                        .filter(target -> !holder.demand.avoided().contains(target.id()))
-                        .min(Comparator.comparingDouble(target -> target.batchCost(now)));
+        Optional<TargetSlots> chosen = choice.forBatchItem(free, holder.demand, now);
         if (chosen.isEmpty()) {
             return false;
         }
         long ticket = nextBatchTicket++;
         long dueMillis = holder.demand.dueMillis();
+        int reservedTokens = holder.demand.largestItemTokens();
         holder.batchGrants++;
         add(
                 holder,
@@ -427,76 +544,20 @@
                         TrafficClass.BATCH,
                         dueMillis,
                         holder.batchGrants,
-                        now));
+                        now,
+                        PoolWork.startItem(chosen.get(), reservedTokens)));
         chosen.get().requestGranted(now);
         decisions.add(
                 new SlotDecision.BatchGranted(
-                        ip, ticket, chosen.get().id(), dueMillis, chosen.get().hasRequestLimit()));
+                        ip,
+                        ticket,
+                        chosen.get().id(),
+                        dueMillis,
+                        chosen.get().hasRequestLimit(),
+                        reservedTokens));
         return true;
     }
 
-    private Optional<TargetSlots> chooseForOnline(SlotRequest request, long now) {
-        Set<TargetSlots> ejected = Set.of();
-        if (!request.lastResort()) {
-            ejected = ejectedTargets(now);
-        }
-        TargetSlots best = null;
-        for (TargetSlots target : targets.values()) {
-            boolean acceptable =
-                    target.isOpen()
-                            && target.hasSlotForOnline(now)
-                            && (request.lastResort()
-                                    || !ejected.contains(target)
-                                            && !request.avoided().contains(target.id())
-                                            && !target.isUnavailable(now));
-            if (acceptable && (best == null || isBetterForOnline(target, best))) {
-                best = target;
-            }
-        }
-        return Optional.ofNullable(best);
-    }
-
-    /** Prefers free slots, then slots whose batch item loses least, then the lower load. */
-    private static boolean isBetterForOnline(TargetSlots target, TargetSlots other) {
-        if (target.hasFreeSlot() != other.hasFreeSlot()) {
-            return target.hasFreeSlot();
-        }
-        if (!target.hasFreeSlot()) {
-            long due = target.firstToPreempt().map(Lease::dueMillis).orElse(0L);
-            long otherDue = other.firstToPreempt().map(Lease::dueMillis).orElse(0L);
-            if (due != otherDue) {
-                return due > otherDue;
-            }
-        }
-        if (target.total() != other.total()) {
-            return target.total() < other.total();
-        }
-        return target.lastGrantNanos() - other.lastGrantNanos() < 0;
-    }
-
-    /**
-     * Returns the targets that receive no requests because too many fail there, at most half of the
-     * open ones.
-     */
-    private Set<TargetSlots> ejectedTargets(long now) {
-        List<TargetSlots> unreliable = new ArrayList<>();
-        int openTargets = 0;
-        for (TargetSlots target : targets.values()) {
-            openTargets += target.isOpen() ? 1 : 0;
-            if (target.isOpen() && target.reliability().isUnreliable(now)) {
-                unreliable.add(target);
-            }
-        }
-        if (unreliable.isEmpty()) {
-            return Set.of();
-        }
-        unreliable.sort(
-                Comparator.comparingDouble(
-                                (TargetSlots target) -> target.reliability().failureShare(now))
-                        .reversed());
-        return new HashSet<>(unreliable.subList(0, Math.min(unreliable.size(), openTargets / 2)));
-    }
-
     private Refusal refusalReason(SlotRequest request, long now) {
         boolean anyAcceptable =
                 targets.values().stream()
@@ -508,14 +569,19 @@
         return anyAcceptable ? Refusal.FULL : Refusal.NO_TARGET;
     }
 
-    private Duration expectedWait(int priority, long now) {
+    /** Returns how fast waiting requests start if online requests hold all slots. */
+    private Pace pace(long now) {
         double slots =
                 targets.values().stream()
                         .filter(TargetSlots::isOpen)
                         .mapToDouble(target -> target.slotsForOnline(holdNanos))
                         .sum();
-        return RequestQueue.estimateWait(
-                waiting.ahead(priority, now), slots, Duration.ofNanos((long) holdNanos));
+        Duration holdTime = Duration.ofNanos((long) holdNanos);
+        return new Pace(now, RequestQueue.timePerRequest(slots, holdTime));
+    }
+
+    private static SlotDecision refusal(SlotRequest request, Rejection rejection) {
+        return refusal(request, rejection.reason(), rejection.retryAfter());
     }
 
     private static SlotDecision refusal(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -131,7 +131,20 @@
                                 this::deadlineReached,
                                 Math.max(0, remainingNanos),
                                 TimeUnit.NANOSECONDS);
-        dispatch();
+        if (dispatcher.slots().fitsTarget(service, size)) {
+            dispatch();
+        } else {
+            refuseTooLarge();
+        }
+    }
+
+    /** Refuses a request that no target could ever run, without a retry time. */
+    private void refuseTooLarge() {
+        ResultCode code = ResultCode.REQUEST_TOO_LARGE;
+        finish();
+        logDecision("refused", code.name());
+        dispatcher.metrics().countRefusal(code);
+        exchange.refuse(Refusal.of(code.httpStatus(), code));
     }
 
     /** Obtains what the next attempt needs, waiting if necessary, and sends the request. */
@@ -484,7 +497,8 @@
         public void onRefused(SlotDecision.Refusal reason, Duration expectedWait) {
             acquisition = null;
             switch (reason) {
-                case FULL, OVERLOADED -> refuse(ResultCode.OVERLOADED, expectedWait);
+                case FULL, OVERLOADED, DISPLACED, POSTPONED ->
+                        refuse(ResultCode.OVERLOADED, expectedWait);
                 case EXPIRED -> refuse(ResultCode.DEADLINE_UNREACHABLE, MIN_RETRY_AFTER);
                 case NO_TARGET -> refuse(ResultCode.NO_TARGET, NO_TARGET_RETRY_AFTER);
                 default -> throw new AssertionError(reason);
@@ -510,7 +524,7 @@
                 attemptLost("resumed stream without events");
                 return;
             }
-            forwarder = new ResponseForwarder(exchange, newResponse, lastEvent);
+            forwarder = new ResponseForwarder(exchange, newResponse, lastEvent, call::countEvent);
         }
 
         @Override
