--- a/core/src/main/java/org/fuchsiaspindle/core/contract/Contract.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/contract/Contract.java
@@ -6,6 +6,8 @@
 import com.google.common.collect.ImmutableSet;
 import java.time.Duration;
 import org.fuchsiaspindle.core.id.Ids;
+import org.fuchsiaspindle.core.limit.CustomerLimits;
+import org.fuchsiaspindle.core.limit.RateLimit;
 
 /**
  * Permissions, limits and terms of service of one customer. Immutable.
@@ -65,6 +67,11 @@
             checkArgument(burst >= 1, "burst not positive: %s", burst);
             checkArgument(concurrency >= 1, "concurrency not positive: %s", concurrency);
         }
+
+        /** Returns these limits without the contract. */
+        public CustomerLimits limits() {
+            return new CustomerLimits(new RateLimit(requestsPerSecond, burst), concurrency);
+        }
     }
 
     /**
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/CustomerShare.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/CustomerShare.java
@@ -5,7 +5,6 @@
 
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
-import org.fuchsiaspindle.core.contract.Contract.OnlineLimits;
 
 /**
  * One entry's share of one customer's limits, and its usage.
@@ -52,7 +51,7 @@
      * @param equalShare the entry's equal share, which applies without a grant
      * @param nowNanos the time
      */
-    public static CustomerShare create(OnlineLimits limits, Share equalShare, long nowNanos) {
+    public static CustomerShare create(CustomerLimits limits, Share equalShare, long nowNanos) {
         return new CustomerShare(
                 TokenBucket.full(equalShare.rate(), capacity(limits, equalShare), nowNanos),
                 nowNanos);
@@ -65,7 +64,7 @@
      * @param equalShare the share that this entry may use without a grant
      * @param nowNanos the time
      */
-    public Result acquire(OnlineLimits limits, Share equalShare, long nowNanos) {
+    public Result acquire(CustomerLimits limits, Share equalShare, long nowNanos) {
         decay(nowNanos);
         attemptRate += 1 / AVERAGING_SECONDS;
         Share share = inUse(limits, equalShare, nowNanos);
@@ -117,12 +116,12 @@
     }
 
     /** Returns the share in use: the grant while it is valid, otherwise the equal share. */
-    public Share inUse(OnlineLimits limits, Share equalShare, long nowNanos) {
+    public Share inUse(CustomerLimits limits, Share equalShare, long nowNanos) {
         if (!hasGrant(nowNanos)) {
             return equalShare;
         }
         return new Share(
-                Math.min(grant.rate(), limits.requestsPerSecond()),
+                Math.min(grant.rate(), limits.rate().requestsPerSecond()),
                 Math.min(grant.concurrency(), limits.concurrency()));
     }
 
@@ -159,11 +158,12 @@
      * The burst is divided in proportion to the rate, but is at least one token, because a smaller
      * bucket would admit nothing.
      */
-    private static double capacity(OnlineLimits limits, Share share) {
+    private static double capacity(CustomerLimits limits, Share share) {
         if (share.rate() == 0) {
             return 0;
         }
-        return Math.max(1, limits.burst() * share.rate() / limits.requestsPerSecond());
+        return Math.max(
+                1, limits.rate().burst() * share.rate() / limits.rate().requestsPerSecond());
     }
 
     @Override
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/EntryRing.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/EntryRing.java
@@ -7,7 +7,6 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
-import org.fuchsiaspindle.core.contract.Contract.OnlineLimits;
 import org.fuchsiaspindle.core.membership.Rendezvous;
 
 /**
@@ -67,12 +66,12 @@
      * @param limits the customer's limits
      * @param entry the entry; it counts as an additional one if it is not listed
      */
-    public Share equalShare(String customer, OnlineLimits limits, String entry) {
+    public Share equalShare(String customer, CustomerLimits limits, String entry) {
         int count = entries.contains(entry) ? entries.size() : entries.size() + 1;
         int each = limits.concurrency() / count;
         int rank = order(customer).indexOf(entry);
         boolean remainder = rank >= 0 && rank < limits.concurrency() % count;
-        return new Share(limits.requestsPerSecond() / count, remainder ? each + 1 : each);
+        return new Share(limits.rate().requestsPerSecond() / count, remainder ? each + 1 : each);
     }
 
     private ImmutableList<String> order(String customer) {
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/ShareGranter.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/ShareGranter.java
@@ -14,7 +14,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.function.Function;
-import org.fuchsiaspindle.core.contract.Contract.OnlineLimits;
 
 /**
  * Divides the limits of the customers for which this entry is the granter.
@@ -149,7 +148,7 @@
             ImmutableSet<String> gone,
             ImmutableMap<String, Demand> demands,
             Fleet fleet,
-            Function<String, Optional<OnlineLimits>> limits,
+            Function<String, Optional<CustomerLimits>> limits,
             long nowNanos) {
         View view = new View(fleet.ring(), gone);
         Requester requester = requesters.get(from);
@@ -195,7 +194,7 @@
     }
 
     private Share grant(
-            String to, String customer, OnlineLimits limits, Fleet fleet, long nowNanos) {
+            String to, String customer, CustomerLimits limits, Fleet fleet, long nowNanos) {
         Map<String, Deque<IssuedGrant>> issuedByEntry =
                 issued.computeIfAbsent(customer, key -> new HashMap<>());
         issuedByEntry.values().forEach(list -> dropExpired(list, nowNanos));
@@ -213,7 +212,7 @@
     private Share shareFromPool(
             String to,
             String customer,
-            OnlineLimits limits,
+            CustomerLimits limits,
             Fleet fleet,
             Map<String, Deque<IssuedGrant>> issuedByEntry,
             long nowNanos) {
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/ShareHolder.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/ShareHolder.java
@@ -10,7 +10,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
-import org.fuchsiaspindle.core.contract.Contract.OnlineLimits;
 
 /**
  * Admits requests at one entry within its shares of all customers' limits.
@@ -49,7 +48,7 @@
     }
 
     /** Tries to admit one request of a customer; an admitted request must be released once. */
-    public CustomerShare.Result acquire(String customer, OnlineLimits limits, long nowNanos) {
+    public CustomerShare.Result acquire(String customer, CustomerLimits limits, long nowNanos) {
         Share ungranted = ungrantedShare(customer, limits, nowNanos);
         CustomerShare.Result[] result = new CustomerShare.Result[1];
         shares.compute(
@@ -102,7 +101,7 @@
     }
 
     /** Returns the share of a customer's limits that this entry may use now. */
-    public Share inUse(String customer, OnlineLimits limits, long nowNanos) {
+    public Share inUse(String customer, CustomerLimits limits, long nowNanos) {
         Share ungranted = ungrantedShare(customer, limits, nowNanos);
         Share[] result = {ungranted};
         shares.computeIfPresent(
@@ -190,7 +189,7 @@
      * rounds down to zero. Otherwise a customer with a small concurrency limit would be refused at
      * most entries.
      */
-    private Share ungrantedShare(String customer, OnlineLimits limits, long nowNanos) {
+    private Share ungrantedShare(String customer, CustomerLimits limits, long nowNanos) {
         View current = view;
         Share equal = current.ring().equalShare(customer, limits, self);
         if (equal.concurrency() > 0) {
--- a/core/src/test/java/org/fuchsiaspindle/core/limit/LimitSimulation.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/LimitSimulation.java
@@ -14,7 +14,6 @@
 import java.util.Random;
 import java.util.Set;
 import java.util.function.Function;
-import org.fuchsiaspindle.core.contract.Contract.OnlineLimits;
 import org.fuchsiaspindle.core.time.ManualClock;
 
 /**
@@ -33,7 +32,7 @@
 
     final ManualClock clock = ManualClock.startingAt(Instant.EPOCH);
     final Random random;
-    final Map<String, OnlineLimits> limits;
+    final Map<String, CustomerLimits> limits;
     final List<Node> nodes = new ArrayList<>();
 
     private final EntryRing ring;
@@ -42,7 +41,7 @@
             new PriorityQueue<>((a, b) -> Long.compare(a.at - b.at, 0));
     private long sequence;
 
-    LimitSimulation(long seed, int entries, Map<String, OnlineLimits> limits) {
+    LimitSimulation(long seed, int entries, Map<String, CustomerLimits> limits) {
         this.random = new Random(seed);
         this.limits = limits;
         List<String> ids = new ArrayList<>();
@@ -178,7 +177,7 @@
                 ImmutableMap<String, Demand> demands,
                 long sentNanos) {
             lastMessageNanos.put(from.id, now());
-            Function<String, Optional<OnlineLimits>> limitsOf =
+            Function<String, Optional<CustomerLimits>> limitsOf =
                     customer -> Optional.ofNullable(limits.get(customer));
             ImmutableMap<String, Share> grants =
                     granter.handleRequest(
--- a/core/src/test/java/org/fuchsiaspindle/core/limit/ShareGranterTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/ShareGranterTest.java
@@ -7,13 +7,12 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
-import org.fuchsiaspindle.core.contract.Contract.OnlineLimits;
 import org.junit.jupiter.api.Test;
 
 /** Guards against issuing grants before those of the former granter have expired. */
 final class ShareGranterTest {
 
-    private static final OnlineLimits LIMITS = new OnlineLimits(90, 9, 9);
+    private static final CustomerLimits LIMITS = new CustomerLimits(new RateLimit(90, 9), 9);
     private static final Demand HIGH_DEMAND = new Demand(1000, 100, 0);
     private static final long SECOND = Duration.ofSeconds(1).toNanos();
 
--- a/core/src/test/java/org/fuchsiaspindle/core/limit/SharedLimitsTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/SharedLimitsTest.java
@@ -5,7 +5,6 @@
 import com.google.common.collect.ImmutableMap;
 import java.time.Duration;
 import java.util.Random;
-import org.fuchsiaspindle.core.contract.Contract.OnlineLimits;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -14,11 +13,11 @@
  */
 final class SharedLimitsTest {
 
-    private static final ImmutableMap<String, OnlineLimits> LIMITS =
+    private static final ImmutableMap<String, CustomerLimits> LIMITS =
             ImmutableMap.of(
-                    "large", new OnlineLimits(200, 40, 60),
-                    "small", new OnlineLimits(10, 5, 4),
-                    "single", new OnlineLimits(2, 1, 1));
+                    "large", new CustomerLimits(new RateLimit(200, 40), 60),
+                    "small", new CustomerLimits(new RateLimit(10, 5), 4),
+                    "single", new CustomerLimits(new RateLimit(2, 1), 1));
     private static final double ROUNDING = 1e-6;
     private static final int STEPS_PER_SECOND =
             (int) Duration.ofSeconds(1).dividedBy(LimitSimulation.STEP);
@@ -77,7 +76,9 @@
             LIMITS.forEach(
                     (customer, limit) ->
                             fleet.nodes.forEach(
-                                    node -> node.demand.put(customer, limit.requestsPerSecond())));
+                                    node ->
+                                            node.demand.put(
+                                                    customer, limit.rate().requestsPerSecond())));
             run(fleet, SETTLE_SECONDS);
             ImmutableMap.Builder<String, Integer> before = ImmutableMap.builder();
             LIMITS.keySet().forEach(c -> before.put(c, fleet.admitted(c)));
@@ -85,10 +86,10 @@
             for (int step = 0; step < seconds * STEPS_PER_SECOND; step++) {
                 fleet.step();
                 for (String customer : LIMITS.keySet()) {
-                    OnlineLimits limit = LIMITS.get(customer);
+                    CustomerLimits limit = LIMITS.get(customer);
                     assertThat(fleet.rateInUse(customer))
                             .as("seed %s %s", seed, customer)
-                            .isLessThanOrEqualTo(limit.requestsPerSecond() + ROUNDING);
+                            .isLessThanOrEqualTo(limit.rate().requestsPerSecond() + ROUNDING);
                     assertThat(fleet.running(customer)).isLessThanOrEqualTo(limit.concurrency());
                 }
             }
@@ -98,8 +99,8 @@
                             assertThat(fleet.admitted(customer) - first.get(customer))
                                     .as("seed %s %s", seed, customer)
                                     .isLessThanOrEqualTo(
-                                            (int) (limit.requestsPerSecond() * seconds)
-                                                    + limit.burst()
+                                            (int) (limit.rate().requestsPerSecond() * seconds)
+                                                    + (int) limit.rate().burst()
                                                     + fleet.nodes.size()));
         }
     }
@@ -114,8 +115,8 @@
         LIMITS.forEach(
                 (customer, limit) -> {
                     assertThat(fleet.rateInUse(customer))
-                            .isLessThanOrEqualTo(limit.requestsPerSecond() + ROUNDING)
-                            .isGreaterThanOrEqualTo(limit.requestsPerSecond() * 0.99);
+                            .isLessThanOrEqualTo(limit.rate().requestsPerSecond() + ROUNDING)
+                            .isGreaterThanOrEqualTo(limit.rate().requestsPerSecond() * 0.99);
                     assertThat(fleet.concurrencyInUse(customer)).isEqualTo(limit.concurrency());
                 });
     }
@@ -138,7 +139,7 @@
                 (customer, limit) -> {
                     assertThat(fleet.rateInUse(customer))
                             .as("%s %s", when, customer)
-                            .isLessThanOrEqualTo(2 * limit.requestsPerSecond() + ROUNDING);
+                            .isLessThanOrEqualTo(2 * limit.rate().requestsPerSecond() + ROUNDING);
                     int rounding =
                             limit.concurrency() < fleet.nodes.size() ? fleet.nodes.size() : 0;
                     assertThat(fleet.concurrencyInUse(customer))
@@ -177,7 +178,7 @@
                     (customer, limit) -> {
                         if (fleet.random.nextInt(5) == 0) {
                             double times = fleet.random.nextInt(3);
-                            node.demand.put(customer, times * limit.requestsPerSecond());
+                            node.demand.put(customer, times * limit.rate().requestsPerSecond());
                         }
                     });
         }
--- a/daemon/src/main/java/org/fuchsiaspindle/daemon/entry/limit/SharedCustomerLimits.java
+++ b/daemon/src/main/java/org/fuchsiaspindle/daemon/entry/limit/SharedCustomerLimits.java
@@ -139,7 +139,7 @@
     public Permit acquire(Contract contract) {
         String customer = contract.customer();
         long now = clock.nanoTime();
-        CustomerShare.Result result = holder.acquire(customer, contract.online(), now);
+        CustomerShare.Result result = holder.acquire(customer, contract.online().limits(), now);
         if (!holder.hasGrant(customer, now)) {
             scheduleRequest();
         }
@@ -296,7 +296,9 @@
                     gone,
                     demands,
                     fleet,
-                    customer -> Optional.ofNullable(contracts.get(customer)).map(Contract::online),
+                    customer ->
+                            Optional.ofNullable(contracts.get(customer))
+                                    .map(contract -> contract.online().limits()),
                     clock.nanoTime());
         }
     }
