--- a/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
@@ -35,7 +35,7 @@
     static final Duration PERMIT_VALIDITY = Duration.ofMillis(100);
 
     /** Time without an answer after which the granter is asked again. */
-    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(60);
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(30);
 
     /** Time whose expected demand is obtained in advance. */
     private static final Duration ADVANCE_TIME = Duration.ofMillis(40);
@@ -46,8 +46,8 @@
     /** Time without requests after which a workspace is forgotten. */
     private static final Duration IDLE_TIME = Duration.ofSeconds(10);
 
-    /** Retry time if no granter answered: by then the slices are lent to another one. */
-    private static final Duration NO_ANSWER_RETRY_AFTER = Duration.ofMillis(500);
+    /** Retry time if no granter answered; by then the slices are likely to be lent to another. */
+    private static final Duration NO_ANSWER_RETRY_AFTER = Duration.ofMillis(300);
 
     /** Retry time while slices move to another granter. */
     private static final Duration SHARE_MISSING_RETRY_AFTER = Duration.ofMillis(300);
@@ -70,6 +70,7 @@
         private final Listener listener;
         private final long untilNanos;
         private boolean ended;
+        private boolean overdue;
         private boolean parked;
         private long parkedUntilNanos;
 
@@ -100,7 +101,26 @@
     }
 
     /** A request for permits without an answer. */
-    private record Ask(Account account, String granter, int count, long sentNanos) {}
+    private static final class Ask {
+        private final Account account;
+        private final int count;
+        private final long sentNanos;
+        private boolean timedOut;
+
+        Ask(Account account, int count, long sentNanos) {
+            this.account = account;
+            this.count = count;
+            this.sentNanos = sentNanos;
+        }
+
+        /** Lets the granter be asked again; an answer that comes late is used all the same. */
+        void timeOut() {
+            if (!timedOut) {
+                timedOut = true;
+                account.asked -= count;
+            }
+        }
+    }
 
     /** The permits and waiting requests of one workspace. */
     private static final class Account {
@@ -226,18 +246,18 @@
             }
             return;
         }
-        Account account = ask.account();
-        account.asked -= ask.count();
+        Account account = ask.account;
+        ask.timeOut();
         account.lastReply = Optional.of(reply);
         account.lastGranter = from;
         account.lastReplyNanos = nowNanos;
         if (reply.granted() > 0) {
-            long validUntilNanos = ask.sentNanos() + PERMIT_VALIDITY.toNanos();
+            long validUntilNanos = ask.sentNanos + PERMIT_VALIDITY.toNanos();
             account.stock.add(new Stock(permit(from, reply, validUntilNanos), reply.granted()));
             busy.add(account);
             serve(account, nowNanos);
         }
-        if (reply.granted() < ask.count()) {
+        if (reply.granted() < ask.count) {
             parkOrRefuse(account, reply, nowNanos);
         }
         ask(account, nowNanos);
@@ -247,9 +267,11 @@
     public void tick(long nowNanos) {
         for (Iterator<Ask> iterator = asks.values().iterator(); iterator.hasNext(); ) {
             Ask ask = iterator.next();
-            if (nowNanos - ask.sentNanos() >= ANSWER_TIMEOUT.toNanos()) {
+            if (nowNanos - ask.sentNanos >= ANSWER_TIMEOUT.toNanos()) {
+                ask.timeOut();
+            }
+            if (nowNanos - ask.sentNanos >= PERMIT_VALIDITY.toNanos()) {
                 iterator.remove();
-                ask.account().asked -= ask.count();
             }
         }
         for (Account account : List.copyOf(busy)) {
@@ -331,7 +353,7 @@
                 (int) (account.demandPerSecond * ADVANCE_TIME.toMillis() / 1000) - account.asked;
         int count = missing + Math.max(0, inAdvance);
         long id = nextId++;
-        asks.put(id, new Ask(account, granter.get(), count, nowNanos));
+        asks.put(id, new Ask(account, count, nowNanos));
         account.asked += count;
         sender.send(granter.get(), new PermitRequest(id, account.workspace, count, account.limit));
     }
@@ -361,12 +383,17 @@
         refused.forEach(waiting -> refuse(account, waiting, nowNanos));
     }
 
+    /**
+     * Refuses requests that have waited long enough. One tick passes before, because answers may
+     * wait to be read if this process was held up.
+     */
     private void refuseExpired(Account account, long nowNanos) {
         List<Waiting> expired =
-                account.waiting.stream()
-                        .filter(waiting -> nowNanos - waiting.untilNanos >= 0)
-                        .toList();
+                account.waiting.stream().filter(waiting -> waiting.overdue).toList();
         account.waiting.removeAll(expired);
+        for (Waiting waiting : account.waiting) {
+            waiting.overdue = nowNanos - waiting.untilNanos >= 0;
+        }
         expired.forEach(waiting -> refuse(account, waiting, nowNanos));
     }
 
@@ -379,7 +406,7 @@
 
     private static LimitRefusal refusal(Account account, long nowNanos) {
         Duration age = Duration.ofNanos(nowNanos - account.lastReplyNanos);
-        boolean answered = account.lastReply.isPresent() && age.compareTo(ANSWER_TIMEOUT) < 0;
+        boolean answered = account.lastReply.isPresent() && age.compareTo(PERMIT_VALIDITY) < 0;
         if (!answered) {
             return new LimitRefusal(
                     LimitRefusal.Cause.NO_ANSWER,
--- a/core/src/test/java/org/fuchsiaspindle/core/limit/PermitSimulation.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/PermitSimulation.java
@@ -26,7 +26,7 @@
     private static final long FREEZE_CLOCK_ERROR = 20 * MILLI;
 
     private static final long SILENCE = 5800 * MILLI;
-    private static final Duration PATIENCE = Duration.ofMillis(75);
+    private static final Duration PATIENCE = Duration.ofMillis(50);
 
     final Random random;
     final List<Node> nodes = new ArrayList<>();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -60,8 +60,11 @@
     /** Fraction of the latency target for which a request waits if no target is known. */
     private static final int NO_TARGET_WAIT_DIVISOR = 4;
 
-    /** Fraction of the latency target for which a request waits for a permit. */
-    private static final int PERMIT_WAIT_DIVISOR = 4;
+    /**
+     * Fraction of the latency target for which a request waits for a permit; a caller that is
+     * refused early can still be served in time elsewhere.
+     */
+    private static final int PERMIT_WAIT_DIVISOR = 6;
 
     /** Retry time if no target is known; targets register again within some seconds. */
     private static final Duration NO_TARGET_RETRY_AFTER = Duration.ofMillis(300);
