--- a/core/src/test/java/org/fuchsiaspindle/core/limit/PermitFleetTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/PermitFleetTest.java
@@ -131,6 +131,20 @@
         assertAtLeast((int) (96 * 5 * 0.95), usage("large").mostIn(SPAN, 7 * SECOND, 8 * SECOND));
     }
 
+    /** Guards against start tokens that add up to more than the bound allows. */
+    @Test
+    void allAreKilledAndStartedTwice() {
+        limit("small", SMALL);
+        simulation.startAll();
+        simulation.sendRequests("small", 100, 0, 10 * SECOND);
+        for (long at = 2 * SECOND; at <= 4 * SECOND; at += 2 * SECOND) {
+            simulation.schedule(at, () -> simulation.nodes.forEach(Node::kill));
+            simulation.schedule(at + 400 * MILLI, () -> simulation.nodes.forEach(Node::start));
+        }
+        simulation.runUntil(11 * SECOND);
+        assertBound("small", SMALL);
+    }
+
     /** Guards against tokens of a former limit that outlive it. */
     @Test
     void limitIsLoweredToATenth() {
--- a/core/src/test/java/org/fuchsiaspindle/core/limit/SliceLendingTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/SliceLendingTest.java
@@ -106,6 +106,32 @@
         assertEquals(30, take(100, 1511));
     }
 
+    /** Guards against a permit that is used long after the granter counted it. */
+    @Test
+    void permitThatComesLateIsReturned() {
+        List<LimitMessage> sent = new ArrayList<>();
+        List<Permit> used = new ArrayList<>();
+        PermitHolder holder =
+                PermitHolder.create(
+                        1, workspace -> Optional.of("granter"), (to, message) -> sent.add(message));
+        PermitHolder.Listener listener =
+                new PermitHolder.Listener() {
+                    @Override
+                    public void onPermitted(Permit permit) {
+                        used.add(permit);
+                    }
+
+                    @Override
+                    public void onRefused(LimitRefusal refusal) {}
+                };
+        holder.acquire(WORKSPACE, LIMIT, Duration.ofSeconds(1), listener, 0);
+        LimitMessage.PermitReply reply =
+                new LimitMessage.PermitReply(1, WORKSPACE, 1, GRANTER_EPOCH, 5, 1, Duration.ZERO);
+        holder.handle("granter", reply, 101 * MILLI);
+        assertEquals(List.of(), used);
+        assertEquals(new PermitReturn(WORKSPACE, 1, GRANTER_EPOCH, 5), sent.get(1));
+    }
+
     /** Guards against a slice that a lost granter may still use and another one gets. */
     @Test
     void sliceOfALostGranterWaitsForTheEndOfItsValidity() {
