--- a/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
@@ -8,9 +8,11 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.Iterator;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Function;
 import org.fuchsiaspindle.core.limit.LimitMessage.PermitReply;
@@ -33,7 +35,7 @@
     static final Duration PERMIT_VALIDITY = Duration.ofMillis(100);
 
     /** Time without an answer after which the granter is asked again. */
-    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(60);
+    private static final Duration ANSWER_TIMEOUT = Duration.ofMillis(30);
 
     /** Time whose expected demand is obtained in advance. */
     private static final Duration ADVANCE_TIME = Duration.ofMillis(40);
@@ -44,8 +46,11 @@
     /** Time without requests after which a workspace is forgotten. */
     private static final Duration IDLE_TIME = Duration.ofSeconds(10);
 
-    /** Retry time if no granter answered: by then the slices are lent to another one. */
-    private static final Duration NO_ANSWER_RETRY_AFTER = Duration.ofMillis(500);
+    /** Retry time if no granter answered; by then the slices are likely to be lent to another. */
+    private static final Duration NO_ANSWER_RETRY_AFTER = Duration.ofMillis(300);
+
+    /** Retry time while slices move to another granter. */
+    private static final Duration SHARE_MISSING_RETRY_AFTER = Duration.ofMillis(300);
 
     /** Share of the limit below which a refusal is rather due to missing slices. */
     private static final double USUAL_SHARE = 0.5;
@@ -65,6 +70,7 @@
         private final Listener listener;
         private final long untilNanos;
         private boolean ended;
+        private boolean overdue;
         private boolean parked;
         private long parkedUntilNanos;
 
@@ -95,7 +101,26 @@
     }
 
     /** A request for permits without an answer. */
-    private record Ask(Account account, String granter, int count, long sentNanos) {}
+    private static final class Ask {
+        private final Account account;
+        private final int count;
+        private final long sentNanos;
+        private boolean timedOut;
+
+        Ask(Account account, int count, long sentNanos) {
+            this.account = account;
+            this.count = count;
+            this.sentNanos = sentNanos;
+        }
+
+        /** Lets the granter be asked again; an answer that comes late is used all the same. */
+        void timeOut() {
+            if (!timedOut) {
+                timedOut = true;
+                account.asked -= count;
+            }
+        }
+    }
 
     /** The permits and waiting requests of one workspace. */
     private static final class Account {
@@ -140,6 +165,10 @@
     private final LimitSender sender;
     private final Map<String, Account> accounts = new HashMap<>();
     private final Map<Long, Ask> asks = new HashMap<>();
+
+    /** The workspaces with waiting requests or unused permits. */
+    private final Set<Account> busy = new LinkedHashSet<>();
+
     private long nextId;
 
     private PermitHolder(
@@ -186,6 +215,7 @@
         account.recordDemand(nowNanos);
         Waiting waiting = new Waiting(listener, nowNanos + patience.toNanos());
         account.waiting.add(waiting);
+        busy.add(account);
         serve(account, nowNanos);
         ask(account, nowNanos);
         return waiting;
@@ -194,11 +224,16 @@
     /** Gives back a permit with which no request reached a target. */
     public void giveBack(Permit permit, long nowNanos) {
         Account account = accounts.get(permit.workspace());
-        if (account == null || nowNanos - permit.validUntilNanos() >= 0) {
-            sendReturn(permit, 1);
+        long expiredNanos = nowNanos - permit.validUntilNanos();
+        if (account == null || expiredNanos >= 0) {
+            // The granter takes back nothing that was granted long ago.
+            if (expiredNanos < PermitGranter.RETURN_WINDOW.toNanos()) {
+                sendReturn(permit, 1);
+            }
             return;
         }
         account.stock.add(new Stock(permit, 1));
+        busy.add(account);
         serve(account, nowNanos);
     }
 
@@ -211,17 +246,18 @@
             }
             return;
         }
-        Account account = ask.account();
-        account.asked -= ask.count();
+        Account account = ask.account;
+        ask.timeOut();
         account.lastReply = Optional.of(reply);
         account.lastGranter = from;
         account.lastReplyNanos = nowNanos;
         if (reply.granted() > 0) {
-            long validUntilNanos = ask.sentNanos() + PERMIT_VALIDITY.toNanos();
+            long validUntilNanos = ask.sentNanos + PERMIT_VALIDITY.toNanos();
             account.stock.add(new Stock(permit(from, reply, validUntilNanos), reply.granted()));
+            busy.add(account);
             serve(account, nowNanos);
         }
-        if (reply.granted() < ask.count()) {
+        if (reply.granted() < ask.count) {
             parkOrRefuse(account, reply, nowNanos);
         }
         ask(account, nowNanos);
@@ -231,32 +267,36 @@
     public void tick(long nowNanos) {
         for (Iterator<Ask> iterator = asks.values().iterator(); iterator.hasNext(); ) {
             Ask ask = iterator.next();
-            if (nowNanos - ask.sentNanos() >= ANSWER_TIMEOUT.toNanos()) {
+            if (nowNanos - ask.sentNanos >= ANSWER_TIMEOUT.toNanos()) {
+                ask.timeOut();
+            }
+            if (nowNanos - ask.sentNanos >= PERMIT_VALIDITY.toNanos()) {
                 iterator.remove();
-                ask.account().asked -= ask.count();
             }
         }
-        for (Account account : List.copyOf(accounts.values())) {
+        for (Account account : List.copyOf(busy)) {
             serve(account, nowNanos);
             refuseExpired(account, nowNanos);
             ask(account, nowNanos);
+            if (account.waiting.isEmpty() && account.stock.isEmpty()) {
+                busy.remove(account);
+            }
         }
+    }
+
+    /** Drops the state of idle workspaces. */
+    public void prune(long nowNanos) {
         accounts.values()
                 .removeIf(
                         account ->
-                                account.waiting.isEmpty()
-                                        && account.stock.isEmpty()
+                                !busy.contains(account)
                                         && account.asked == 0
                                         && nowNanos - account.demandNanos > IDLE_TIME.toNanos());
     }
 
     /** Returns whether {@link #tick} must be called. */
     public boolean isActive() {
-        return !asks.isEmpty() || accounts.values().stream().anyMatch(PermitHolder::isBusy);
-    }
-
-    private static boolean isBusy(Account account) {
-        return !account.waiting.isEmpty() || !account.stock.isEmpty();
+        return !asks.isEmpty() || !busy.isEmpty();
     }
 
     private void serve(Account account, long nowNanos) {
@@ -313,7 +353,7 @@
                 (int) (account.demandPerSecond * ADVANCE_TIME.toMillis() / 1000) - account.asked;
         int count = missing + Math.max(0, inAdvance);
         long id = nextId++;
-        asks.put(id, new Ask(account, granter.get(), count, nowNanos));
+        asks.put(id, new Ask(account, count, nowNanos));
         account.asked += count;
         sender.send(granter.get(), new PermitRequest(id, account.workspace, count, account.limit));
     }
@@ -343,12 +383,17 @@
         refused.forEach(waiting -> refuse(account, waiting, nowNanos));
     }
 
+    /**
+     * Refuses requests that have waited long enough. One tick passes before, because answers may
+     * wait to be read if this process was held up.
+     */
     private void refuseExpired(Account account, long nowNanos) {
         List<Waiting> expired =
-                account.waiting.stream()
-                        .filter(waiting -> nowNanos - waiting.untilNanos >= 0)
-                        .toList();
+                account.waiting.stream().filter(waiting -> waiting.overdue).toList();
         account.waiting.removeAll(expired);
+        for (Waiting waiting : account.waiting) {
+            waiting.overdue = nowNanos - waiting.untilNanos >= 0;
+        }
         expired.forEach(waiting -> refuse(account, waiting, nowNanos));
     }
 
@@ -361,7 +406,7 @@
 
     private static LimitRefusal refusal(Account account, long nowNanos) {
         Duration age = Duration.ofNanos(nowNanos - account.lastReplyNanos);
-        boolean answered = account.lastReply.isPresent() && age.compareTo(ANSWER_TIMEOUT) < 0;
+        boolean answered = account.lastReply.isPresent() && age.compareTo(PERMIT_VALIDITY) < 0;
         if (!answered) {
             return new LimitRefusal(
                     LimitRefusal.Cause.NO_ANSWER,
@@ -371,11 +416,14 @@
                     account.lastReply.isPresent() ? age : Duration.ZERO);
         }
         PermitReply reply = account.lastReply.get();
+        boolean shareMissing = reply.share() < USUAL_SHARE;
+        Duration retryAfter =
+                shareMissing && reply.retryAfter().compareTo(SHARE_MISSING_RETRY_AFTER) < 0
+                        ? SHARE_MISSING_RETRY_AFTER
+                        : reply.retryAfter();
         return new LimitRefusal(
-                reply.share() < USUAL_SHARE
-                        ? LimitRefusal.Cause.SHARE_MISSING
-                        : LimitRefusal.Cause.OVER_LIMIT,
-                reply.retryAfter(),
+                shareMissing ? LimitRefusal.Cause.SHARE_MISSING : LimitRefusal.Cause.OVER_LIMIT,
+                retryAfter,
                 account.lastGranter,
                 reply.share(),
                 age);
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
@@ -38,7 +38,7 @@
     /** Covers clocks of different speeds and short suspensions that no clock shows. */
     private static final Duration CLOCK_MARGIN = Duration.ofMillis(50);
 
-    /** Time after which a granter that did not answer is chosen again. */
+    /** Time after which a granter that did not answer is chosen again if it then answers. */
     private static final Duration EXCLUSION_TIME = Duration.ofSeconds(2);
 
     /**
@@ -155,10 +155,6 @@
         boolean paused = nowNanos - lastTickNanos > TICK_INTERVAL.multipliedBy(4).toNanos();
         lastTickNanos = nowNanos;
         for (Granter granter : granters.values()) {
-            if (granter.excluded && nowNanos - granter.excludedUntilNanos >= 0) {
-                granter.excluded = false;
-                granter.unanswered = false;
-            }
             if (paused) {
                 granter.unanswered = false;
             } else if (granter.unanswered
@@ -191,6 +187,10 @@
         granter.answeredSequence = Math.max(granter.answeredSequence, ack.sequence());
         granter.unanswered = granter.answeredSequence < granter.sequence;
         granter.unansweredSinceNanos = nowNanos;
+        if (granter.excluded && nowNanos - granter.excludedUntilNanos >= 0) {
+            granter.excluded = false;
+            chooseGranters();
+        }
         if (!settled || granter.dueNow) {
             lend(nowNanos);
         }
@@ -209,7 +209,11 @@
 
     /** Returns the granter that should decide on requests of a shard, empty if none is known. */
     public Optional<String> granter(int shard) {
-        return shards.granter(shard);
+        Slice slice = slices[shard];
+        // A granter that was just chosen may hold nothing yet.
+        boolean holdsSlice =
+                slice.lentTo != null && !slice.releasing && eligible.contains(slice.lentTo);
+        return holdsSlice ? Optional.of(slice.lentTo) : shards.granter(shard);
     }
 
     /** Returns the number of gateways, which is never too small once the fleet is known. */
--- a/core/src/test/java/org/fuchsiaspindle/core/limit/PermitFleetTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/PermitFleetTest.java
@@ -131,6 +131,20 @@
         assertAtLeast((int) (96 * 5 * 0.95), usage("large").mostIn(SPAN, 7 * SECOND, 8 * SECOND));
     }
 
+    /** Guards against start tokens that add up to more than the bound allows. */
+    @Test
+    void allAreKilledAndStartedTwice() {
+        limit("small", SMALL);
+        simulation.startAll();
+        simulation.sendRequests("small", 100, 0, 10 * SECOND);
+        for (long at = 2 * SECOND; at <= 4 * SECOND; at += 2 * SECOND) {
+            simulation.schedule(at, () -> simulation.nodes.forEach(Node::kill));
+            simulation.schedule(at + 400 * MILLI, () -> simulation.nodes.forEach(Node::start));
+        }
+        simulation.runUntil(11 * SECOND);
+        assertBound("small", SMALL);
+    }
+
     /** Guards against tokens of a former limit that outlive it. */
     @Test
     void limitIsLoweredToATenth() {
@@ -180,6 +194,28 @@
         }
     }
 
+    /** Guards against a granter that is chosen again and again while it is cut off. */
+    @Test
+    void granterIsCutOffUnnoticed() {
+        limit("large", LARGE);
+        simulation.startAll();
+        simulation.sendRequests("large", 50, 3 * SECOND, 11 * SECOND);
+        String granter =
+                LimitShards.none()
+                        .among(simulation.nodes.stream().map(node -> node.ip).toList())
+                        .granter(LimitShards.shardOf("large"))
+                        .orElseThrow();
+        simulation.schedule(
+                4 * SECOND,
+                () ->
+                        simulation.nodes.forEach(
+                                node -> node.group = node.ip.equals(granter) ? 1 : 0));
+        simulation.runUntil(12 * SECOND);
+        // 0.7 s of 8 s, and 3% of the requests reach the granter that is cut off.
+        assertAtMost(usage("large").requests / 8.0, usage("large").refusals());
+        assertBound("large", LARGE);
+    }
+
     /** Guards against a process that believes that it is alone while it is cut off. */
     @Test
     void gatewayThatStartsCutOffUsesNoSlice() {
