--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -46,6 +46,7 @@
     private int incarnations;
     private int configVersion;
     private String workspaces = "";
+    private String engineSettings = "{}";
     private Optional<HostAndPort> storeProxy = Optional.empty();
 
     private PlatformEmulator() {}
@@ -96,6 +97,11 @@
         storeProxy = Optional.of(address);
     }
 
+    /** Sets the memory of model engines in the configurations that are stored later, in tokens. */
+    public void setEngineMemory(int tokens) {
+        engineSettings = "{\"kvCapacity\":" + tokens + "}";
+    }
+
     /** Sets the workspaces of the configurations that are stored later, as JSON. */
     public void setWorkspaces(String... newWorkspaces) {
         workspaces = ",\"tenants\":[" + String.join(",", newWorkspaces) + "]";
@@ -161,7 +167,9 @@
                         + configVersion
                         + ",\"routes\":["
                         + String.join(",", routes)
-                        + "],\"services\":[{\"name\":\"model\",\"maxConns\":150,\"engine\":{}},"
+                        + "],\"services\":[{\"name\":\"model\",\"maxConns\":150,\"engine\":"
+                        + engineSettings
+                        + "},"
                         + "{\"name\":\"plain\",\"maxConns\":100}],\"limits\":{}"
                         + workspaces
                         + "}";
