--- a/core/src/main/java/org/fuchsiaspindle/core/slot/KeptPrompts.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/KeptPrompts.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.hash.HashFunction;
 import com.google.common.hash.Hashing;
+import com.google.common.math.IntMath;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.Map;
@@ -37,7 +38,7 @@
         long hash = 0;
         for (RequestSize.Part part : parts) {
             hash = prefixHash(hash, part);
-            tokens += part.tokens();
+            tokens = IntMath.saturatedAdd(tokens, part.tokens());
             for (String target : prefixes.holders(hash, now)) {
                 kept.put(target, tokens);
             }
--- a/core/src/main/java/org/fuchsiaspindle/core/work/RequestSize.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/work/RequestSize.java
@@ -4,6 +4,7 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import com.google.common.collect.ImmutableList;
+import com.google.common.math.IntMath;
 
 /**
  * What is known of the size of a request before it runs.
@@ -53,6 +54,6 @@
      * Returns the memory of a target that the request can occupy at most, in tokens; 0 if unknown.
      */
     public int maxTokens() {
-        return promptTokens + maxOutputTokens;
+        return IntMath.saturatedAdd(promptTokens, maxOutputTokens);
     }
 }
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceTest.java
@@ -128,6 +128,25 @@
         assertThat(request(SIZE)).singleElement().isInstanceOf(Refused.class);
     }
 
+    /** Guards against a coordinator that fails because a client claims more tokens than an int. */
+    @Test
+    void hugeSizes_areRefusedOrRun() {
+        RequestSize.Part part = new RequestSize.Part("p", Integer.MAX_VALUE);
+        RequestSize huge =
+                new RequestSize(
+                        "route",
+                        Integer.MAX_VALUE,
+                        Integer.MAX_VALUE,
+                        Integer.MAX_VALUE,
+                        ImmutableList.of(part, part));
+        targets("a", "b");
+        learn(2);
+        assertThat(run(huge)).isIn("a", "b");
+        assertThat(run(huge)).isIn("a", "b");
+        pool.setModel(Optional.of(new TargetModel(1000, 7)));
+        assertThat(request(huge)).singleElement().isInstanceOf(Refused.class);
+    }
+
     /** Guards against prompts that every target reads anew, and against memories of lost ones. */
     @Test
     void sharedPrompt_goesWhereItWasRead_untilTheTargetFails() {
