--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -207,7 +207,7 @@
                         Optional.of(Duration.ofMillis(50)),
                         Duration.ofSeconds(1));
         pool.release("g1", item, report, now);
-        pool.demand("g1", new BatchDemand(10, 1000, 1, ImmutableSet.of()), now);
+        pool.demand("g1", new BatchDemand(10, 1000, 1, ImmutableSet.of(), 0), now);
         Granted online = granted(request("g2", false));
         now += Duration.ofMillis(101).toNanos();
         assertThat(release("g2", online.ticket(), LeaseOutcome.DONE)).isEmpty();
@@ -219,9 +219,9 @@
     @Test
     void ofItemsDueAtAboutTheSameTime_theOneStartedLastIsPreempted() {
         targets("a");
-        demand("first", SLOTS - 1, 2000);
+        demand("first", SLOTS - 1, 1900);
         now += Duration.ofMillis(500).toNanos();
-        demand("last", 1, 1000);
+        demand("last", 1, 1100);
         assertThat(request("g1", false))
                 .filteredOn(Preempted.class::isInstance)
                 .singleElement()
@@ -342,6 +342,19 @@
                                                 }));
     }
 
+    /** Guards against refusing all that waits while targets are replaced. */
+    @Test
+    void whileNoTargetIsKnown_waitingRequestsAreNotRefused() {
+        targets("a");
+        fill("g1");
+        requestOf("small");
+        requestOf("large");
+        now += Duration.ofMillis(500).toNanos();
+        pool.setTargets(List.of(), now);
+        assertThat(pool.checkTimes(now)).isEmpty();
+        assertThat(pool.waitingRequests()).isEqualTo(2);
+    }
+
     /** Guards against requests that wait for a target that no request may use. */
     @Test
     void requestWithoutAnAcceptableTarget_isRefusedUnlessItIsTheLastResort() {
