--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/GatewayMain.java
@@ -9,6 +9,7 @@
 import org.fuchsiaspindle.core.error.FuchsiaspindleException;
 import org.fuchsiaspindle.core.error.ResultCode;
 import org.fuchsiaspindle.core.id.Ids;
+import org.fuchsiaspindle.gateway.telemetry.LineLogProvider;
 import org.fuchsiaspindle.platform.settings.ProcessSettings;
 import org.fuchsiaspindle.platform.settings.SettingsFile;
 import org.slf4j.Logger;
@@ -17,7 +18,7 @@
 /** Entry point of the gateway daemon, which reads the platform's settings file. */
 public final class GatewayMain {
 
-    private static final Logger LOG = LoggerFactory.getLogger(GatewayMain.class);
+    private static final Logger LOG = createLogger();
 
     /** Exit code for an invalid setting. */
     static final int EXIT_INVALID_SETTING = 2;
@@ -32,6 +33,11 @@
 
     private GatewayMain() {}
 
+    private static Logger createLogger() {
+        LineLogProvider.install();
+        return LoggerFactory.getLogger(GatewayMain.class);
+    }
+
     /** Runs the gateway until the process receives {@code SIGTERM}. */
     public static void main(String[] args) {
         // The platform sends SIGHUP when the settings change; without a handler it would end the
