--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/LineLogProvider.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/LineLogProvider.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import org.fuchsiaspindle.core.time.Clock;
 import org.slf4j.ILoggerFactory;
 import org.slf4j.IMarkerFactory;
 import org.slf4j.Logger;
@@ -26,6 +27,9 @@
     /** System property of SLF4J with the class name of the provider. */
     private static final String PROVIDER_PROPERTY = "slf4j.provider";
 
+    /** System property of SLF4J with the lowest level of its own messages. */
+    private static final String VERBOSITY_PROPERTY = "slf4j.internal.verbosity";
+
     /** Version of the SLF4J API that this provider implements. */
     private static final String API_VERSION = "2.0.99";
 
@@ -48,6 +52,8 @@
     public static void install() {
         if (System.getProperty(PROVIDER_PROPERTY) == null) {
             System.setProperty(PROVIDER_PROPERTY, LineLogProvider.class.getName());
+            // Otherwise SLF4J itself reports the selection as a line without a time.
+            System.setProperty(VERBOSITY_PROPERTY, "WARN");
         }
     }
 
@@ -77,6 +83,7 @@
     }
 
     private Logger createLogger(String name) {
-        return new LineLogger(name, name.startsWith(NETTY_PREFIX) ? Level.WARN : Level.INFO, out);
+        Level threshold = name.startsWith(NETTY_PREFIX) ? Level.WARN : Level.INFO;
+        return new LineLogger(name, threshold, Clock.system(), out);
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/LineLogger.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/LineLogger.java
@@ -6,6 +6,7 @@
 import java.time.LocalDateTime;
 import java.time.ZoneOffset;
 import java.util.concurrent.TimeUnit;
+import org.fuchsiaspindle.core.time.Clock;
 import org.slf4j.Marker;
 import org.slf4j.event.Level;
 import org.slf4j.helpers.LegacyAbstractLogger;
@@ -26,6 +27,7 @@
     private static final int MAX_FRAMES = 8;
 
     private final Level threshold;
+    private final transient Clock clock;
     private final transient PrintStream out;
 
     /**
@@ -33,11 +35,13 @@
      *
      * @param name its name, not null
      * @param threshold the lowest level that is written, not null
+     * @param clock gives the time of the events, not null
      * @param out where lines are written, not null
      */
-    LineLogger(String name, Level threshold, PrintStream out) {
+    LineLogger(String name, Level threshold, Clock clock, PrintStream out) {
         this.name = checkNotNull(name, "name");
         this.threshold = checkNotNull(threshold, "threshold");
+        this.clock = checkNotNull(clock, "clock");
         this.out = checkNotNull(out, "out");
     }
 
@@ -79,7 +83,7 @@
     protected void handleNormalizedLoggingCall(
             Level level, Marker marker, String message, Object[] arguments, Throwable failure) {
         StringBuilder text = new StringBuilder();
-        appendTime(text, System.currentTimeMillis());
+        appendTime(text, clock.wallTime().toEpochMilli());
         text.append(' ').append(level);
         text.repeat(' ', LEVEL_WIDTH - level.toString().length() + 1);
         text.append(MessageFormatter.basicArrayFormat(message, arguments)).append('\n');
--- a/gateway/src/test/java/org/fuchsiaspindle/gateway/telemetry/LineLoggerTest.java
+++ b/gateway/src/test/java/org/fuchsiaspindle/gateway/telemetry/LineLoggerTest.java
@@ -5,6 +5,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.PrintStream;
 import java.nio.charset.StandardCharsets;
+import org.fuchsiaspindle.core.time.Clock;
 import org.junit.jupiter.api.Test;
 import org.slf4j.event.Level;
 
@@ -13,7 +14,11 @@
 
     private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
     private final LineLogger logger =
-            new LineLogger("a", Level.INFO, new PrintStream(bytes, false, StandardCharsets.UTF_8));
+            new LineLogger(
+                    "a",
+                    Level.INFO,
+                    Clock.system(),
+                    new PrintStream(bytes, false, StandardCharsets.UTF_8));
 
     /** Guards against a time of variable width, which the pattern of the log reader rejects. */
     @Test
