--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/GatewayMain.java
@@ -2,13 +2,16 @@
 
 import com.google.common.primitives.Ints;
 import java.nio.file.Path;
-import java.security.SecureRandom;
+import java.time.Instant;
+import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalInt;
+import java.util.SplittableRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.fuchsiaspindle.core.error.FuchsiaspindleException;
 import org.fuchsiaspindle.core.error.ResultCode;
 import org.fuchsiaspindle.core.id.Ids;
+import org.fuchsiaspindle.core.time.Clock;
 import org.fuchsiaspindle.gateway.telemetry.LineLogProvider;
 import org.fuchsiaspindle.platform.settings.ProcessSettings;
 import org.fuchsiaspindle.platform.settings.SettingsFile;
@@ -40,6 +43,9 @@
 
     /** Runs the gateway until the process receives {@code SIGTERM}. */
     public static void main(String[] args) {
+        // Libraries look for optional configuration files with this class loader; a search of the
+        // class path would open every jar, although all classes come from the cache.
+        Thread.currentThread().setContextClassLoader(ClassLoader.getPlatformClassLoader());
         // The platform sends SIGHUP when the settings change; without a handler it would end the
         // JVM.
         ProcessSignals.handle(
@@ -65,7 +71,7 @@
     private static void run(Path settingsPath) {
         ProcessSettings settings = SettingsFile.read(settingsPath);
         Gateway gateway =
-                Gateway.start(settings, metricsPort(), Ids.create("", new SecureRandom()));
+                Gateway.start(settings, metricsPort(), incarnation(settings.ip(), Clock.system()));
         SettingsReloader reloader = SettingsReloader.start(settingsPath, gateway);
         ProcessSignals.handle("HUP", reloader::requestReload);
         AtomicBoolean stopRequested = new AtomicBoolean();
@@ -78,6 +84,17 @@
                 });
     }
 
+    /**
+     * Returns an identifier of this start, which no other start at the same address has. It is not
+     * secret, so no security provider is loaded for it.
+     */
+    private static String incarnation(String ip, Clock clock) {
+        Instant now = clock.wallTime();
+        int seed = Objects.hash(ip, now, clock.nanoTime());
+        long time = now.toEpochMilli() << Integer.SIZE;
+        return Ids.create("", new SplittableRandom(time + seed));
+    }
+
     private static OptionalInt metricsPort() {
         String value = System.getenv(METRICS_PORT);
         if (value == null || value.isEmpty()) {
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/Bench.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/Bench.java
@@ -19,7 +19,9 @@
             DecisionBench.class,
             PlatformBench.class,
             DuplicatesBench.class,
-            GrowthBench.class
+            GrowthBench.class,
+            StartupBench.class,
+            StartupTraining.class
         })
 public final class Bench {
 
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/GatewayProcess.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/GatewayProcess.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import org.fuchsiaspindle.testbed.emulator.EmulatorClient;
@@ -25,14 +26,21 @@
     private final String ip;
     private final DaemonProcess process;
 
-    private GatewayProcess(PlatformEmulator platform, int number, int peerPort) throws IOException {
+    /** Starts the process of a gateway with a settings file. */
+    @FunctionalInterface
+    private interface Launcher {
+        DaemonProcess launch(String name, Path settings);
+    }
+
+    private GatewayProcess(PlatformEmulator platform, int number, int peerPort, Launcher launcher)
+            throws IOException {
         this.clientPort = Ports.allocate();
         this.statusPort = Ports.allocate();
         this.peerPort = peerPort;
         this.ip = ip(number);
         this.settings = Files.createTempFile("gateway-", ".json");
         JSON.writeValue(settings.toFile(), settings(platform, number));
-        this.process = DaemonProcess.startGateway("gateway-" + number, settings);
+        this.process = launcher.launch("gateway-" + number, settings);
     }
 
     /**
@@ -44,7 +52,50 @@
      */
     static GatewayProcess start(PlatformEmulator platform, int number, int peerPort)
             throws IOException {
-        return new GatewayProcess(platform, number, peerPort);
+        return new GatewayProcess(platform, number, peerPort, DaemonProcess::startGateway);
+    }
+
+    /**
+     * Starts a gateway with a command, otherwise like {@link #start}.
+     *
+     * @param directory where the command runs
+     * @param command the program and its arguments
+     */
+    static GatewayProcess start(
+            PlatformEmulator platform,
+            int number,
+            int peerPort,
+            Path directory,
+            List<String> command)
+            throws IOException {
+        return new GatewayProcess(
+                platform,
+                number,
+                peerPort,
+                (name, settings) -> DaemonProcess.startGateway(name, directory, command, settings));
+    }
+
+    /** Waits for a log line that contains a match of a regular expression. */
+    void awaitLog(String regex, Duration timeout) {
+        process.awaitLog(regex, timeout);
+    }
+
+    /** Returns the processor time that the process has used. */
+    Duration processorTime() throws IOException {
+        return Duration.ofNanos(ProcessStats.cpuNanos(process.pid()));
+    }
+
+    /** Stops the gateway gracefully; returns whether it ended within the timeout. */
+    boolean stop(Duration timeout) {
+        process.terminate();
+        return process.awaitExit(timeout);
+    }
+
+    /** Returns the text of the metrics. */
+    String metrics() throws IOException {
+        return EmulatorClient.of(ip, statusPort, PlatformEmulator.HOST)
+                .call("GET", "/metrics", Map.of(), "")
+                .body();
     }
 
     /** Returns a client of the gateway. */
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/fleet/DaemonProcess.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/fleet/DaemonProcess.java
@@ -77,6 +77,22 @@
                 Map.of(SettingsFile.ENVIRONMENT_VARIABLE, settings.toString()));
     }
 
+    /**
+     * Starts a gateway with a command of its own.
+     *
+     * @param name the name of the process, for messages
+     * @param directory where the command runs
+     * @param command the program and its arguments
+     * @param settings the settings file that the gateway reads
+     */
+    public static DaemonProcess startGateway(
+            String name, Path directory, List<String> command, Path settings) {
+        return launch(
+                name,
+                new ProcessBuilder(command).directory(directory.toFile()),
+                Map.of(SettingsFile.ENVIRONMENT_VARIABLE, settings.toString()));
+    }
+
     private static DaemonProcess launch(
             String name,
             List<String> heap,
@@ -100,7 +116,12 @@
                         classPath(),
                         mainClass));
         command.addAll(arguments);
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
+        return launch(name, new ProcessBuilder(command), environment);
+    }
+
+    private static DaemonProcess launch(
+            String name, ProcessBuilder builder, Map<String, String> environment) {
+        builder.redirectErrorStream(true);
         builder.environment().put("MALLOC_ARENA_MAX", "1");
         builder.environment().putAll(environment);
         try {
@@ -174,7 +195,8 @@
 
     /** Requests a graceful stop of the process with SIGTERM; does not wait for it. */
     public void terminate() {
-        process.destroy();
+        // Unlike the method of the process, this one leaves its output open.
+        process.toHandle().destroy();
     }
 
     /**
