--- a/core/src/main/java/org/fuchsiaspindle/core/serving/StopWindow.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/StopWindow.java
@@ -20,12 +20,38 @@
  */
 public record StopWindow(long beginNanos, long endNanos, Duration arrivalTime) {
 
+    /** Processor time for the last answers and the end of the process. */
+    private static final Duration END_PROCESSOR_TIME = Duration.ofMillis(100);
+
+    /** Time that is left at the end for everything that does not depend on the processor. */
+    private static final Duration MIN_MARGIN = Duration.ofMillis(500);
+
     /** Validates the components. */
     public StopWindow {
         checkArgument(endNanos - beginNanos >= 0, "ends before it begins: %s", endNanos);
         checkNotNull(arrivalTime, "arrivalTime");
     }
 
+    /**
+     * Returns the window of a stop that begins now.
+     *
+     * <p>Requests are cut off before the end of the grace period, by a margin within which an
+     * instance with a small processor share can still send the last answers and end the process.
+     *
+     * @param nowNanos the current time, in monotonic nanoseconds
+     * @param grace the time after which the process is killed, not null
+     * @param cpuCapacity the processor capacity of the instance in cores, positive
+     * @param arrivalTime how long new requests must be expected, not null
+     */
+    public static StopWindow begin(
+            long nowNanos, Duration grace, double cpuCapacity, Duration arrivalTime) {
+        checkArgument(cpuCapacity > 0, "processor capacity is not positive: %s", cpuCapacity);
+        long marginNanos =
+                MIN_MARGIN.toNanos() + (long) (END_PROCESSOR_TIME.toNanos() / cpuCapacity);
+        long endNanos = nowNanos + Math.max(0, grace.toNanos() - marginNanos);
+        return new StopWindow(nowNanos, endNanos, arrivalTime);
+    }
+
     /**
      * Returns whether a request that arrives now is executed.
      *
--- a/core/src/test/java/org/fuchsiaspindle/core/serving/StopWindowTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/serving/StopWindowTest.java
@@ -36,6 +36,23 @@
         assertThatThrownBy(() -> new StopWindow(2, 1, Duration.ZERO)).hasMessageContaining("1");
     }
 
+    /** Guards against a slow instance that is killed while it still sends the last answers. */
+    @Test
+    void smallerProcessorShare_endsTheWindowSooner() {
+        Duration grace = Duration.ofSeconds(8);
+        StopWindow whole = StopWindow.begin(BEGIN, grace, 1, Duration.ZERO);
+        StopWindow fifth = StopWindow.begin(BEGIN, grace, 0.2, Duration.ZERO);
+        assertThat(whole.endNanos()).isEqualTo(at(7400));
+        assertThat(fifth.endNanos()).isEqualTo(at(7000));
+    }
+
+    /** Guards against a window that ends before it begins. */
+    @Test
+    void graceShorterThanTheMargin_leavesNoTime() {
+        StopWindow window = StopWindow.begin(BEGIN, Duration.ofMillis(300), 1, Duration.ZERO);
+        assertThat(window.endNanos()).isEqualTo(BEGIN);
+    }
+
     private static long at(long millis) {
         return BEGIN + Duration.ofMillis(millis).toNanos();
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -58,9 +58,6 @@
     /** Time until the platform's load balancer has detected that this process is not ready. */
     private static final Duration BALANCER_DELAY = Duration.ofMillis(2600);
 
-    /** Minimum time between the end of the process and the end of the platform's grace period. */
-    private static final Duration GRACE_MARGIN = Duration.ofMillis(500);
-
     /** Time for sending the last answers before the process ends. */
     private static final Duration LAST_ANSWERS_TIME = Duration.ofMillis(100);
 
@@ -265,10 +262,12 @@
     public CompletableFuture<Void> stop() {
         stopping = true;
         CompletableFuture<Void> stopped = new CompletableFuture<>();
-        long beginNanos = System.nanoTime();
-        long endNanos =
-                beginNanos + Math.max(0, settings.stopGrace().minus(GRACE_MARGIN).toNanos());
-        StopWindow window = new StopWindow(beginNanos, endNanos, BALANCER_DELAY);
+        StopWindow window =
+                StopWindow.begin(
+                        System.nanoTime(),
+                        settings.stopGrace(),
+                        settings.cpuCapacity(),
+                        BALANCER_DELAY);
         stopWindow = Optional.of(window);
         requestLoop.execute(
                 () -> {
