--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
@@ -20,9 +20,11 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.fuchsiaspindle.core.membership.AddressAnnouncement;
+import org.fuchsiaspindle.core.membership.Backoff;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.gateway.view.FleetView;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
@@ -59,7 +61,17 @@
     /** An address that could not be reached for longer is removed. */
     private static final Duration ADDRESS_EXPIRY = Duration.ofSeconds(30);
 
-    private static final Duration CONNECT_TIMEOUT = Duration.ofMillis(600);
+    /**
+     * Time for the first attempt to connect to an address; a packet to an instance that has no
+     * power yet is lost, and the operating system repeats it only after a second.
+     */
+    private static final Duration FIRST_CONNECT_TIMEOUT = Duration.ofMillis(100);
+
+    /** Bound of the time for an attempt, which doubles with each failure. */
+    private static final Duration MAX_CONNECT_TIMEOUT = Duration.ofMillis(600);
+
+    /** Bound of the pause after the first failed attempt. */
+    private static final Duration FIRST_CONNECT_PAUSE = Duration.ofMillis(50);
 
     private static final double MILLICORES_PER_CORE = 1000;
 
@@ -160,6 +172,8 @@
         private final long createdNanos = System.nanoTime();
         private Channel channel;
         private boolean connecting;
+        private int attempts;
+        private int failures;
         private long connectedNanos;
         private long heartbeatSentNanos;
         private Duration announcedInterval = HEARTBEAT_INTERVAL;
@@ -319,30 +333,69 @@
 
     private void connect(String ip, Link link) {
         link.connecting = true;
+        link.attempts++;
+        int attempt = link.attempts;
+        Duration timeout =
+                Backoff.bound(link.failures + 1, FIRST_CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT);
         Bootstrap bootstrap =
                 new Bootstrap()
                         .group(loop)
                         .channel(NioSocketChannel.class)
                         .option(ChannelOption.TCP_NODELAY, true)
-                        .option(
-                                ChannelOption.CONNECT_TIMEOUT_MILLIS,
-                                (int) CONNECT_TIMEOUT.toMillis())
+                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
                         .handler(initializer());
         ChannelFuture connectFuture = bootstrap.connect(new InetSocketAddress(ip, self.port()));
         connectFuture.addListener(
                 future -> {
-                    link.connecting = false;
-                    if (future.isSuccess()) {
-                        link.channel = connectFuture.channel();
-                        link.connectedNanos = System.nanoTime();
-                        link.announcement = new AddressAnnouncement();
-                        sendHeartbeat(ip, link, knownIps(), HEARTBEAT_INTERVAL);
-                        peerListener.onConnected(ip);
-                        promptListener.onConnected(ip);
+                    if (attempt != link.attempts) {
+                        // A later attempt has replaced this one.
+                        connectFuture.channel().close();
+                    } else if (future.isSuccess()) {
+                        handleConnected(ip, link, connectFuture.channel());
+                    } else {
+                        handleConnectFailure(ip, link);
                     }
                 });
     }
 
+    private void handleConnected(String ip, Link link, Channel channel) {
+        link.connecting = false;
+        link.failures = 0;
+        link.channel = channel;
+        link.connectedNanos = System.nanoTime();
+        link.announcement = new AddressAnnouncement();
+        sendHeartbeat(ip, link, knownIps(), HEARTBEAT_INTERVAL);
+        peerListener.onConnected(ip);
+        promptListener.onConnected(ip);
+    }
+
+    /** Tries again soon after the first failures, and later with the heartbeats. */
+    private void handleConnectFailure(String ip, Link link) {
+        link.failures++;
+        Duration pause = Backoff.bound(link.failures, FIRST_CONNECT_PAUSE, HEARTBEAT_INTERVAL);
+        if (pause.compareTo(HEARTBEAT_INTERVAL) >= 0) {
+            link.connecting = false;
+            return;
+        }
+        int attempt = link.attempts;
+        loop.schedule(
+                () -> {
+                    if (attempt == link.attempts) {
+                        connect(ip, link);
+                    }
+                },
+                Backoff.jittered(pause, ThreadLocalRandom.current()).toMillis(),
+                TimeUnit.MILLISECONDS);
+    }
+
+    /** Connects to a peer that has just been heard, in place of an attempt that may hang. */
+    private void connectToHeard(String ip) {
+        Link link = links.get(ip);
+        if (link != null && !link.isOpen()) {
+            connect(ip, link);
+        }
+    }
+
     private void sendHeartbeats() {
         long now = System.nanoTime();
         removeSilentPeers(now);
@@ -485,6 +538,9 @@
         if (restarted) {
             peerListener.onPeerLost(ip);
         }
+        if (previous == null || restarted) {
+            connectToHeard(ip);
+        }
         if (previous == null || restarted || previous.info().stopping() != info.stopping()) {
             peerListener.onMembersChanged();
         }
