--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TargetWatch.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/watch/TargetWatch.java
@@ -68,13 +68,23 @@
 
     @Override
     public void onContent(List<StoredRow> rows, long newVersion) {
+        if (targets.isEmpty()) {
+            registrations(rows).forEach(this::register);
+            // One line, because a process that has just started can't afford one per target.
+            LOG.info("discovery: targets known count={}", targets.size());
+        } else {
+            updateAll(registrations(rows));
+        }
+        publish(newVersion);
+    }
+
+    private void updateAll(List<StoredRow> registrations) {
         Set<String> removed = new HashSet<>(targets.keySet());
-        for (StoredRow row : registrations(rows)) {
+        for (StoredRow row : registrations) {
             removed.remove(row.key().key());
-            register(row);
+            registerAndLog(row);
         }
         removed.forEach(this::unregister);
-        publish(newVersion);
     }
 
     @Override
@@ -83,7 +93,7 @@
             if (row.deleted()) {
                 unregister(row.key().key());
             } else {
-                register(row);
+                registerAndLog(row);
             }
         }
         publish(newVersion);
@@ -94,17 +104,20 @@
         return rows.stream().filter(row -> row.key().partition().isEmpty()).toList();
     }
 
+    private void registerAndLog(StoredRow row) {
+        TargetInstance previous = targets.get(row.key().key());
+        register(row);
+        TargetInstance current = targets.get(row.key().key());
+        if (current != null) {
+            logChange(previous, current);
+        }
+    }
+
     private void register(StoredRow row) {
         String id = row.key().key();
         missingIds.remove(id);
-        TargetInstance previous = targets.get(id);
         TargetDecoder.decode(id, row.value())
-                .ifPresentOrElse(
-                        target -> {
-                            targets.put(id, target);
-                            logChange(previous, target);
-                        },
-                        () -> targets.remove(id));
+                .ifPresentOrElse(target -> targets.put(id, target), () -> targets.remove(id));
     }
 
     private static void logChange(TargetInstance previous, TargetInstance target) {
