--- a/gateway/src/test/java/org/fuchsiaspindle/gateway/peer/PeerMeshTest.java
+++ b/gateway/src/test/java/org/fuchsiaspindle/gateway/peer/PeerMeshTest.java
@@ -30,8 +30,8 @@
     private static final String SECOND = "127.0.9.2";
     private static final int CONNECT_MILLIS = 100;
 
-    /** Less than the second after which the operating system repeats a lost packet. */
-    private static final long MEETING_MILLIS = 900;
+    /** Less than the interval of the heartbeats, with which later attempts are made. */
+    private static final long MEETING_MILLIS = 450;
 
     private final EventLoopGroup group =
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
