--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/GatewayMain.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/GatewayMain.java
@@ -12,7 +12,6 @@
 import org.fuchsiaspindle.core.error.ResultCode;
 import org.fuchsiaspindle.core.id.Ids;
 import org.fuchsiaspindle.core.time.Clock;
-import org.fuchsiaspindle.gateway.telemetry.LineLogProvider;
 import org.fuchsiaspindle.platform.settings.ProcessSettings;
 import org.fuchsiaspindle.platform.settings.SettingsFile;
 import org.slf4j.Logger;
@@ -21,7 +20,7 @@
 /** Entry point of the gateway daemon, which reads the platform's settings file. */
 public final class GatewayMain {
 
-    private static final Logger LOG = createLogger();
+    private static final Logger LOG = LoggerFactory.getLogger(GatewayMain.class);
 
     /** Exit code for an invalid setting. */
     static final int EXIT_INVALID_SETTING = 2;
@@ -36,11 +35,6 @@
 
     private GatewayMain() {}
 
-    private static Logger createLogger() {
-        LineLogProvider.install();
-        return LoggerFactory.getLogger(GatewayMain.class);
-    }
-
     /** Runs the gateway until the process receives {@code SIGTERM}. */
     public static void main(String[] args) {
         // Libraries look for optional configuration files with this class loader; a search of the
