--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
@@ -175,7 +175,8 @@
                                 .setWaiting(demand.waiting())
                                 .setDueMillis(demand.dueMillis())
                                 .setGrantsReceived(demand.grantsReceived())
-                                .addAllAvoidedTargets(demand.avoided()))
+                                .addAllAvoidedTargets(demand.avoided())
+                                .setLargestItemTokens(demand.largestItemTokens()))
                 .build();
     }
 
@@ -184,7 +185,8 @@
                 message.getWaiting(),
                 message.getDueMillis(),
                 message.getGrantsReceived(),
-                ImmutableSet.copyOf(message.getAvoidedTargetsList()));
+                ImmutableSet.copyOf(message.getAvoidedTargetsList()),
+                nonNegative(message.getLargestItemTokens()));
     }
 
     static PeerFrame holdings(
@@ -206,7 +208,8 @@
                             .setTicket(slot.ticket())
                             .setTarget(slot.target())
                             .setBatch(slot.trafficClass() == TrafficClass.BATCH)
-                            .setDueMillis(slot.dueMillis()));
+                            .setDueMillis(slot.dueMillis())
+                            .setReservedTokens(slot.reservedTokens()));
         }
         return PeerFrame.newBuilder().setSlotHoldings(holdings).build();
     }
@@ -219,7 +222,8 @@
                                         slot.getTicket(),
                                         slot.getTarget(),
                                         slot.getBatch() ? TrafficClass.BATCH : TrafficClass.ONLINE,
-                                        slot.getDueMillis()))
+                                        slot.getDueMillis(),
+                                        nonNegative(slot.getReservedTokens())))
                 .toList();
     }
 
@@ -282,7 +286,8 @@
                                     .setTicket(granted.ticket())
                                     .setTarget(granted.target())
                                     .setDueMillis(granted.dueMillis())
-                                    .setTargetLimited(granted.targetLimited()));
+                                    .setTargetLimited(granted.targetLimited())
+                                    .setReservedTokens(granted.reservedTokens()));
             case SlotDecision.Preempted preempted ->
                     frame.setSlotRevocation(
                             SlotRevocation.newBuilder()
@@ -303,6 +308,8 @@
                     case NO_TARGET -> SlotRefusal.Reason.NO_TARGET;
                     case OVERLOADED -> SlotRefusal.Reason.OVERLOADED;
                     case EXPIRED -> SlotRefusal.Reason.EXPIRED;
+                    case DISPLACED -> SlotRefusal.Reason.DISPLACED;
+                    case POSTPONED -> SlotRefusal.Reason.POSTPONED;
                 };
         long waitMillis = Math.min(refused.expectedWait().toMillis(), Integer.MAX_VALUE);
         return SlotRefusal.newBuilder()
@@ -316,6 +323,8 @@
             case FULL -> SlotDecision.Refusal.FULL;
             case OVERLOADED -> SlotDecision.Refusal.OVERLOADED;
             case EXPIRED -> SlotDecision.Refusal.EXPIRED;
+            case DISPLACED -> SlotDecision.Refusal.DISPLACED;
+            case POSTPONED -> SlotDecision.Refusal.POSTPONED;
             case NO_TARGET, REASON_UNSPECIFIED, UNRECOGNIZED -> SlotDecision.Refusal.NO_TARGET;
         };
     }
