--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
@@ -161,7 +161,7 @@
         }
         ImmutableList<BatchItem> items;
         try {
-            items = JobApiCodec.decodeItems(exchange.request().body());
+            items = JobApiCodec.decodeSubmission(exchange.request().body());
         } catch (FuchsiaspindleException failure) {
             DecisionLog.batch(id, "-", "refused", failure.getMessage());
             exchange.refuse(Refusal.of(STATUS_BAD_REQUEST, failure.code()));
