--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobStore.java
@@ -92,6 +92,14 @@
         return new ResultText(0, text).chunks();
     }
 
+    /**
+     * Returns whether a job may have an identifier. One with a slash could make its rows some of
+     * another job, whose keys begin with the identifier of that job and a slash.
+     */
+    static boolean isValidId(String jobId) {
+        return !jobId.isEmpty() && jobId.indexOf('/') < 0;
+    }
+
     /** Returns the partition of a job. */
     static String partition(String jobId) {
         int hash = Hashing.murmur3_32_fixed().hashString(jobId, StandardCharsets.UTF_8).asInt();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobSubmissionHandler.java
@@ -150,7 +150,7 @@
     /** Handles a submission on a route for batch jobs. */
     public void handle(ClientExchange exchange, Route route, CallerAccess access) {
         String id = exchange.request().id();
-        if (id.isEmpty()) {
+        if (!JobStore.isValidId(id)) {
             exchange.refuse(Refusal.of(STATUS_BAD_REQUEST, ResultCode.MALFORMED_REQUEST));
             return;
         }
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
@@ -231,6 +231,25 @@
         assertThat(call(proxied, "DELETE", "/lots/job-a", SECOND_KEY, "").status()).isEqualTo(200);
     }
 
+    /** Guards against a job whose identifier makes its rows those of another one's job. */
+    @Test
+    void jobIdentifierWithASlash_addsNothingToTheJobOfAnotherWorkspace() throws Exception {
+        String body = submission("job-s", 1, 400);
+        assertThat(call(first, "POST", BATCH + "job-s", KEY, body).status()).isEqualTo(202);
+        // One of them shares the partition of the job, and all sort before its rows.
+        for (int number = 0; number < 100; number++) {
+            Map<String, String> headers = headers("job-s/!" + number, OTHER_KEY);
+            String other = submission("intruder", 1, 1);
+            assertThat(platform.client(first).call("POST", BATCH + "x", headers, other).status())
+                    .isEqualTo(400);
+        }
+        for (String ip : List.of(first, proxied)) {
+            assertThat(call(ip, "GET", "/items/job-s?id=intruder-0", KEY, "").status())
+                    .isEqualTo(404);
+            assertThat(call(ip, "GET", "/items/job-s?id=job-s-0", KEY, "").status()).isEqualTo(200);
+        }
+    }
+
     /** Guards against items that name another workspace, or pass on a key, at their targets. */
     @Test
     void itemsOfAJob_nameTheWorkspaceThatSubmittedThem() throws Exception {
