--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobTable.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobTable.java
@@ -32,6 +32,7 @@
     private final EventLoop loop;
     private final Map<String, VersionedJob> jobs = new HashMap<>();
     private final List<Consumer<VersionedJob>> listeners = new ArrayList<>();
+    private boolean loaded;
 
     private JobTable(EventLoop loop) {
         this.loop = loop;
@@ -59,6 +60,11 @@
         return Optional.ofNullable(jobs.get(id));
     }
 
+    /** Returns whether the jobs in the store were read since the start. */
+    boolean isLoaded() {
+        return loaded;
+    }
+
     /** Returns all known jobs. */
     public Collection<VersionedJob> jobs() {
         return jobs.values();
@@ -93,7 +99,8 @@
         jobs.remove(id);
     }
 
-    private void offerLater(List<StoredRow> rows) {
+    /** Adds rows that were read from the store, and removes deleted ones, on the event loop. */
+    void offerLater(List<StoredRow> rows) {
         List<VersionedJob> decoded = new ArrayList<>();
         List<String> deletedIds = new ArrayList<>();
         for (StoredRow row : rows) {
@@ -105,6 +112,7 @@
         }
         loop.execute(
                 () -> {
+                    loaded = true;
                     decoded.forEach(this::offer);
                     deletedIds.forEach(this::remove);
                 });
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/WaitingLimit.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/WaitingLimit.java
@@ -50,7 +50,7 @@
         RESERVED,
         /** The job exceeds the limit. */
         EXCEEDED,
-        /** The store did not answer as expected; a later attempt may succeed. */
+        /** The waiting jobs are not known, or the store failed; a later attempt may succeed. */
         UNAVAILABLE
     }
 
@@ -65,6 +65,9 @@
         long limit = route.batch().orElseThrow().maxWaitingTokens();
         if (limit == 0) {
             listener.accept(Outcome.RESERVED);
+        } else if (!jobTable.isLoaded()) {
+            // Only the jobs of the last seconds are in the stored list.
+            listener.accept(Outcome.UNAVAILABLE);
         } else {
             reserve(job, limit, 0, listener);
         }
