--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -157,9 +157,10 @@
             refuse(ResultCode.PROMPT_QUARANTINED, quarantine.get());
             return;
         }
-        if (permit.isPresent() || !dispatcher.limits().isLimited(access.workspaceName())) {
+        if (!needsPermit()) {
             acquireSlot();
         } else {
+            giveBackPermit();
             Duration patience = route.latencyTarget().dividedBy(PERMIT_WAIT_DIVISOR);
             permitWaiting =
                     dispatcher
@@ -168,6 +169,18 @@
         }
     }
 
+    /** Returns whether the next attempt counts for a limit for which there is no permit. */
+    private boolean needsPermit() {
+        String workspace = access.workspaceName();
+        return permit.filter(held -> held.workspace().equals(workspace)).isEmpty()
+                && dispatcher.limits().isLimited(workspace);
+    }
+
+    private void giveBackPermit() {
+        permit.ifPresent(dispatcher.limits()::giveBack);
+        permit = Optional.empty();
+    }
+
     private void acquireSlot() {
         long latestOnTimeStartNanos =
                 arrivedNanos + route.latencyTarget().toNanos() - timeToResultNanos();
@@ -423,8 +436,7 @@
     private void finish() {
         finished = true;
         deadlineTimer.cancel(false);
-        permit.ifPresent(dispatcher.limits()::giveBack);
-        permit = Optional.empty();
+        giveBackPermit();
     }
 
     private void recordCompletion(TargetResponse response) {
@@ -483,6 +495,12 @@
                 refuseKey();
                 return;
             }
+            if (needsPermit()) {
+                // The key belongs to another workspace by now, or there is a limit now.
+                lease.release(RunReport.unused(LeaseOutcome.CANCELLED));
+                dispatch();
+                return;
+            }
             // The prompt may have been quarantined while the request waited.
             Optional<Duration> quarantine = promptQuarantine();
             if (quarantine.isPresent()) {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/GatewayWorkspaceTest.java
@@ -173,6 +173,36 @@
         }
     }
 
+    /** Guards against a request that runs for a workspace whose limit it does not count for. */
+    @Test
+    void keyThatMovesToAWorkspaceOverItsLimit_refusesTheRequestThatWaits() throws Exception {
+        String limited = "{\"name\":\"c\",\"apiKeys\":[%s],\"perS\":0.001}";
+        platform.setWorkspaces(
+                PlatformEmulator.workspace("a", KEY, SECOND_KEY),
+                limited.formatted("\"key-of-c\""));
+        configure();
+        await("no permit is left", () -> call(first, SAFE + "x", "key-of-c").status() == 429);
+        List<CompletableFuture<Response>> running = new ArrayList<>();
+        for (int slot = 0; slot < MODEL_SLOTS; slot++) {
+            running.add(streamLater("busy-" + slot));
+        }
+        await("all slots are taken", () -> activeModelRuns() == MODEL_SLOTS);
+        double queuedBefore = platform.metric(QUEUED);
+        CompletableFuture<Response> waiting = streamLater("waiting");
+        await("the request waits", () -> platform.metric(QUEUED) > queuedBefore);
+        platform.setWorkspaces(
+                PlatformEmulator.workspace("a", SECOND_KEY),
+                limited.formatted("\"key-of-c\",\"" + KEY + "\""));
+        configure();
+        await("the key moved", () -> call(first, SAFE + "later", KEY).status() == 429);
+        assertThat(activeModelRuns()).isEqualTo(MODEL_SLOTS);
+        assertThat(waiting.get().status()).isEqualTo(429);
+        assertThat(runs("waiting")).isEmpty();
+        for (CompletableFuture<Response> response : running) {
+            assertThat(response.get().status()).isEqualTo(200);
+        }
+    }
+
     private int activeModelRuns() {
         return engines.stream()
                 .filter(engine -> engine.spec().service().equals("model"))
