--- a/core/src/main/java/org/fuchsiaspindle/core/limit/FleetKnowledge.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/FleetKnowledge.java
@@ -7,8 +7,8 @@
  * fleet is.
  *
  * <p>A gateway that believes in a smaller fleet than there is uses too large a slice. It therefore
- * waits until another gateway tells it the size, or until all gateways that it knows have answered.
- * Not thread-safe. Times are monotonic nanoseconds.
+ * waits until another gateway announces the size, or until all gateways that it knows have
+ * answered. Not thread-safe. Times are monotonic nanoseconds.
  */
 final class FleetKnowledge {
 
@@ -21,8 +21,8 @@
     /** Time after which a gateway that no other one answers uses its slice. */
     private static final Duration ISOLATED_START_TIME = Duration.ofSeconds(30);
 
-    /** Time for which a size that another gateway told is believed. */
-    private static final Duration TOLD_SIZE_VALIDITY = Duration.ofMinutes(2);
+    /** Time for which a size that another gateway announced is believed. */
+    private static final Duration ANNOUNCED_SIZE_VALIDITY = Duration.ofMinutes(2);
 
     private final String self;
     private final long startNanos;
@@ -30,8 +30,8 @@
     private long changedNanos;
     private boolean anyHeard;
     private long firstHeardNanos;
-    private int toldSize;
-    private long toldNanos;
+    private int announcedSize;
+    private long announcedNanos;
     private boolean complete;
 
     FleetKnowledge(String self, LimitFleet fleet, long nowNanos) {
@@ -52,15 +52,15 @@
         fleet = newFleet;
     }
 
-    /** Records the size of the fleet that another gateway told. */
-    void recordTold(int size, long nowNanos) {
+    /** Records the size of the fleet that another gateway announced. */
+    void recordAnnounced(int size, long nowNanos) {
         if (size <= 0) {
             return;
         }
         complete = true;
-        if (size >= toldSize || isToldSizeOld(nowNanos)) {
-            toldSize = size;
-            toldNanos = nowNanos;
+        if (size >= announcedSize || isAnnouncedSizeOld(nowNanos)) {
+            announcedSize = size;
+            announcedNanos = nowNanos;
         }
     }
 
@@ -76,14 +76,16 @@
         return complete;
     }
 
-    /** Returns the number of gateways known to this one, without what others told. */
+    /** Returns the number of gateways known to this one, without what others announced. */
     int observedSize() {
         return Math.max(1, fleet.known().size());
     }
 
     /** Returns the number of gateways, which is never too small. */
     int size(long nowNanos) {
-        return isToldSizeOld(nowNanos) ? observedSize() : Math.max(observedSize(), toldSize);
+        return isAnnouncedSizeOld(nowNanos)
+                ? observedSize()
+                : Math.max(observedSize(), announcedSize);
     }
 
     private boolean allHeard() {
@@ -91,8 +93,8 @@
                 .allMatch(gateway -> gateway.equals(self) || fleet.heard().contains(gateway));
     }
 
-    private boolean isToldSizeOld(long nowNanos) {
-        return toldSize == 0 || hasPassed(TOLD_SIZE_VALIDITY, toldNanos, nowNanos);
+    private boolean isAnnouncedSizeOld(long nowNanos) {
+        return announcedSize == 0 || hasPassed(ANNOUNCED_SIZE_VALIDITY, announcedNanos, nowNanos);
     }
 
     private static boolean hasPassed(Duration time, long sinceNanos, long nowNanos) {
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
@@ -101,13 +101,13 @@
     }
 
     /** A request for permits without an answer. */
-    private static final class Ask {
+    private static final class PendingRequest {
         private final Account account;
         private final int count;
         private final long sentNanos;
         private boolean timedOut;
 
-        Ask(Account account, int count, long sentNanos) {
+        PendingRequest(Account account, int count, long sentNanos) {
             this.account = account;
             this.count = count;
             this.sentNanos = sentNanos;
@@ -117,7 +117,7 @@
         void timeOut() {
             if (!timedOut) {
                 timedOut = true;
-                account.asked -= count;
+                account.requestedPermits -= count;
             }
         }
     }
@@ -130,7 +130,7 @@
         private VersionedLimit limit;
         private double demandPerSecond;
         private long demandNanos;
-        private int asked;
+        private int requestedPermits;
         private Optional<PermitReply> lastReply = Optional.empty();
         private String lastGranter = "-";
         private long lastReplyNanos;
@@ -148,7 +148,7 @@
             for (Waiting request : waiting) {
                 needed += request.needsPermit(nowNanos) ? 1 : 0;
             }
-            return needed - asked;
+            return needed - requestedPermits;
         }
 
         void recordDemand(long nowNanos) {
@@ -164,7 +164,7 @@
     private final Function<String, Optional<String>> granters;
     private final LimitSender sender;
     private final Map<String, Account> accounts = new HashMap<>();
-    private final Map<Long, Ask> asks = new HashMap<>();
+    private final Map<Long, PendingRequest> pendingRequests = new HashMap<>();
 
     /** The workspaces with waiting requests or unused permits. */
     private final Set<Account> busy = new LinkedHashSet<>();
@@ -197,14 +197,14 @@
      *
      * @param workspace the workspace, not null
      * @param limit its limit, not null
-     * @param patience the time for which the request may wait for a permit
+     * @param timeout how long the request may wait for a permit, not null
      * @param listener receives the decision, not null
      * @param nowNanos the time
      */
     public Waiting acquire(
             String workspace,
             VersionedLimit limit,
-            Duration patience,
+            Duration timeout,
             Listener listener,
             long nowNanos) {
         Account account =
@@ -213,11 +213,11 @@
             account.limit = limit;
         }
         account.recordDemand(nowNanos);
-        Waiting waiting = new Waiting(listener, nowNanos + patience.toNanos());
+        Waiting waiting = new Waiting(listener, nowNanos + timeout.toNanos());
         account.waiting.add(waiting);
         busy.add(account);
         serve(account, nowNanos);
-        ask(account, nowNanos);
+        requestMissing(account, nowNanos);
         return waiting;
     }
 
@@ -239,45 +239,46 @@
 
     /** Handles the answer of a granter. */
     public void handle(String from, PermitReply reply, long nowNanos) {
-        Ask ask = asks.remove(reply.id());
-        if (ask == null) {
+        PendingRequest pending = pendingRequests.remove(reply.id());
+        if (pending == null) {
             if (reply.granted() > 0) {
                 sendReturn(permit(from, reply, nowNanos), reply.granted());
             }
             return;
         }
-        Account account = ask.account;
-        ask.timeOut();
+        Account account = pending.account;
+        pending.timeOut();
         account.lastReply = Optional.of(reply);
         account.lastGranter = from;
         account.lastReplyNanos = nowNanos;
         if (reply.granted() > 0) {
-            long validUntilNanos = ask.sentNanos + PERMIT_VALIDITY.toNanos();
+            long validUntilNanos = pending.sentNanos + PERMIT_VALIDITY.toNanos();
             account.stock.add(new Stock(permit(from, reply, validUntilNanos), reply.granted()));
             busy.add(account);
             serve(account, nowNanos);
         }
-        if (reply.granted() < ask.count) {
+        if (reply.granted() < pending.count) {
             parkOrRefuse(account, reply, nowNanos);
         }
-        ask(account, nowNanos);
+        requestMissing(account, nowNanos);
     }
 
     /** Handles what timed out; called at {@link #TICK_INTERVAL} while requests wait. */
     public void tick(long nowNanos) {
-        for (Iterator<Ask> iterator = asks.values().iterator(); iterator.hasNext(); ) {
-            Ask ask = iterator.next();
-            if (nowNanos - ask.sentNanos >= ANSWER_TIMEOUT.toNanos()) {
-                ask.timeOut();
+        for (Iterator<PendingRequest> iterator = pendingRequests.values().iterator();
+                iterator.hasNext(); ) {
+            PendingRequest pending = iterator.next();
+            if (nowNanos - pending.sentNanos >= ANSWER_TIMEOUT.toNanos()) {
+                pending.timeOut();
             }
-            if (nowNanos - ask.sentNanos >= PERMIT_VALIDITY.toNanos()) {
+            if (nowNanos - pending.sentNanos >= PERMIT_VALIDITY.toNanos()) {
                 iterator.remove();
             }
         }
         for (Account account : List.copyOf(busy)) {
             serve(account, nowNanos);
             refuseExpired(account, nowNanos);
-            ask(account, nowNanos);
+            requestMissing(account, nowNanos);
             if (account.waiting.isEmpty() && account.stock.isEmpty()) {
                 busy.remove(account);
             }
@@ -290,13 +291,13 @@
                 .removeIf(
                         account ->
                                 !busy.contains(account)
-                                        && account.asked == 0
+                                        && account.requestedPermits == 0
                                         && nowNanos - account.demandNanos > IDLE_TIME.toNanos());
     }
 
     /** Returns whether {@link #tick} must be called. */
     public boolean isActive() {
-        return !asks.isEmpty() || !busy.isEmpty();
+        return !pendingRequests.isEmpty() || !busy.isEmpty();
     }
 
     private void serve(Account account, long nowNanos) {
@@ -339,7 +340,7 @@
         return next;
     }
 
-    private void ask(Account account, long nowNanos) {
+    private void requestMissing(Account account, long nowNanos) {
         account.waiting.removeIf(waiting -> waiting.ended);
         int missing = account.missing(nowNanos);
         if (missing <= 0) {
@@ -350,11 +351,12 @@
             return;
         }
         int inAdvance =
-                (int) (account.demandPerSecond * ADVANCE_TIME.toMillis() / 1000) - account.asked;
+                (int) (account.demandPerSecond * ADVANCE_TIME.toMillis() / 1000)
+                        - account.requestedPermits;
         int count = missing + Math.max(0, inAdvance);
         long id = nextId++;
-        asks.put(id, new Ask(account, count, nowNanos));
-        account.asked += count;
+        pendingRequests.put(id, new PendingRequest(account, count, nowNanos));
+        account.requestedPermits += count;
         sender.send(granter.get(), new PermitRequest(id, account.workspace, count, account.limit));
     }
 
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
@@ -174,7 +174,7 @@
         }
         Granter granter = granter(from);
         if (!from.equals(self)) {
-            knowledge.recordTold(ack.fleetSize(), nowNanos);
+            knowledge.recordAnnounced(ack.fleetSize(), nowNanos);
         }
         boolean restarted = granter.epoch != 0 && granter.epoch != ack.granterEpoch();
         granter.dueNow |= restarted || granter.sentStale;
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/WorkspaceLimits.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/WorkspaceLimits.java
@@ -35,8 +35,8 @@
     /** Interval at which idle state is dropped. */
     private static final Duration PRUNE_INTERVAL = Duration.ofSeconds(1);
 
-    /** Upper bound of the age of this process as its instance tells it. */
-    private static final Duration MAX_TOLD_AGE = Duration.ofSeconds(3);
+    /** Greater ages of this process make no difference, because no slice is valid for so long. */
+    private static final Duration MAX_PROCESS_AGE = Duration.ofSeconds(3);
 
     private final EventLoop loop;
     private final PeerMesh.Self self;
@@ -133,16 +133,16 @@
      * Obtains a permit for one request; the listener may be called before this returns.
      *
      * @param workspace a workspace with a limit
-     * @param patience the time for which the request may wait for a permit
+     * @param timeout how long the request may wait for a permit, not null
      * @param listener receives the decision, not null
      */
     public PermitHolder.Waiting acquire(
-            String workspace, Duration patience, PermitHolder.Listener listener) {
+            String workspace, Duration timeout, PermitHolder.Listener listener) {
         VersionedLimit limit =
                 limit(workspace)
                         .orElseThrow(() -> new IllegalArgumentException("no limit: " + workspace));
         PermitHolder.Waiting waiting =
-                holder.acquire(workspace, limit, patience, counting(listener), clock.nanoTime());
+                holder.acquire(workspace, limit, timeout, counting(listener), clock.nanoTime());
         startTicking();
         return waiting;
     }
@@ -256,7 +256,7 @@
         if (age.isNegative()) {
             return Duration.ZERO;
         }
-        return age.compareTo(MAX_TOLD_AGE) > 0 ? MAX_TOLD_AGE : age;
+        return age.compareTo(MAX_PROCESS_AGE) > 0 ? MAX_PROCESS_AGE : age;
     }
 
     private void startTicking() {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -160,11 +160,11 @@
         if (permit.isPresent() || !dispatcher.limits().isLimited(access.workspaceName())) {
             acquireSlot();
         } else {
-            Duration patience = route.latencyTarget().dividedBy(PERMIT_WAIT_DIVISOR);
+            Duration timeout = route.latencyTarget().dividedBy(PERMIT_WAIT_DIVISOR);
             permitWaiting =
                     dispatcher
                             .limits()
-                            .acquire(access.workspaceName(), patience, new PermitListener());
+                            .acquire(access.workspaceName(), timeout, new PermitListener());
         }
     }
 
