--- a/core/src/main/java/org/fuchsiaspindle/core/serving/RequestQueue.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/RequestQueue.java
@@ -177,21 +177,21 @@
      * Returns the late requests that are not expected to start before they time out, in the order
      * in which they start.
      */
-    public List<Position<T>> hopeless(Pace pace) {
-        List<Position<T>> hopeless = new ArrayList<>();
+    public List<Position<T>> expectedTimeouts(Pace pace) {
+        List<Position<T>> timeouts = new ArrayList<>();
         double costAhead = 0;
         for (PriorityLevel<T> level : levels.values()) {
             level.update(pace.nowNanos());
             costAhead += level.onTimeCost();
             for (Waiting<T> waiting : level.late()) {
                 if (waiting.entry().startUntilNanos() - pace.startNanos(costAhead) < 0) {
-                    hopeless.add(new Position<>(waiting.entry(), costAhead));
+                    timeouts.add(new Position<>(waiting.entry(), costAhead));
                 } else {
                     costAhead += waiting.cost();
                 }
             }
         }
-        return hopeless;
+        return timeouts;
     }
 
     /**
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/CachedPrompts.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/CachedPrompts.java
@@ -11,13 +11,13 @@
 import org.fuchsiaspindle.core.work.RequestSize;
 
 /**
- * Remembers which targets of a pool recently read which shared parts of prompts.
+ * Remembers which shared parts of prompts the targets of a pool recently read, and so have cached.
  *
  * <p>A target reads a part again if it did not read all parts before it, so prompts are remembered
  * by their prefixes. What is remembered is bounded and only a hint: a target may have dropped a
  * prefix. Not thread-safe; times are monotonic nanoseconds.
  */
-final class KeptPrompts {
+final class CachedPrompts {
 
     /** Prefixes that are remembered; the least recently read yields. */
     private static final int MAX_PREFIXES = 4096;
@@ -26,24 +26,24 @@
 
     private final PrefixMap prefixes = PrefixMap.create(MAX_PREFIXES);
 
-    KeptPrompts() {}
+    CachedPrompts() {}
 
-    /** Returns how many tokens of a prompt targets keep, without the targets that keep none. */
-    Map<String, Integer> keptTokens(ImmutableList<RequestSize.Part> parts, long now) {
+    /** Returns how many tokens of a prompt each target has cached, without those that have none. */
+    Map<String, Integer> cachedTokens(ImmutableList<RequestSize.Part> parts, long now) {
         if (parts.isEmpty()) {
             return Map.of();
         }
-        Map<String, Integer> kept = new HashMap<>();
+        Map<String, Integer> cached = new HashMap<>();
         int tokens = 0;
         long hash = 0;
         for (RequestSize.Part part : parts) {
             hash = prefixHash(hash, part);
             tokens = IntMath.saturatedAdd(tokens, part.tokens());
             for (String target : prefixes.holders(hash, now)) {
-                kept.put(target, tokens);
+                cached.put(target, tokens);
             }
         }
-        return kept;
+        return cached;
     }
 
     /** Records that a target reads the parts of a prompt. */
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/OnlineWaves.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/OnlineWaves.java
@@ -90,7 +90,7 @@
      * Returns the time until the present wave is expected to end, empty if there is none or if it
      * lasts longer than the ones before.
      */
-    Optional<Duration> untilCalm(long now) {
+    Optional<Duration> timeUntilWaveEnd(long now) {
         if (!inWave || waveNanos.size() < MIN_WAVES) {
             return Optional.empty();
         }
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/PoolWork.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/PoolWork.java
@@ -13,14 +13,14 @@
 
 /**
  * What a coordinator has learned of the work of its pool: how long requests take, how fast targets
- * are and which prompts they keep.
+ * are and which prompts they have cached.
  *
  * <p>Not thread-safe; times are monotonic nanoseconds.
  */
 final class PoolWork {
 
     private final WorkEstimator estimator = WorkEstimator.create();
-    private final KeptPrompts keptPrompts = new KeptPrompts();
+    private final CachedPrompts cachedPrompts = new CachedPrompts();
     private final Set<String> targetsWithPrompts = new HashSet<>();
 
     private WorkListener listener = WorkListener.NONE;
@@ -57,7 +57,7 @@
         private final double averageNanos;
 
         /** Set when targets must be compared, which few requests that wait come to. */
-        private Map<String, Integer> keptTokens;
+        private Map<String, Integer> cachedTokens;
 
         private Forecast(RequestSize size, long now) {
             this.size = size;
@@ -74,10 +74,10 @@
 
         /** Returns the tokens of the prompt that a target must read. */
         int readTokens(TargetSlots target) {
-            if (keptTokens == null) {
-                keptTokens = keptPrompts.keptTokens(size.sharedParts(), now);
+            if (cachedTokens == null) {
+                cachedTokens = cachedPrompts.cachedTokens(size.sharedParts(), now);
             }
-            return Math.max(0, size.promptTokens() - keptTokens.getOrDefault(target.id(), 0));
+            return Math.max(0, size.promptTokens() - cachedTokens.getOrDefault(target.id(), 0));
         }
 
         /** Returns the expected duration on a target in nanoseconds, 0 if unknown. */
@@ -115,7 +115,7 @@
         Forecast forecast = forecast(size, now);
         int readTokens = forecast.readTokens(target);
         if (!size.sharedParts().isEmpty()) {
-            keptPrompts.add(size.sharedParts(), target.id(), now);
+            cachedPrompts.add(size.sharedParts(), target.id(), now);
             targetsWithPrompts.add(target.id());
         }
         return new ExpectedRun(
@@ -156,10 +156,10 @@
         }
     }
 
-    /** Forgets which prompts a target keeps. */
+    /** Forgets which prompts a target has cached. */
     void forgetPrompts(TargetSlots target) {
         if (targetsWithPrompts.remove(target.id())) {
-            keptPrompts.forget(target.id());
+            cachedPrompts.forget(target.id());
         }
     }
 }
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/RejectionPolicy.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/RejectionPolicy.java
@@ -69,8 +69,8 @@
         if (request.workspace().isEmpty()) {
             return expectedWait;
         }
-        Duration calm = waves.untilCalm(now).orElse(Duration.ZERO);
-        return calm.compareTo(expectedWait) > 0 ? calm : expectedWait;
+        Duration untilWaveEnd = waves.timeUntilWaveEnd(now).orElse(Duration.ZERO);
+        return untilWaveEnd.compareTo(expectedWait) > 0 ? untilWaveEnd : expectedWait;
     }
 
     /**
@@ -84,16 +84,16 @@
      */
     Optional<Rejection> ifBetterAfterWave(
             Entry<SlotRequest> entry, Duration expectedWait, Duration timePerRequest, long now) {
-        Optional<Duration> calm = waves.untilCalm(now);
+        Optional<Duration> untilWaveEnd = waves.timeUntilWaveEnd(now);
         if (entry.workspace().isEmpty()
-                || calm.isEmpty()
+                || untilWaveEnd.isEmpty()
                 || !isSurelyLate(entry, expectedWait, now)
                 || !isEarly(entry, now)) {
             return Optional.empty();
         }
-        long calmNanos = now + calm.get().toNanos();
-        long nextNanos = nextReturnNanos.orElse(calmNanos);
-        long returnNanos = nextNanos - calmNanos > 0 ? nextNanos : calmNanos;
+        long waveEndNanos = now + untilWaveEnd.get().toNanos();
+        long nextNanos = nextReturnNanos.orElse(waveEndNanos);
+        long returnNanos = nextNanos - waveEndNanos > 0 ? nextNanos : waveEndNanos;
         if (returnNanos - now > (entry.startUntilNanos() - now) / RETRY_TIME_DIVISOR) {
             return Optional.empty();
         }
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -254,7 +254,8 @@
     /** Refuses the waiting requests whose latest useful start has passed, and fills free slots. */
     public List<SlotDecision> checkTimes(long now) {
         List<SlotDecision> decisions = new ArrayList<>(waiting.refuseExpired(now));
-        decisions.addAll(waiting.refuseHopeless(request -> hasRoomFor(request, now), pace(now)));
+        decisions.addAll(
+                waiting.refuseExpectedTimeouts(request -> hasRoomFor(request, now), pace(now)));
         decisions.addAll(assignFreeSlots(now));
         return decisions;
     }
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/WaitingRequests.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/WaitingRequests.java
@@ -106,10 +106,11 @@
      * Refuses late requests that will not start in time. Those without a workspace wait until their
      * latest start has passed.
      */
-    List<SlotDecision> refuseHopeless(Predicate<SlotRequest> hasRoom, Pace pace) {
+    List<SlotDecision> refuseExpectedTimeouts(Predicate<SlotRequest> hasRoom, Pace pace) {
         List<SlotDecision> decisions = new ArrayList<>();
-        List<Position<SlotRequest>> hopeless = pace.isKnown() ? queue.hopeless(pace) : List.of();
-        for (Position<SlotRequest> position : hopeless) {
+        List<Position<SlotRequest>> timeouts =
+                pace.isKnown() ? queue.expectedTimeouts(pace) : List.of();
+        for (Position<SlotRequest> position : timeouts) {
             SlotRequest request = position.entry().request();
             if (!request.workspace().isEmpty() && !hasRoom.test(request)) {
                 Duration wait = pace.expectedWait(position.costAhead());
--- a/core/src/test/java/org/fuchsiaspindle/core/serving/RequestQueueTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/serving/RequestQueueTest.java
@@ -107,10 +107,10 @@
 
     /** Guards against late requests that wait until they time out although that is known. */
     @Test
-    void lateRequestsThatCannotStartInTime_areHopeless() {
+    void lateRequestsThatCannotStartInTime_areExpectedTimeouts() {
         add("first", "a", 50, 130);
         add("second", "b", 51, 130);
-        assertThat(queue.hopeless(pace(100, 20)))
+        assertThat(queue.expectedTimeouts(pace(100, 20)))
                 .extracting(position -> position.entry().request())
                 .containsExactly("second");
     }
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/OnlineWavesTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/OnlineWavesTest.java
@@ -21,11 +21,11 @@
             demand(8, Duration.ofSeconds(3));
             demand(60, Duration.ofSeconds(2));
         }
-        assertThat(waves.untilCalm(now)).isPresent();
+        assertThat(waves.timeUntilWaveEnd(now)).isPresent();
         demand(8, Duration.ofSeconds(3));
-        assertThat(waves.untilCalm(now)).isEmpty();
+        assertThat(waves.timeUntilWaveEnd(now)).isEmpty();
         demand(60, Duration.ofMillis(500));
-        assertThat(waves.untilCalm(now))
+        assertThat(waves.timeUntilWaveEnd(now))
                 .hasValueSatisfying(
                         calm ->
                                 assertThat(calm)
@@ -41,7 +41,7 @@
             demand(60, Duration.ofSeconds(2));
         }
         demand(60, Duration.ofSeconds(1));
-        assertThat(waves.untilCalm(now)).isEmpty();
+        assertThat(waves.timeUntilWaveEnd(now)).isEmpty();
     }
 
     /** Guards against waves that are seen in requests which arrive at random. */
@@ -53,7 +53,7 @@
             // Keeps the variance of the number of requests in service at its mean.
             demand += (40 - demand) * 0.03 + random.nextGaussian() * Math.sqrt(2 * 40 * 0.03);
             demand((int) Math.max(0, demand), STEP);
-            assertThat(waves.untilCalm(now)).isEqualTo(Optional.empty());
+            assertThat(waves.timeUntilWaveEnd(now)).isEqualTo(Optional.empty());
         }
     }
 
