--- a/core/src/main/java/org/fuchsiaspindle/core/limit/LimitBucket.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/LimitBucket.java
@@ -26,6 +26,7 @@
     /** Time after a change of the share during which more slices are likely to come. */
     private static final Duration MOVE_TIME = Duration.ofMillis(300);
 
+    /** Announced time while slices move; a move takes a few round trips between gateways. */
     private static final Duration RETRY_AFTER_WHILE_MOVING = Duration.ofMillis(20);
 
     private final ShareHistory history;
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/LimitShards.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/LimitShards.java
@@ -19,7 +19,10 @@
     /** Number of shards. */
     public static final int COUNT = Long.SIZE;
 
+    /** With two, the loss of one granter leaves half of the workspaces with permits. */
     private static final int MIN_GRANTERS = 2;
+
+    /** Bounds the messages of each gateway, which lends slices to all granters. */
     private static final int MAX_GRANTERS = 16;
 
     /** Number of gateways for which another granter is added. */
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/PermitGranter.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/PermitGranter.java
@@ -19,8 +19,9 @@
  *
  * <p>A slice is the limit divided by the number of gateways. A gateway lends each of its slices to
  * at most one granter at a time, so all granters together never hold more than the limit, whatever
- * they know of each other. Not thread-safe. Times are monotonic nanoseconds; handling a message is
- * O(lenders) if slices expired, otherwise O(1).
+ * they know of each other. Not thread-safe. Times are monotonic nanoseconds that also pass while
+ * the process is suspended. Handling a message about permits is O(1); one that lends slices, and
+ * the first message after slices expired, cost O(lenders).
  */
 public final class PermitGranter {
 
@@ -111,6 +112,9 @@
     /**
      * Handles slices lent by a gateway.
      *
+     * @param from the address of the gateway, not null
+     * @param lend the message, not null
+     * @param nowNanos the time
      * @return the answer
      */
     public LendAck handle(String from, Lend lend, long nowNanos) {
@@ -180,6 +184,8 @@
     /**
      * Handles a request for permits.
      *
+     * @param request the message, not null
+     * @param nowNanos the time
      * @return the answer
      */
     public PermitReply handle(PermitRequest request, long nowNanos) {
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/PermitHolder.java
@@ -200,6 +200,8 @@
      * @param timeout how long the request may wait for a permit, not null
      * @param listener receives the decision, not null
      * @param nowNanos the time
+     * @return the wait for the permit, which can be cancelled; over already if the listener was
+     *     called
      */
     public Waiting acquire(
             String workspace,
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/SliceLender.java
@@ -35,6 +35,19 @@
     /** Number of times that slices are lent anew while they are valid. */
     private static final int RENEWALS_PER_VALIDITY = 3;
 
+    /**
+     * Share of the validity that an answer may be old when slices are lent: slices that are lent
+     * later are likely to be invalid when they arrive, so they are lent again after the next
+     * answer.
+     */
+    private static final double MAX_ANSWER_AGE_SHARE = 0.75;
+
+    /** Time between two ticks from which this process was held up. */
+    private static final Duration MIN_PAUSE = TICK_INTERVAL.multipliedBy(4);
+
+    /** Number of lending intervals after which a granter without an answer is excluded. */
+    private static final int ANSWER_INTERVALS = 2;
+
     /** Covers clocks of different speeds and short suspensions that no clock shows. */
     private static final Duration CLOCK_MARGIN = Duration.ofMillis(50);
 
@@ -47,6 +60,7 @@
      */
     private static final int MAX_START_TOKENS_PER_INTERVAL = 2;
 
+    /** Interval for {@link #MAX_START_TOKENS_PER_INTERVAL}. */
     private static final Duration START_TOKENS_INTERVAL = Duration.ofSeconds(20);
 
     private final String self;
@@ -152,7 +166,7 @@
     /** Sends what is due; called at {@link #TICK_INTERVAL}. */
     public void tick(long nowNanos) {
         // After a pause of this process, answers are late without a fault of the granters.
-        boolean paused = nowNanos - lastTickNanos > TICK_INTERVAL.multipliedBy(4).toNanos();
+        boolean paused = nowNanos - lastTickNanos > MIN_PAUSE.toNanos();
         lastTickNanos = nowNanos;
         for (Granter granter : granters.values()) {
             if (paused) {
@@ -363,11 +377,11 @@
         granter.sequence++;
         granter.sentNanos = nowNanos;
         Duration validity = validity();
-        // The granter rejects slices that are lent too long after its last answer.
         granter.dueNow = false;
         granter.sentStale =
                 granter.lentShards != 0
-                        && nowNanos - granter.answeredNanos > validity.toNanos() * 3 / 4;
+                        && nowNanos - granter.answeredNanos
+                                > MAX_ANSWER_AGE_SHARE * validity.toNanos();
         if (!granter.unanswered) {
             granter.unanswered = true;
             granter.unansweredSinceNanos = nowNanos;
@@ -413,6 +427,6 @@
     }
 
     private Duration answerTime() {
-        return lendInterval().multipliedBy(2);
+        return lendInterval().multipliedBy(ANSWER_INTERVALS);
     }
 }
--- a/core/src/main/java/org/fuchsiaspindle/core/serving/Waiting.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/Waiting.java
@@ -12,7 +12,7 @@
  */
 record Waiting<T>(Entry<T> entry, long sequence) {
 
-    /** The latest start on time stands for the age. */
+    /** Returns the order by age, for which the latest start on time stands. */
     static <T> Comparator<Waiting<T>> oldestFirst() {
         return Comparator.comparingLong((Waiting<T> waiting) -> waiting.entry().onTimeUntilNanos())
                 .thenComparingLong(Waiting::sequence);
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/BatchRoom.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/BatchRoom.java
@@ -30,6 +30,7 @@
      */
     private static final int MIN_RUN_IN_START_TIMES = 10;
 
+    /** Weight of one item in the average time to the first event. */
     private static final double START_TIME_SAMPLE_WEIGHT = 0.1;
 
     private final Deque<Long> keptUntilNanos = new ArrayDeque<>();
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -33,6 +33,7 @@
  */
 public final class SlotPool {
 
+    /** Weight of one online request in the average time that one occupies a slot. */
     private static final double HOLD_TIME_SAMPLE_WEIGHT = 0.05;
 
     /** Assumed time that an online request occupies a slot before one was observed. */
@@ -41,6 +42,7 @@
     /** Expected work of a request, in multiples of that of an average one. */
     private static final double AVERAGE_COST = 1;
 
+    /** Stands for targets of which the configuration says nothing: memory of unknown size. */
     private static final TargetModel UNKNOWN_MODEL = new TargetModel(0, 1);
 
     private final OnlineWaves waves = new OnlineWaves();
--- a/core/src/main/java/org/fuchsiaspindle/core/work/DecayedLine.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/work/DecayedLine.java
@@ -8,6 +8,7 @@
  */
 final class DecayedLine {
 
+    /** Share of its weight that a point keeps with each new one. */
     private static final double KEPT_SHARE = 0.99;
 
     /** Share of the mean value that is assumed to grow with x while all points have the same x. */
@@ -24,6 +25,7 @@
 
     DecayedLine() {}
 
+    /** Adds a point; both coordinates must not be negative. */
     void add(double x, double y) {
         weight = weight * KEPT_SHARE + 1;
         sumX = sumX * KEPT_SHARE + x;
--- a/core/src/main/java/org/fuchsiaspindle/core/work/KindEstimate.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/work/KindEstimate.java
@@ -18,8 +18,12 @@
     /** A hint that is farther off counts as this far off, so that a few do not spoil the rest. */
     private static final double MAX_HINT_ERROR = Math.log(8);
 
+    /** Weight of one request in the averages. */
     private static final double SAMPLE_WEIGHT = 0.05;
+
+    /** The quantiles one standard deviation off the median of a normal distribution. */
     private static final double LOWER_QUANTILE = 0.16;
+
     private static final double UPPER_QUANTILE = 0.84;
 
     private final LengthHistogram events = new LengthHistogram();
--- a/core/src/main/java/org/fuchsiaspindle/core/work/LengthHistogram.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/work/LengthHistogram.java
@@ -14,8 +14,13 @@
     static final int MEMORY = 200;
 
     private static final int BUCKETS_PER_DOUBLING = 4;
+
+    /** The longest length that is told from longer ones, as a power of two. */
     private static final int MAX_DOUBLINGS = 20;
+
+    /** Width of a bucket, as a natural logarithm. */
     private static final double LOG_WIDTH = Math.log(2) / BUCKETS_PER_DOUBLING;
+
     private static final double KEPT_SHARE = 1 - 1.0 / MEMORY;
 
     private final double[] weights = new double[BUCKETS_PER_DOUBLING * MAX_DOUBLINGS];
--- a/core/src/main/java/org/fuchsiaspindle/core/work/TargetSpeed.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/work/TargetSpeed.java
@@ -19,6 +19,7 @@
     /** Largest factor by which one run may say that a target is slower or faster. */
     private static final double MAX_RATIO = 8;
 
+    /** Weight of an observation beside others of the same moment. */
     private static final double SAMPLE_WEIGHT = 0.2;
 
     /** Weight of an observation after which nothing else is known. */
--- a/core/src/main/java/org/fuchsiaspindle/core/work/WorkEstimator.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/work/WorkEstimator.java
@@ -32,13 +32,18 @@
     /** Share by which an event takes longer for each request that runs beside it. */
     private static final double INITIAL_SLOWDOWN = 0.05;
 
+    /** Bounds of the slowdown, which a few noisy runs could put far off. */
     private static final double MIN_SLOWDOWN = 0.01;
+
     private static final double MAX_SLOWDOWN = 0.3;
+
+    /** Weight of one run in the averages. */
     private static final double SAMPLE_WEIGHT = 0.02;
 
     /** Weight of the assumed slowdown among what was observed, in squared requests. */
     private static final double INITIAL_SLOWDOWN_WEIGHT = 20;
 
+    /** Share of its weight that a run keeps in the slowdown with each new one. */
     private static final double SLOWDOWN_KEPT_SHARE = 0.998;
 
     private final Map<String, KindEstimate> kinds =
@@ -88,7 +93,8 @@
 
     /**
      * Returns how long a request is expected to occupy an average target that must read its whole
-     * prompt and is as loaded as usual; positive, never null.
+     * prompt and is as loaded as usual; positive, never null. {@link #INITIAL_WORK} if nothing is
+     * known.
      */
     public Duration expectedWork(RequestSize size) {
         double nanos = expectedNanos(size, size.promptTokens(), meanRunning);
