--- /dev/null
+++ b/core/src/main/java/org/fuchsiaspindle/core/collect/package-info.java
@@ -0,0 +1,2 @@
+/** Collections that several packages need. */
+package org.fuchsiaspindle.core.collect;
--- a/core/src/main/java/org/fuchsiaspindle/core/fairness/FairRounds.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/fairness/FairRounds.java
@@ -2,8 +2,8 @@
 
 import static com.google.common.base.Preconditions.checkArgument;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
+import org.fuchsiaspindle.core.collect.LruMap;
 
 /**
  * Weighted fair queueing between flows, in rounds of service. A flow is what competes for capacity:
@@ -18,13 +18,7 @@
     /** Largest number of flows whose virtual time is kept; bounds the memory for idle flows. */
     private static final int MAX_FLOWS = 4_096;
 
-    private final Map<String, Double> virtualTimes =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, Double> eldest) {
-                    return size() > MAX_FLOWS;
-                }
-            };
+    private final Map<String, Double> virtualTimes = new LruMap<>(MAX_FLOWS);
     private final double roundService;
     private double currentTime;
 
--- a/core/src/main/java/org/fuchsiaspindle/core/fairness/ServedShares.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/fairness/ServedShares.java
@@ -1,7 +1,7 @@
 package org.fuchsiaspindle.core.fairness;
 
-import java.util.LinkedHashMap;
 import java.util.Map;
+import org.fuchsiaspindle.core.collect.LruMap;
 
 /**
  * Counts the requests of each flow that arrived and that were served, to find a flow that starves.
@@ -25,13 +25,7 @@
         private long served;
     }
 
-    private final Map<String, Counts> flows =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, Counts> eldest) {
-                    return size() > MAX_FLOWS;
-                }
-            };
+    private final Map<String, Counts> flows = new LruMap<>(MAX_FLOWS);
     private long arrived;
     private long served;
 
--- a/core/src/main/java/org/fuchsiaspindle/core/prompt/PromptQuarantine.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/prompt/PromptQuarantine.java
@@ -12,11 +12,11 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.fuchsiaspindle.core.collect.LruMap;
 
 /**
  * Decides which prompt parts are kept from all targets because they crash them.
@@ -76,13 +76,7 @@
 
     private final Deque<Crash> crashes = new ArrayDeque<>();
     private final Map<PromptPart, Quarantine> quarantines = new HashMap<>();
-    private final Map<PromptPart, Long> answeredNanos =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<PromptPart, Long> eldest) {
-                    return size() > MAX_ANSWERED_PARTS;
-                }
-            };
+    private final Map<PromptPart, Long> answeredNanos = new LruMap<>(MAX_ANSWERED_PARTS);
 
     /** A crash of a target, merged from the reports of several gateways. */
     private static final class Crash {
--- a/core/src/main/java/org/fuchsiaspindle/core/work/WorkEstimator.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/work/WorkEstimator.java
@@ -4,9 +4,9 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import java.time.Duration;
-import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.OptionalDouble;
+import org.fuchsiaspindle.core.collect.LruMap;
 
 /**
  * Estimates how long requests occupy an average target of a pool, from runs that ended.
@@ -46,13 +46,7 @@
     /** Share of its weight that a run keeps in the slowdown with each new one. */
     private static final double SLOWDOWN_KEPT_SHARE = 0.998;
 
-    private final Map<String, KindEstimate> kinds =
-            new LinkedHashMap<>(16, 0.75f, true) {
-                @Override
-                protected boolean removeEldestEntry(Map.Entry<String, KindEstimate> eldest) {
-                    return size() > MAX_KINDS;
-                }
-            };
+    private final Map<String, KindEstimate> kinds = new LruMap<>(MAX_KINDS);
     private final DecayedLine firstEventNanos = new DecayedLine();
     private double slowdownSum = INITIAL_SLOWDOWN * INITIAL_SLOWDOWN_WEIGHT;
     private double slowdownWeight = INITIAL_SLOWDOWN_WEIGHT;
