--- a/core/src/main/java/org/fuchsiaspindle/core/serving/TargetModel.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/TargetModel.java
@@ -16,4 +16,13 @@
         checkArgument(memoryTokens >= 0, "negative memory: %s", memoryTokens);
         checkArgument(tokensPerEvent > 0, "tokens of an event not positive: %s", tokensPerEvent);
     }
+
+    /**
+     * Returns whether a target has the memory for a request that runs there alone.
+     *
+     * @param tokens the memory that the request can occupy at most, in tokens; 0 if unknown
+     */
+    public boolean hasMemoryFor(int tokens) {
+        return memoryTokens == 0 || tokens <= memoryTokens;
+    }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -21,7 +21,6 @@
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.TargetInstance;
-import org.fuchsiaspindle.core.serving.TargetModel;
 import org.fuchsiaspindle.core.workspace.TargetIdentity;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
@@ -405,14 +404,12 @@
 
     /** Returns whether no target of a service has the memory for an item. */
     private boolean isTooLarge(ItemRun run, String service) {
-        int memoryTokens =
-                viewHolder
-                        .view()
-                        .config()
-                        .flatMap(config -> config.model(service))
-                        .map(TargetModel::memoryTokens)
-                        .orElse(0);
-        return memoryTokens > 0 && run.maxTokens() > memoryTokens;
+        return viewHolder
+                .view()
+                .config()
+                .flatMap(config -> config.model(service))
+                .map(model -> !model.hasMemoryFor(run.maxTokens()))
+                .orElse(false);
     }
 
     private boolean mayRun(ItemRun run, String service, long now) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -177,8 +177,9 @@
 
     /** Returns whether a target of a service has the memory for a request if it runs alone. */
     public boolean fitsTarget(String service, RequestSize size) {
-        int memoryTokens = models.apply(service).map(TargetModel::memoryTokens).orElse(0);
-        return memoryTokens == 0 || size.maxTokens() <= memoryTokens;
+        return models.apply(service)
+                .map(model -> model.hasMemoryFor(size.maxTokens()))
+                .orElse(true);
     }
 
     /** Returns the time since this gateway last had an online request for a service. */
