--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -121,14 +121,15 @@
         }
         Pace pace = pace(now);
         double cost = cost(request);
-        Refusal reason = refusalReason(request, now);
+        Refusal reason = choice.isAnyAcceptable(request, now) ? Refusal.FULL : Refusal.NO_TARGET;
         if (!request.mayWait() || reason == Refusal.NO_TARGET) {
             Duration wait = waiting.expectedWait(request, cost, pace);
             decisions.add(
                     new SlotDecision.Refused(request.holder(), request.ticket(), reason, wait));
             return decisions;
         }
-        decisions.addAll(waiting.add(request, cost, waiter -> hasRoomFor(waiter, now), pace));
+        decisions.addAll(
+                waiting.add(request, cost, waiter -> choice.hasRoomForOnline(waiter, now), pace));
         waves.record(onlineDemand(), now);
         return decisions;
     }
@@ -257,7 +258,8 @@
     public List<SlotDecision> checkTimes(long now) {
         List<SlotDecision> decisions = new ArrayList<>(waiting.refuseExpired(now));
         decisions.addAll(
-                waiting.refuseExpectedTimeouts(request -> hasRoomFor(request, now), pace(now)));
+                waiting.refuseExpectedTimeouts(
+                        request -> choice.hasRoomForOnline(request, now), pace(now)));
         decisions.addAll(assignFreeSlots(now));
         return decisions;
     }
@@ -362,7 +364,7 @@
 
     private void startWaitingRequests(long now, List<SlotDecision> decisions) {
         boolean started = true;
-        while (started && waiting.size() > 0 && hasSlotForOnline(now)) {
+        while (started && waiting.size() > 0 && choice.hasSlotForOnline(now)) {
             started = startFirstPossible(now, decisions);
         }
     }
@@ -380,17 +382,6 @@
         return next.isPresent();
     }
 
-    private boolean hasSlotForOnline(long now) {
-        return targets.values().stream()
-                .anyMatch(target -> target.isOpen() && target.hasSlotForOnline(now));
-    }
-
-    private boolean hasRoomFor(SlotRequest request, long now) {
-        int tokens = request.size().maxTokens();
-        return targets.values().stream()
-                .anyMatch(target -> target.isOpen() && target.hasRoomForOnline(tokens, now));
-    }
-
     /** Returns the number of slots that online requests hold or wait for. */
     private int onlineDemand() {
         return waiting.size() + targets.values().stream().mapToInt(TargetSlots::online).sum();
@@ -491,17 +482,6 @@
         return true;
     }
 
-    private Refusal refusalReason(SlotRequest request, long now) {
-        boolean anyAcceptable =
-                targets.values().stream()
-                        .anyMatch(
-                                target ->
-                                        target.isOpen()
-                                                && !request.avoided().contains(target.id())
-                                                && !target.isUnavailable(now));
-        return anyAcceptable ? Refusal.FULL : Refusal.NO_TARGET;
-    }
-
     /** Returns how fast waiting requests start if online requests hold all slots. */
     private Pace pace(long now) {
         double slots =
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetChoice.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetChoice.java
@@ -12,7 +12,8 @@
 import java.util.function.Predicate;
 
 /**
- * Chooses the target of a pool on which a request or a batch item runs.
+ * Chooses the target of a pool on which a request or a batch item runs, and says whether there can
+ * be one.
  *
  * <p>Each choice looks at every target of the pool once. Not thread-safe; times are monotonic
  * nanoseconds.
@@ -81,6 +82,28 @@
         return target.lastGrantNanos() - other.lastGrantNanos() < 0;
     }
 
+    /** Returns whether an online request of unknown size can start on a target. */
+    boolean hasSlotForOnline(long now) {
+        return targets.stream().anyMatch(target -> target.isOpen() && target.hasSlotForOnline(now));
+    }
+
+    /** Returns whether a target has room for an online request, be it one to avoid. */
+    boolean hasRoomForOnline(SlotRequest request, long now) {
+        int tokens = request.size().maxTokens();
+        return targets.stream()
+                .anyMatch(target -> target.isOpen() && target.hasRoomForOnline(tokens, now));
+    }
+
+    /** Returns whether an online request may run on a target once it has room. */
+    boolean isAnyAcceptable(SlotRequest request, long now) {
+        return targets.stream()
+                .anyMatch(
+                        target ->
+                                target.isOpen()
+                                        && !request.avoided().contains(target.id())
+                                        && !target.isUnavailable(now));
+    }
+
     /**
      * Returns the targets with slots for batch items.
      *
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/WorkspaceLimits.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/WorkspaceLimits.java
@@ -44,6 +44,7 @@
     private final GatewayMetrics metrics;
     private final SuspensionClock clock = new SuspensionClock(Clock.system());
     private final long epoch = ThreadLocalRandom.current().nextLong() | 1;
+    private final ConfiguredLimits configuredLimits = new ConfiguredLimits();
     private final KnownGateways knownGateways;
     private final PermitGranter granter;
     private final PermitHolder holder;
@@ -63,7 +64,7 @@
         this.viewHolder = viewHolder;
         this.metrics = metrics;
         this.knownGateways = new KnownGateways(self.ip(), self.capacity());
-        this.granter = PermitGranter.create(epoch, new ConfiguredLimits());
+        this.granter = PermitGranter.create(epoch, configuredLimits);
         this.holder =
                 PermitHolder.create(
                         ThreadLocalRandom.current().nextLong(),
@@ -178,9 +179,7 @@
     /** Returns the limit of a workspace in the configuration in force. */
     public Optional<VersionedLimit> limit(String workspace) {
         long version = viewHolder.view().configVersion();
-        return new ConfiguredLimits()
-                .limit(workspace)
-                .map(limit -> new VersionedLimit(version, limit));
+        return configuredLimits.limit(workspace).map(limit -> new VersionedLimit(version, limit));
     }
 
     @Override
