--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/GrowthBench.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/GrowthBench.java
@@ -93,16 +93,7 @@
 
     private static List<EmulatorClient> startFleet(PlatformEmulator platform, int size)
             throws IOException, InterruptedException {
-        platform.configure(
-                PlatformEmulator.route(
-                        "hint", "/hint/", "streaming", PlatformEmulator.MODEL, 1, ""),
-                PlatformEmulator.route(
-                        "batch",
-                        "/batch/",
-                        "batch",
-                        PlatformEmulator.MODEL,
-                        3,
-                        ",\"priority\":2,\"deadlineMs\":18000,\"retentionS\":60"));
+        BenchRoutes.configure(platform);
         for (int engine = 0; engine < Math.max(1, size / GATEWAYS_PER_ENGINE); engine++) {
             platform.addEngine("engine-" + engine, PlatformEmulator.MODEL, SLOTS, EVENT_INTERVAL);
         }
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/PlatformBench.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/PlatformBench.java
@@ -65,16 +65,7 @@
 
     private static List<EmulatorClient> startFleet(PlatformEmulator platform)
             throws InterruptedException, IOException {
-        platform.configure(
-                PlatformEmulator.route(
-                        "hint", "/hint/", "streaming", PlatformEmulator.MODEL, 1, ""),
-                PlatformEmulator.route(
-                        "batch",
-                        "/batch/",
-                        "batch",
-                        PlatformEmulator.MODEL,
-                        3,
-                        ",\"priority\":2,\"deadlineMs\":18000,\"retentionS\":60"));
+        BenchRoutes.configure(platform);
         IntStream.range(0, ENGINES)
                 .forEach(
                         i ->
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/StartupTraining.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/bench/StartupTraining.java
@@ -79,16 +79,7 @@
 
     private static PlatformEmulator startPlatform() {
         PlatformEmulator platform = PlatformEmulator.start();
-        platform.configure(
-                PlatformEmulator.route(
-                        "hint", "/hint/", "streaming", PlatformEmulator.MODEL, 1, ""),
-                PlatformEmulator.route(
-                        "batch",
-                        "/batch/",
-                        "batch",
-                        PlatformEmulator.MODEL,
-                        3,
-                        ",\"priority\":2,\"deadlineMs\":18000,\"retentionS\":60"));
+        BenchRoutes.configure(platform);
         for (int i = 0; i < ENGINES; i++) {
             platform.addEngine("engine-" + i, PlatformEmulator.MODEL, SLOTS, EVENT_INTERVAL);
         }
