--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
@@ -2,15 +2,12 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
-import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -20,11 +17,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.fuchsiaspindle.core.membership.AddressAnnouncement;
-import org.fuchsiaspindle.core.membership.Backoff;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.gateway.view.FleetView;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
@@ -47,7 +41,7 @@
     private static final Logger LOG = LoggerFactory.getLogger(PeerMesh.class);
 
     /** Time between two heartbeats to a peer that must detect soon that this process is lost. */
-    private static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
+    static final Duration HEARTBEAT_INTERVAL = Duration.ofMillis(500);
 
     /**
      * Bounds the heartbeats to all other peers: their interval grows with the number of peers, so
@@ -61,18 +55,6 @@
     /** An address that could not be reached for longer is removed. */
     private static final Duration ADDRESS_EXPIRY = Duration.ofSeconds(30);
 
-    /**
-     * Time for the first attempt to connect to an address; a packet to an instance that has no
-     * power yet is lost, and the operating system repeats it only after a second.
-     */
-    private static final Duration FIRST_CONNECT_TIMEOUT = Duration.ofMillis(100);
-
-    /** Bound of the time for an attempt, which doubles with each failure. */
-    private static final Duration MAX_CONNECT_TIMEOUT = Duration.ofMillis(600);
-
-    /** Bound of the pause after the first failed attempt. */
-    private static final Duration FIRST_CONNECT_PAUSE = Duration.ofMillis(50);
-
     private static final double MILLICORES_PER_CORE = 1000;
 
     /** Receives what peers send about slots, and the changes of the membership. */
@@ -133,7 +115,7 @@
     private final ViewExchange viewExchange;
     private final PeerListener peerListener;
     private final GatewayMetrics metrics;
-    private final Map<String, Link> links = new HashMap<>();
+    private final Map<String, PeerLink> links = new HashMap<>();
     private final Map<Channel, String> ipsByChannel = new HashMap<>();
     private final Map<String, PeerHeartbeat> heartbeats = new HashMap<>();
     private Supplier<Set<String>> closePeers = Set::of;
@@ -175,31 +157,6 @@
     /** The part of this process's state that peers are told as soon as it changes. */
     private record AnnouncedState(long configVersion, boolean storeReachable, boolean stopping) {}
 
-    /** The outgoing connection to one address. */
-    private static final class Link {
-        private final long createdNanos = System.nanoTime();
-        private Channel channel;
-        private boolean connecting;
-        private int attempts;
-        private int failures;
-        private long connectedNanos;
-        private long heartbeatSentNanos;
-        private Duration announcedInterval = HEARTBEAT_INTERVAL;
-        private AddressAnnouncement announcement = new AddressAnnouncement();
-
-        boolean isOpen() {
-            return channel != null && channel.isActive();
-        }
-
-        /** Returns whether the peer must hear again, or must learn of a shorter interval. */
-        boolean isHeartbeatDue(Duration interval, long now) {
-            // Half an interval of the timer covers its jitter.
-            Duration margin = HEARTBEAT_INTERVAL.dividedBy(2);
-            return interval.compareTo(announcedInterval) < 0
-                    || now - heartbeatSentNanos > announcedInterval.minus(margin).toNanos();
-        }
-    }
-
     /** Creates a mesh that does not listen yet. */
     public static PeerMesh create(
             EventLoop loop,
@@ -269,9 +226,10 @@
     public void addPeers(Collection<String> ips) {
         for (String ip : ips) {
             if (!ip.equals(self.ip()) && !links.containsKey(ip)) {
-                Link link = new Link();
+                PeerLink link =
+                        new PeerLink(ip, self.port(), loop, initializer(), this::handleConnected);
                 links.put(ip, link);
-                connect(ip, link);
+                link.connect();
             }
         }
     }
@@ -288,8 +246,8 @@
      * @return whether it was handed to a connection; it may still be lost
      */
     public boolean send(String ip, PeerFrame frame) {
-        Link link = links.get(ip);
-        boolean sent = link != null && link.isOpen() && PeerChannels.send(link.channel, frame);
+        PeerLink link = links.get(ip);
+        boolean sent = link != null && link.send(frame);
         if (sent) {
             metrics.countControlMessage(frame.getBodyCase().name(), frame.getSerializedSize());
         }
@@ -298,7 +256,7 @@
 
     /** Returns whether a connection to a peer is open. */
     public boolean isConnected(String ip) {
-        Link link = links.get(ip);
+        PeerLink link = links.get(ip);
         return link != null && link.isOpen();
     }
 
@@ -349,68 +307,17 @@
         };
     }
 
-    private void connect(String ip, Link link) {
-        link.connecting = true;
-        link.attempts++;
-        int attempt = link.attempts;
-        Duration timeout =
-                Backoff.bound(link.failures + 1, FIRST_CONNECT_TIMEOUT, MAX_CONNECT_TIMEOUT);
-        Bootstrap bootstrap =
-                new Bootstrap()
-                        .group(loop)
-                        .channel(NioSocketChannel.class)
-                        .option(ChannelOption.TCP_NODELAY, true)
-                        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeout.toMillis())
-                        .handler(initializer());
-        ChannelFuture connectFuture = bootstrap.connect(new InetSocketAddress(ip, self.port()));
-        connectFuture.addListener(
-                future -> {
-                    if (attempt != link.attempts) {
-                        // A later attempt has replaced this one.
-                        connectFuture.channel().close();
-                    } else if (future.isSuccess()) {
-                        handleConnected(ip, link, connectFuture.channel());
-                    } else {
-                        handleConnectFailure(ip, link);
-                    }
-                });
-    }
-
-    private void handleConnected(String ip, Link link, Channel channel) {
-        link.connecting = false;
-        link.failures = 0;
-        link.channel = channel;
-        link.connectedNanos = System.nanoTime();
-        link.announcement = new AddressAnnouncement();
-        sendHeartbeat(ip, link, knownIps(), HEARTBEAT_INTERVAL);
-        peerListener.onConnected(ip);
-        promptListener.onConnected(ip);
-    }
-
-    /** Tries again soon after the first failures, and later with the heartbeats. */
-    private void handleConnectFailure(String ip, Link link) {
-        link.failures++;
-        Duration pause = Backoff.bound(link.failures, FIRST_CONNECT_PAUSE, HEARTBEAT_INTERVAL);
-        if (pause.compareTo(HEARTBEAT_INTERVAL) >= 0) {
-            link.connecting = false;
-            return;
-        }
-        int attempt = link.attempts;
-        loop.schedule(
-                () -> {
-                    if (attempt == link.attempts) {
-                        connect(ip, link);
-                    }
-                },
-                Backoff.jittered(pause, ThreadLocalRandom.current()).toMillis(),
-                TimeUnit.MILLISECONDS);
+    private void handleConnected(PeerLink link) {
+        sendHeartbeat(link, knownIps(), HEARTBEAT_INTERVAL);
+        peerListener.onConnected(link.ip());
+        promptListener.onConnected(link.ip());
     }
 
     /** Connects to a peer that has just been heard, in place of an attempt that may hang. */
     private void connectToHeard(String ip) {
-        Link link = links.get(ip);
+        PeerLink link = links.get(ip);
         if (link != null && !link.isOpen()) {
-            connect(ip, link);
+            link.connect();
         }
     }
 
@@ -423,16 +330,15 @@
         boolean stateChanged = !state.equals(announcedState);
         announcedState = state;
         Duration distantInterval = distantInterval();
-        for (Map.Entry<String, Link> entry : List.copyOf(links.entrySet())) {
-            Link link = entry.getValue();
+        for (PeerLink link : List.copyOf(links.values())) {
             if (link.isOpen()) {
-                boolean isClose = close.contains(entry.getKey());
+                boolean isClose = close.contains(link.ip());
                 Duration interval = isClose ? HEARTBEAT_INTERVAL : distantInterval;
                 if (stateChanged || link.isHeartbeatDue(interval, now)) {
-                    sendHeartbeat(entry.getKey(), link, known, interval);
+                    sendHeartbeat(link, known, interval);
                 }
-            } else if (!link.connecting) {
-                expireOrReconnect(entry.getKey(), link, now);
+            } else if (!link.isConnecting()) {
+                expireOrReconnect(link, now);
             }
         }
         viewExchange
@@ -453,12 +359,12 @@
         return bounded.compareTo(HEARTBEAT_INTERVAL) > 0 ? bounded : HEARTBEAT_INTERVAL;
     }
 
-    private void expireOrReconnect(String ip, Link link, long now) {
-        long lastConnected = Math.max(link.createdNanos, link.connectedNanos);
-        if (!heartbeats.containsKey(ip) && now - lastConnected > ADDRESS_EXPIRY.toNanos()) {
-            links.remove(ip);
+    private void expireOrReconnect(PeerLink link, long now) {
+        boolean isOld = now - link.lastConnectedNanos() > ADDRESS_EXPIRY.toNanos();
+        if (!heartbeats.containsKey(link.ip()) && isOld) {
+            links.remove(link.ip());
         } else {
-            connect(ip, link);
+            link.connect();
         }
     }
 
@@ -466,10 +372,9 @@
         for (Map.Entry<String, PeerHeartbeat> entry : List.copyOf(heartbeats.entrySet())) {
             if (entry.getValue().isSilent(now)) {
                 removePeer(entry.getKey(), "silent");
-                Link link = links.get(entry.getKey());
-                if (link != null && link.channel != null) {
-                    // A dead connection may never be reported as closed.
-                    link.channel.close();
+                PeerLink link = links.get(entry.getKey());
+                if (link != null) {
+                    link.close();
                 }
             }
         }
@@ -495,13 +400,11 @@
     }
 
     /** Sends a heartbeat, with the known addresses if they have changed or must be repeated. */
-    private void sendHeartbeat(String ip, Link link, Set<String> known, Duration interval) {
+    private void sendHeartbeat(PeerLink link, Set<String> known, Duration interval) {
         long now = System.nanoTime();
-        Set<String> addresses = link.announcement.addressesToSend(known, now);
-        if (send(ip, heartbeatFrame(addresses, interval))) {
-            link.announcement.recordSent(addresses, now);
-            link.heartbeatSentNanos = now;
-            link.announcedInterval = interval;
+        Set<String> addresses = link.addressesToSend(known, now);
+        if (send(link.ip(), heartbeatFrame(addresses, interval))) {
+            link.recordHeartbeat(addresses, interval, now);
         }
     }
 
