--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -33,6 +33,7 @@
  */
 public final class SlotPool {
 
+    /** Weight of one online request in the average time that one occupies a slot. */
     private static final double HOLD_TIME_SAMPLE_WEIGHT = 0.05;
 
     /** Assumed time that an online request occupies a slot before one was observed. */
@@ -41,6 +42,7 @@
     /** Expected work of a request, in multiples of that of an average one. */
     private static final double AVERAGE_COST = 1;
 
+    /** Stands for targets of which the configuration says nothing: memory of unknown size. */
     private static final TargetModel UNKNOWN_MODEL = new TargetModel(0, 1);
 
     private final OnlineWaves waves = new OnlineWaves();
@@ -119,14 +121,15 @@
         }
         Pace pace = pace(now);
         double cost = cost(request);
-        Refusal reason = refusalReason(request, now);
+        Refusal reason = choice.isAnyAcceptable(request, now) ? Refusal.FULL : Refusal.NO_TARGET;
         if (!request.mayWait() || reason == Refusal.NO_TARGET) {
             Duration wait = waiting.expectedWait(request, cost, pace);
             decisions.add(
                     new SlotDecision.Refused(request.holder(), request.ticket(), reason, wait));
             return decisions;
         }
-        decisions.addAll(waiting.add(request, cost, waiter -> hasRoomFor(waiter, now), pace));
+        decisions.addAll(
+                waiting.add(request, cost, waiter -> choice.hasRoomForOnline(waiter, now), pace));
         waves.record(onlineDemand(), now);
         return decisions;
     }
@@ -254,7 +257,9 @@
     /** Refuses the waiting requests whose latest useful start has passed, and fills free slots. */
     public List<SlotDecision> checkTimes(long now) {
         List<SlotDecision> decisions = new ArrayList<>(waiting.refuseExpired(now));
-        decisions.addAll(waiting.refuseHopeless(request -> hasRoomFor(request, now), pace(now)));
+        decisions.addAll(
+                waiting.refuseExpectedTimeouts(
+                        request -> choice.hasRoomForOnline(request, now), pace(now)));
         decisions.addAll(assignFreeSlots(now));
         return decisions;
     }
@@ -359,7 +364,7 @@
 
     private void startWaitingRequests(long now, List<SlotDecision> decisions) {
         boolean started = true;
-        while (started && waiting.size() > 0 && hasSlotForOnline(now)) {
+        while (started && waiting.size() > 0 && choice.hasSlotForOnline(now)) {
             started = startFirstPossible(now, decisions);
         }
     }
@@ -377,17 +382,6 @@
         return next.isPresent();
     }
 
-    private boolean hasSlotForOnline(long now) {
-        return targets.values().stream()
-                .anyMatch(target -> target.isOpen() && target.hasSlotForOnline(now));
-    }
-
-    private boolean hasRoomFor(SlotRequest request, long now) {
-        int tokens = request.size().maxTokens();
-        return targets.values().stream()
-                .anyMatch(target -> target.isOpen() && target.hasRoomForOnline(tokens, now));
-    }
-
     /** Returns the number of slots that online requests hold or wait for. */
     private int onlineDemand() {
         return waiting.size() + targets.values().stream().mapToInt(TargetSlots::online).sum();
@@ -488,17 +482,6 @@
         return true;
     }
 
-    private Refusal refusalReason(SlotRequest request, long now) {
-        boolean anyAcceptable =
-                targets.values().stream()
-                        .anyMatch(
-                                target ->
-                                        target.isOpen()
-                                                && !request.avoided().contains(target.id())
-                                                && !target.isUnavailable(now));
-        return anyAcceptable ? Refusal.FULL : Refusal.NO_TARGET;
-    }
-
     /** Returns how fast waiting requests start if online requests hold all slots. */
     private Pace pace(long now) {
         double slots =
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/WorkspaceLimits.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/WorkspaceLimits.java
@@ -35,8 +35,8 @@
     /** Interval at which idle state is dropped. */
     private static final Duration PRUNE_INTERVAL = Duration.ofSeconds(1);
 
-    /** Upper bound of the age of this process as its instance tells it. */
-    private static final Duration MAX_TOLD_AGE = Duration.ofSeconds(3);
+    /** Greater ages of this process make no difference, because no slice is valid for so long. */
+    private static final Duration MAX_PROCESS_AGE = Duration.ofSeconds(3);
 
     private final EventLoop loop;
     private final PeerMesh.Self self;
@@ -44,6 +44,7 @@
     private final GatewayMetrics metrics;
     private final SuspensionClock clock = new SuspensionClock(Clock.system());
     private final long epoch = ThreadLocalRandom.current().nextLong() | 1;
+    private final ConfiguredLimits configuredLimits = new ConfiguredLimits();
     private final KnownGateways knownGateways;
     private final PermitGranter granter;
     private final PermitHolder holder;
@@ -63,7 +64,7 @@
         this.viewHolder = viewHolder;
         this.metrics = metrics;
         this.knownGateways = new KnownGateways(self.ip(), self.capacity());
-        this.granter = PermitGranter.create(epoch, new ConfiguredLimits());
+        this.granter = PermitGranter.create(epoch, configuredLimits);
         this.holder =
                 PermitHolder.create(
                         ThreadLocalRandom.current().nextLong(),
@@ -133,16 +134,16 @@
      * Obtains a permit for one request; the listener may be called before this returns.
      *
      * @param workspace a workspace with a limit
-     * @param patience the time for which the request may wait for a permit
+     * @param timeout how long the request may wait for a permit, not null
      * @param listener receives the decision, not null
      */
     public PermitHolder.Waiting acquire(
-            String workspace, Duration patience, PermitHolder.Listener listener) {
+            String workspace, Duration timeout, PermitHolder.Listener listener) {
         VersionedLimit limit =
                 limit(workspace)
                         .orElseThrow(() -> new IllegalArgumentException("no limit: " + workspace));
         PermitHolder.Waiting waiting =
-                holder.acquire(workspace, limit, patience, counting(listener), clock.nanoTime());
+                holder.acquire(workspace, limit, timeout, counting(listener), clock.nanoTime());
         startTicking();
         return waiting;
     }
@@ -178,9 +179,7 @@
     /** Returns the limit of a workspace in the configuration in force. */
     public Optional<VersionedLimit> limit(String workspace) {
         long version = viewHolder.view().configVersion();
-        return new ConfiguredLimits()
-                .limit(workspace)
-                .map(limit -> new VersionedLimit(version, limit));
+        return configuredLimits.limit(workspace).map(limit -> new VersionedLimit(version, limit));
     }
 
     @Override
@@ -256,7 +255,7 @@
         if (age.isNegative()) {
             return Duration.ZERO;
         }
-        return age.compareTo(MAX_TOLD_AGE) > 0 ? MAX_TOLD_AGE : age;
+        return age.compareTo(MAX_PROCESS_AGE) > 0 ? MAX_PROCESS_AGE : age;
     }
 
     private void startTicking() {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -161,11 +161,11 @@
             acquireSlot();
         } else {
             giveBackPermit();
-            Duration patience = route.latencyTarget().dividedBy(PERMIT_WAIT_DIVISOR);
+            Duration timeout = route.latencyTarget().dividedBy(PERMIT_WAIT_DIVISOR);
             permitWaiting =
                     dispatcher
                             .limits()
-                            .acquire(access.workspaceName(), patience, new PermitListener());
+                            .acquire(access.workspaceName(), timeout, new PermitListener());
         }
     }
 
