--- a/core/src/main/java/org/fuchsiaspindle/core/serving/PriorityLevel.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/PriorityLevel.java
@@ -57,9 +57,7 @@
 
     /** Removes a request that starts, and charges its workspace. */
     void start(Waiting<T> request) {
-        long earliestRound =
-                all().mapToLong(waiting -> rounds.round(waiting.workspace())).min().orElseThrow();
-        rounds.advanceTo(earliestRound);
+        rounds.advanceTo(earliestRound());
         rounds.charge(request.workspace(), EQUAL_WEIGHT, request.cost());
         shares.served(request.workspace());
         remove(request);
@@ -92,8 +90,20 @@
                 .or(() -> first(inRounds(late), canStart));
     }
 
+    /**
+     * Returns the first request of a workspace that starves. One that got more service than another
+     * that waits does not starve, however many of its requests are refused.
+     */
     private Optional<Waiting<T>> firstStarved() {
-        return all().filter(waiting -> shares.isStarved(waiting.workspace())).findFirst();
+        long earliestRound = earliestRound();
+        return all().filter(waiting -> rounds.round(waiting.workspace()) <= earliestRound)
+                .filter(waiting -> shares.isStarved(waiting.workspace()))
+                .findFirst();
+    }
+
+    /** Returns the earliest round of a waiting request, 0 if none waits. */
+    private long earliestRound() {
+        return all().mapToLong(waiting -> rounds.round(waiting.workspace())).min().orElse(0);
     }
 
     private static <T> Optional<Waiting<T>> first(List<Waiting<T>> order, Predicate<T> canStart) {
--- a/core/src/test/java/org/fuchsiaspindle/core/serving/RequestQueueTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/serving/RequestQueueTest.java
@@ -105,6 +105,21 @@
         assertThat(order(100, 1)).startsWith("late");
     }
 
+    /** Guards against a workspace that goes first because it sends so much that is refused. */
+    @Test
+    void workspaceThatWasServedMore_doesNotGoFirstForItsRefusals() {
+        add("older", "other", 400, 1000);
+        for (int i = 0; i < 200; i++) {
+            queue.recordRefused(0, "flooding");
+        }
+        serve("third", 400);
+        serve("other", 8);
+        serve("flooding", 12);
+        add("newer", "flooding", 500, 1000);
+        assertThat(queue.isStarved(0, "flooding")).isTrue();
+        assertThat(order(100, 1)).containsExactly("older", "newer");
+    }
+
     /** Guards against late requests that wait until they time out although that is known. */
     @Test
     void lateRequestsThatCannotStartInTime_areExpectedTimeouts() {
@@ -115,6 +130,14 @@
                 .containsExactly("second");
     }
 
+    private void serve(String workspace, int count) {
+        for (int i = 0; i < count; i++) {
+            String name = workspace + " served " + i;
+            add(name, workspace, 500, 1000);
+            queue.start(name);
+        }
+    }
+
     private void add(String name, String workspace, long onTimeUntil, long startUntil) {
         queue.add(new RequestQueue.Entry<>(name, 0, workspace, 1, onTimeUntil, startUntil, 0));
     }
