--- a/core/src/main/java/org/fuchsiaspindle/core/work/WorkEstimator.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/work/WorkEstimator.java
@@ -40,6 +40,11 @@
     /** Weight of one run in the averages. */
     private static final double SAMPLE_WEIGHT = 0.02;
 
+    /**
+     * Largest work of one request relative to an average one that decisions between callers use.
+     */
+    private static final double MAX_RELATIVE_WORK = 16;
+
     /** Weight of the assumed slowdown among what was observed, in squared requests. */
     private static final double INITIAL_SLOWDOWN_WEIGHT = 20;
 
@@ -100,11 +105,13 @@
 
     /**
      * Returns the expected work of a request in multiples of that of an average one; positive, 1 if
-     * unknown.
+     * unknown. It is bounded, because callers state the sizes and hints that it is derived from.
      */
     public double relativeWork(RequestSize size) {
         double nanos = expectedNanos(size, size.promptTokens(), meanRunning);
-        return nanos == 0 || meanNanos == 0 ? 1 : nanos / meanNanos;
+        return nanos == 0 || meanNanos == 0
+                ? 1
+                : Math.clamp(nanos / meanNanos, 1 / MAX_RELATIVE_WORK, MAX_RELATIVE_WORK);
     }
 
     /**
--- a/core/src/test/java/org/fuchsiaspindle/core/work/WorkEstimatorTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/work/WorkEstimatorTest.java
@@ -87,6 +87,15 @@
         assertThat(longer).isBetween(1.0, 1.6);
     }
 
+    /** Guards against a caller whose claimed length makes the requests of all others look late. */
+    @Test
+    void relativeWork_isBoundedWhateverIsClaimed() {
+        for (int i = 0; i < 50; i++) {
+            recordStream(size(30, 0), 30, new TargetSpeed(), 1);
+        }
+        assertThat(estimator.relativeWork(size(Integer.MAX_VALUE, 0))).isLessThanOrEqualTo(16);
+    }
+
     /** Guards against long prompts that look as quick as short ones. */
     @Test
     void workOfAPrompt_growsWithTheTokensToRead() {
