--- a/core/src/main/java/org/fuchsiaspindle/core/limit/FleetKnowledge.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/FleetKnowledge.java
@@ -16,7 +16,7 @@
     private static final Duration SETTLING_TIME = Duration.ofMillis(100);
 
     /** Time after the first answer of another gateway after which missing ones count as down. */
-    private static final Duration PARTIAL_START_TIME = Duration.ofSeconds(1);
+    private static final Duration PARTIAL_START_TIME = Duration.ofMillis(200);
 
     /** Time after which a gateway that no other one answers uses its slice. */
     private static final Duration ISOLATED_START_TIME = Duration.ofSeconds(30);
