--- a/review/stand2/Gateways.java
+++ b/review/stand2/Gateways.java
@@ -33,7 +33,6 @@
     private final Map<String, Object> platform = new LinkedHashMap<>();
     private final Relay[][] relays;
     private final AtomicBoolean closing = new AtomicBoolean();
-    private final Map<Integer, String> storeAddresses = new HashMap<>();
     private final Map<Integer, List<String>> seedsByIndex = new HashMap<>();
     private boolean relayed;
     final int base;
@@ -48,6 +47,7 @@
             ends.add(0);
         }
         base = freePorts(ips);
+        Runtime.getRuntime().addShutdownHook(new Thread(this::close));
         relays = new Relay[count][count];
         platform.put("address", storeAddress);
         platform.put("form", "table");
@@ -85,15 +85,6 @@
         seedsByIndex.put(index, addresses);
     }
 
-    /** Gives a gateway an address of its own for the store, such as that of a relay. */
-    void setStoreAddress(int index, String address) {
-        storeAddresses.put(index, address);
-    }
-
-    private String storeAddress(int index) {
-        return storeAddresses.getOrDefault(index, Js.str(platform.get("address")));
-    }
-
     /** Returns the relay of the channels that one gateway opens to another. */
     Relay relay(int from, int to) {
         return relays[from][to];
@@ -229,9 +220,7 @@
         settings.put("limits", limits);
         settings.put("heartbeatMs", 1200L);
         settings.put("bounds", bounds);
-        Map<String, Object> store = new LinkedHashMap<>(platform);
-        store.put("address", storeAddress(index));
-        settings.put("platform", store);
+        settings.put("platform", platform);
         return settings;
     }
 
--- a/review/stand2/Relay.java
+++ b/review/stand2/Relay.java
@@ -14,7 +14,6 @@
 
     private final String toIp;
     private final int toPort;
-    private volatile boolean down;
     private final Set<AtomicBoolean> open = ConcurrentHashMap.newKeySet();
 
     Relay(String ip, int port, String toIp, int toPort) throws IOException {
@@ -24,14 +23,6 @@
         Thread.ofVirtual().start(() -> accept(server));
     }
 
-    /** Makes the other side silent, or ends that; channels that were open stay silent. */
-    void setDown(boolean newDown) {
-        down = newDown;
-        if (newDown) {
-            silenceOpenChannels();
-        }
-    }
-
     /** Makes the open channels silent; returns their number. */
     int silenceOpenChannels() {
         int count = 0;
@@ -53,7 +44,7 @@
     }
 
     private void pass(Socket from) {
-        AtomicBoolean silent = new AtomicBoolean(down);
+        AtomicBoolean silent = new AtomicBoolean();
         Socket to = new Socket();
         try {
             to.connect(new InetSocketAddress(toIp, toPort), 1000);
--- a/review/stand2/Server.java
+++ b/review/stand2/Server.java
@@ -105,10 +105,6 @@
         return text.toString();
     }
 
-    static String dataOf(String request, int event, int bytes) {
-        return data(request, event, bytes);
-    }
-
     /** Ends at once, like a process that crashes: all channels and the port are closed. */
     void crash() throws IOException {
         up = false;
--- a/review/stand2/Setup.java
+++ b/review/stand2/Setup.java
@@ -7,6 +7,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.Stream;
 
 /** What all scripts share: the folder of the case, the store, the configuration, the ends. */
 final class Setup {
@@ -16,6 +17,9 @@
     static final int NOT_RUN = 2;
     static final String STORE_IP = "127.45.0.1";
 
+    /** A script that takes longer than allowed has not run. */
+    private static final int MAX_SECONDS = 115;
+
     /** One script: returns its exit code. */
     interface Script {
         int run(Path root, Path temporary, boolean trouble) throws Exception;
@@ -30,10 +34,18 @@
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         Notes.open(folder.resolve("record.txt"));
         Notes.line("trouble %s", trouble ? "on" : "off");
+        Thread.ofVirtual()
+                .start(
+                        () -> {
+                            Platform.sleep(MAX_SECONDS * 1000L);
+                            Notes.line("not done in %d s", MAX_SECONDS);
+                            System.exit(NOT_RUN);
+                        });
         int code = NOT_RUN;
         try {
             Path temporary = Files.createTempDirectory("fuchsiareview2");
             code = script.run(root, temporary, trouble);
+            delete(temporary);
         } catch (Throwable failure) {
             Notes.line("the case could not run: %s", failure);
             failure.printStackTrace();
@@ -42,6 +54,15 @@
         System.exit(code);
     }
 
+    private static void delete(Path folder) throws IOException {
+        try (Stream<Path> files = Files.list(folder)) {
+            for (Path file : files.toList()) {
+                Files.delete(file);
+            }
+        }
+        Files.delete(folder);
+    }
+
     static Map<String, Object> batchRoute(String service, int attempts) {
         Map<String, Object> route = new LinkedHashMap<>();
         route.put("name", "r-batch");
