Let a silence speak only against the calls that met it, so that sound targets are used again

Cause: a gateway took the silence for a property of the target. Only data ended it, and without calls no data comes; the mark was reported to the coordinator each second, also without a call, and two reports (or one, where nobody held a slot) kept all items away; and a trial was cancelled at the next tick by the old mark, on a kept connection that could be dead as well. Seen in the logs: "target: silent", "outcome=again reason=silent target" for each item, then nothing about the items or the targets to the end of the run.

Change: core.serving.TargetSilence decides. Calls that start after a silence was found are trials with a time of their own that doubles while trials fail; data ends the silence. Idle connections are closed when it is found. It is reported when found or confirmed, and its end too (new message DataReport). TargetReliability withholds the target for 1.5 s after a report, then grants one slot at a time; reports of a gateway without a slot there do not count, because no call of it can have met a silence. The same on one connection: a stream without data for 2 s moves, though its target answers others. A check that runs late does not judge.

SlotPoolTest.targetReportedSilentByTwoGateways let gateways without slots report; they hold one each now.

--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -232,10 +232,20 @@
     public void recordSilence(String holder, String target, long now) {
         TargetSlots slots = targets.get(target);
         if (slots != null) {
-            slots.reliability().recordSilence(holder, now);
+            slots.recordSilence(holder, now);
         }
     }
 
+    /** Records that a target that a gateway had reported as silent sends it data again. */
+    public List<SlotDecision> recordData(String target, long now) {
+        TargetSlots slots = targets.get(target);
+        if (slots == null) {
+            return List.of();
+        }
+        slots.reliability().recordData();
+        return assignFreeSlots(now);
+    }
+
     /**
      * Records how many requests a second a target accepts from all gateways together.
      *
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetChoice.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetChoice.java
@@ -128,14 +128,14 @@
     /**
      * Returns the target for a batch item, empty if none has a free slot and memory.
      *
-     * @param open the targets that {@link #openToBatchItems} returned, some of which may be full by
-     *     now
+     * @param open the targets that {@link #openToBatchItems} returned, some of which may be full or
+     *     have got their trial by now
      * @param demand the demand of the gateway of the item
      * @param now the time
      */
     Optional<TargetSlots> forBatchItem(List<TargetSlots> open, BatchDemand demand, long now) {
         return open.stream()
-                .filter(target -> target.hasSlotForBatch(now))
+                .filter(target -> target.hasSlotForBatch(now) && !target.isUnavailable(now))
                 .filter(target -> target.hasRoom(demand.largestItemTokens()))
                 .filter(target -> !demand.avoided().contains(target.id()))
                 .min(Comparator.comparingDouble(target -> target.batchCost(now)));
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
@@ -255,11 +255,11 @@
         return leases.size() + slots * reliability.failureShare(now) + slowCost;
     }
 
-    /** Returns the number of gateways that hold slots of the target. */
-    int holders() {
+    /** Returns the gateways that hold slots of the target. */
+    private Set<String> holders() {
         Set<String> holders = new HashSet<>();
         leases.forEach(lease -> holders.add(lease.holder()));
-        return holders.size();
+        return holders;
     }
 
     /**
@@ -292,7 +292,20 @@
         return lease.dueMillis() / DUE_STEP.toMillis();
     }
 
+    /** Returns whether the target refuses requests, or is silent and gets no trial now. */
     boolean isUnavailable(long now) {
-        return reliability.isUnavailable(holders(), now);
+        return reliability.isBlocked(now)
+                || reliability.isWithheld(leases.stream().mapToLong(Lease::grantedNanos), now);
+    }
+
+    /**
+     * Records that the target sends a gateway no data. A report of one that holds no slot here says
+     * nothing about the target, because no request of it runs here.
+     */
+    void recordSilence(String holder, long now) {
+        Set<String> holders = holders();
+        if (holders.contains(holder)) {
+            reliability.recordSilence(holder, holders.size(), now);
+        }
     }
 }
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -397,6 +397,7 @@
     @Test
     void targetReportedSilentByTwoGateways_receivesNothing() {
         targets("good", "silent");
+        hold("silent", "g1", "g2");
         pool.recordSilence("g1", "silent", now);
         pool.recordSilence("g2", "silent", now);
         for (int i = 0; i < SLOTS; i++) {
@@ -405,6 +406,36 @@
         assertThat(demand("g3", 2, 1000)).isEmpty();
     }
 
+    /** Guards against a silent target that is never tried again, or by all items at once. */
+    @Test
+    void silentTarget_getsOneTrialAtATimeUntilItSendsData() {
+        targets("silent");
+        hold("silent", "g1", "g2");
+        pool.recordSilence("g1", "silent", now);
+        pool.recordSilence("g2", "silent", now);
+        now += Duration.ofSeconds(1).toNanos();
+        assertThat(demand("g3", SLOTS, 1000)).isEmpty();
+        now += Duration.ofSeconds(1).toNanos();
+        BatchGranted trial = batchGranted(pool.checkTimes(now));
+        assertThat(pool.checkTimes(now)).isEmpty();
+        pool.recordSilence("g3", "silent", now);
+        assertThat(release("g3", trial.ticket(), LeaseOutcome.CANCELLED)).isEmpty();
+        now += Duration.ofSeconds(2).toNanos();
+        assertThat(batchGranted(pool.checkTimes(now)).target()).isEqualTo("silent");
+        assertThat(pool.recordData("silent", now)).hasOnlyElementsOfType(BatchGranted.class);
+        assertThat(pool.occupiedSlots()).isEqualTo(SLOTS);
+    }
+
+    /** Guards against a gateway without requests at a target that takes it from the others. */
+    @Test
+    void silenceReportedWithoutASlot_takesNoTarget() {
+        targets("sound");
+        pool.recordSilence("g1", "sound", now);
+        assertThat(granted(request("g2", false)).target()).isEqualTo("sound");
+        pool.recordSilence("g1", "sound", now);
+        assertThat(granted(request("g3", false)).target()).isEqualTo("sound");
+    }
+
     @Test
     void leavingTarget_receivesNothing() {
         pool.setTargets(List.of(target("a", true)), now);
@@ -448,6 +479,14 @@
         }
     }
 
+    /** Makes gateways hold one slot of a target each. */
+    private void hold(String target, String... holders) {
+        for (String holder : holders) {
+            HeldSlot slot = new HeldSlot(nextTicket++, target, TrafficClass.ONLINE, 0, 0);
+            pool.replaceHoldings(holder, List.of(slot), 0, now);
+        }
+    }
+
     private void fail(String target, String... holders) {
         for (String holder : holders) {
             List<Granted> grants = new ArrayList<>();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -159,7 +159,7 @@
         limits.start(mesh);
         metrics.observeTargets(fleet::openTargets);
         metrics.observeItemMemory(() -> runner.itemBytes(), () -> runner.waitingJobCount());
-        fleet.start(slots::reportSilence, slots::reportRequestLimit);
+        fleet.start(slots::reportSilence, slots::reportData, slots::reportRequestLimit);
         viewHolder.addListener(view -> requestLoop.execute(() -> apply(view.directory())));
         ConfigWatch.start(storeLoop, storeClient, storeHealth, viewHolder);
         TargetWatch.start(storeLoop, storeClient, storeHealth, viewHolder);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -42,6 +42,7 @@
     private boolean completed;
     private boolean quarantined;
     private boolean needsNewConnection;
+    private int stalledRuns;
     private long startedNanos;
     private long lastEventAtStart;
     private long earliestStartNanos = System.nanoTime();
@@ -104,6 +105,16 @@
         return needsNewConnection;
     }
 
+    /** Records that the current run got no data for too long. */
+    void recordStall() {
+        stalledRuns++;
+    }
+
+    /** Returns how many runs in a row got no data for too long. */
+    int stalledRuns() {
+        return stalledRuns;
+    }
+
     /** Returns the time since the item was last tried in spite of a quarantine. */
     Duration timeSinceTrial(long now) {
         return lastTrialNanos.isEmpty()
@@ -195,6 +206,7 @@
             }
             append(event.data());
             lastEvent = event.id();
+            stalledRuns = 0;
         }
         event.bytes().release();
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -20,6 +20,7 @@
 import org.fuchsiaspindle.core.job.JobOwner;
 import org.fuchsiaspindle.core.job.JobRecord;
 import org.fuchsiaspindle.core.serving.Route;
+import org.fuchsiaspindle.core.serving.StallLimit;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.workspace.TargetIdentity;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
@@ -274,8 +275,9 @@
         boolean checkpointDue = now - lastCheckpointNanos > CHECKPOINT_INTERVAL.toNanos();
         for (OwnedJob job : List.copyOf(ownedJobs.values())) {
             for (ItemRun run : List.copyOf(job.runs())) {
-                if (run.isRunning() && run.call().isTargetSilent()) {
+                if (run.isRunning() && run.call().isInVain()) {
                     run.call().cancel();
+                    run.recordStall();
                     retryLater(run, now, "silent target");
                 } else if (run.isRunning() && run.timeOfThisRun(now).compareTo(RUN_TIMEOUT) > 0) {
                     run.call().fail();
@@ -467,7 +469,11 @@
                         target,
                         lease,
                         new CallDescription(
-                                item.id(), true, run.promptParts(), run.needsNewConnection()),
+                                item.id(),
+                                true,
+                                StallLimit.after(run.stalledRuns()),
+                                run.promptParts(),
+                                run.needsNewConnection()),
                         () ->
                                 TargetProtocol.itemRequest(
                                         item.id(),
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/online/OnlineCall.java
@@ -16,6 +16,7 @@
 import org.fuchsiaspindle.core.limit.PermitHolder;
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.core.serving.RouteKind;
+import org.fuchsiaspindle.core.serving.StallLimit;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
 import org.fuchsiaspindle.core.slot.RunReport;
@@ -241,6 +242,7 @@
                                 new CallDescription(
                                         exchange.request().id(),
                                         route.kind() == RouteKind.STREAM,
+                                        StallLimit.after(attempts),
                                         promptParts,
                                         needsNewConnection),
                                 () ->
@@ -272,7 +274,7 @@
         if (finished || call != checkedCall) {
             return;
         }
-        if (checkedCall.isTargetSilent()
+        if (checkedCall.isInVain()
                 && checkedCall.isSent()
                 && attempts + 1 < route.maxAttempts()
                 && isReplaceable()) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
@@ -128,7 +128,8 @@
         send();
     }
 
-    private void send() {
+    /** Tells coordinators at once what has changed for them. */
+    void send() {
         boolean anyWaiting =
                 waitingByService.values().stream().anyMatch(waiting -> waiting.items() > 0);
         if (anyWaiting && !remoteCheckScheduled) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -203,6 +203,17 @@
                                         SlotCodec.silence(pool, target.id())));
     }
 
+    /** Reports to the coordinator that a target that was silent sends data again. */
+    public void reportData(TargetInstance target) {
+        poolOf(target)
+                .ifPresent(
+                        pool ->
+                                send(
+                                        holdings(pool).coordinator(),
+                                        SlotCodec.data(pool, target.id())));
+        batchDemands.changed();
+    }
+
     /**
      * Reports to the coordinator how many requests a second a target accepts, empty if it announces
      * no limit.
@@ -347,8 +358,19 @@
                         grant.getTargetLimited());
         usableTarget(grant.getTarget())
                 .ifPresentOrElse(
-                        target -> batchDemands.onGranted(lease, target),
-                        () -> releaseUnusable(lease));
+                        target -> startBatchItem(lease, target), () -> releaseUnusable(lease));
+    }
+
+    private void startBatchItem(SlotLease lease, TargetInstance target) {
+        if (targets.isAvoided(target.id())) {
+            // Granted before the coordinator knew, such as a second slot of a target on trial. The
+            // demand names the target, so it is sent first.
+            metrics.countSlotEvent("avoided");
+            batchDemands.send();
+            lease.release(RunReport.unused(LeaseOutcome.CANCELLED));
+        } else {
+            batchDemands.onGranted(lease, target);
+        }
     }
 
     private void onRevocation(String ip, PoolId pool, long ticket) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
@@ -19,6 +19,7 @@
 import org.fuchsiaspindle.core.work.RequestSize;
 import org.fuchsiaspindle.wire.peer.BatchDemandMessage;
 import org.fuchsiaspindle.wire.peer.BatchGrant;
+import org.fuchsiaspindle.wire.peer.DataReport;
 import org.fuchsiaspindle.wire.peer.HeldSlotMessage;
 import org.fuchsiaspindle.wire.peer.HoldingsQuery;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
@@ -265,6 +266,12 @@
                 .build();
     }
 
+    static PeerFrame data(PoolId pool, String target) {
+        return PeerFrame.newBuilder()
+                .setDataReport(DataReport.newBuilder().setPool(encode(pool)).setTarget(target))
+                .build();
+    }
+
     /** Encodes a decision for its holder. */
     static PeerFrame decision(PoolId pool, SlotDecision decision) {
         PeerFrame.Builder frame = PeerFrame.newBuilder();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
@@ -167,6 +167,7 @@
                                     now));
             case SILENCE_REPORT ->
                     pool.recordSilence(holder, frame.getSilenceReport().getTarget(), now);
+            case DATA_REPORT -> send(id, pool.recordData(frame.getDataReport().getTarget(), now));
             default -> throw new AssertionError(frame.getBodyCase());
         }
         scheduleCheck();
@@ -180,6 +181,7 @@
                     case BATCH_DEMAND -> frame.getBatchDemand().getPool();
                     case SLOT_HOLDINGS -> frame.getSlotHoldings().getPool();
                     case SILENCE_REPORT -> frame.getSilenceReport().getPool();
+                    case DATA_REPORT -> frame.getDataReport().getPool();
                     case REQUEST_LIMIT_REPORT -> frame.getRequestLimitReport().getPool();
                     default -> throw new AssertionError(frame.getBodyCase());
                 });
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetCall.java
@@ -15,6 +15,7 @@
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
 import org.fuchsiaspindle.core.slot.RunReport;
+import org.fuchsiaspindle.core.slot.TrafficClass;
 import org.fuchsiaspindle.gateway.slot.SlotLease;
 import org.fuchsiaspindle.platform.channel.Attribution;
 import org.fuchsiaspindle.platform.channel.ExchangeFailure;
@@ -35,7 +36,10 @@
     private final SlotLease lease;
     private final CallDescription description;
     private final CallListener listener;
-    private final long createdNanos = System.nanoTime();
+    private long waitingSinceNanos = System.nanoTime();
+    private long lastDataNanos = waitingSinceNanos;
+    private boolean reading = true;
+    private boolean stalled;
     private Supplier<FullHttpRequest> request;
     private HttpConnection connection;
     private TargetResponse response;
@@ -77,16 +81,23 @@
         return sent;
     }
 
-    /** Returns whether the target has sent no data for too long although calls run on it. */
-    public boolean isTargetSilent() {
-        return target.health().isSilent();
+    /**
+     * Returns whether the call waits in vain: its target sends no data to any call that has waited
+     * as long, or its connection sends none although it carries a stream.
+     */
+    public boolean isInVain() {
+        return stalled || target.isSilentFor(this);
     }
 
     /** Pauses or resumes reading the response, to apply back-pressure to the target. */
-    public void setReading(boolean reading) {
+    public void setReading(boolean newReading) {
         if (connection != null && !ended) {
-            paused |= !reading;
-            connection.setReading(reading);
+            paused |= !newReading;
+            if (newReading && !reading) {
+                waitingSinceNanos = System.nanoTime();
+            }
+            reading = newReading;
+            connection.setReading(newReading);
         }
     }
 
@@ -112,6 +123,30 @@
         return description.isStream();
     }
 
+    boolean isOnline() {
+        return lease.trafficClass() == TrafficClass.ONLINE;
+    }
+
+    /** Returns whether data of the response is read as it arrives. */
+    boolean isReading() {
+        return reading;
+    }
+
+    /** Returns since when the call waits for data, apart from the data that it got since. */
+    long waitingSinceNanos() {
+        return waitingSinceNanos;
+    }
+
+    /** Returns whether the response is found now to have stalled. */
+    boolean checkStall(long now) {
+        if (stalled || !description.isStream() || !sent || !reading) {
+            return false;
+        }
+        long sinceData = Math.min(now - lastDataNanos, now - waitingSinceNanos);
+        stalled = sinceData > description.stallLimit().toNanos();
+        return stalled;
+    }
+
     /** Returns whether the coordinator limited the requests to the target when it granted this. */
     boolean isTargetLimited() {
         return lease.isTargetLimited();
@@ -126,10 +161,6 @@
         return suspicion.isSuspect();
     }
 
-    long createdNanos() {
-        return createdNanos;
-    }
-
     /** Returns how many exchanges its connection has carried, this call's included. */
     int exchanges() {
         return connection.exchanges();
@@ -152,6 +183,7 @@
         connection = newConnection;
         sent = true;
         sentNanos = System.nanoTime();
+        lastDataNanos = sentNanos;
         FullHttpRequest newRequest = request.get();
         request = null;
         newConnection.send(description.requestId(), newRequest, new ResponseReader());
@@ -219,7 +251,7 @@
 
         @Override
         public Attribution onHead(HttpResponse head) {
-            fleet.dataReceived(target);
+            dataReceived();
             firstExchange = connection.exchanges() == 1 && passedOver == 0;
             Attribution attribution =
                     TargetProtocol.attribute(head, description.requestId(), firstExchange);
@@ -235,6 +267,12 @@
             return attribution;
         }
 
+        private void dataReceived() {
+            lastDataNanos = System.nanoTime();
+            stalled = false;
+            fleet.dataReceived(target, lastDataNanos);
+        }
+
         private void startResponse(HttpResponse head) {
             if (passedOver > 0) {
                 fleet.answerEvents().acceptedAfterOthers(TargetCall.this, head, passedOver);
@@ -251,7 +289,7 @@
 
         @Override
         public void onData(ByteBuf data) {
-            fleet.dataReceived(target);
+            dataReceived();
             if (suspicion.recordData(System.nanoTime())) {
                 fleet.answered(TargetCall.this);
             }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetFleet.java
@@ -41,17 +41,23 @@
 
     private static final Duration REST_CHECK_INTERVAL = Duration.ofMillis(400);
 
+    /** A check that is later than this missed data that waits in the sockets of this process. */
+    private static final Duration LATE_CHECK = Duration.ofMillis(200);
+
     private final EventLoop loop;
     private final Map<String, TargetState> targets = new HashMap<>();
     private final CrashDetector crashDetector;
     private final PromptGuard promptGuard;
     private final AnswerEvents answerEvents;
+    private final GatewayMetrics metrics;
     private Consumer<TargetInstance> silenceListener = target -> {};
+    private Consumer<TargetInstance> silenceEndListener = target -> {};
     private RequestLimitListener requestLimitListener = (target, limit) -> {};
 
     private TargetFleet(EventLoop loop, PromptGuard promptGuard, GatewayMetrics metrics) {
         this.loop = loop;
         this.promptGuard = promptGuard;
+        this.metrics = metrics;
         this.answerEvents = new AnswerEvents(metrics);
         this.crashDetector = new CrashDetector(loop, promptGuard::onCrash);
     }
@@ -61,7 +67,7 @@
      *
      * @param loop its event loop
      * @param promptGuard learns which prompts crash targets and which are answered
-     * @param metrics counts irregular answers
+     * @param metrics counts irregular answers and silences
      */
     public static TargetFleet create(
             EventLoop loop, PromptGuard promptGuard, GatewayMetrics metrics) {
@@ -87,14 +93,19 @@
     /**
      * Starts the periodic checks.
      *
-     * @param newSilenceListener called for each silent target, repeatedly while it is silent
+     * @param newSilenceListener called for each target that is found silent, and again for each
+     *     later call that confirms it
+     * @param newSilenceEndListener called when data comes from a target that was found silent
      * @param newLimitListener called for each target that announces a limit
      */
     public void start(
-            Consumer<TargetInstance> newSilenceListener, RequestLimitListener newLimitListener) {
+            Consumer<TargetInstance> newSilenceListener,
+            Consumer<TargetInstance> newSilenceEndListener,
+            RequestLimitListener newLimitListener) {
         silenceListener = checkNotNull(newSilenceListener, "newSilenceListener");
+        silenceEndListener = checkNotNull(newSilenceEndListener, "newSilenceEndListener");
         requestLimitListener = checkNotNull(newLimitListener, "newLimitListener");
-        checkTargets();
+        scheduleCheck();
     }
 
     /** Replaces the known targets with those of a directory; running calls continue. */
@@ -145,8 +156,7 @@
     @Override
     public boolean isAvoided(String id) {
         TargetState state = targets.get(id);
-        return state != null
-                && (!state.isOpen() || !state.health().acceptsCalls(System.nanoTime()));
+        return state != null && (!state.isOpen() || !state.acceptsCalls(System.nanoTime()));
     }
 
     /** Returns whether no call of this gateway runs on a target. */
@@ -173,8 +183,7 @@
         TargetState state = targets.get(instance.id());
         TargetCall call = new TargetCall(this, state, lease, description, request, listener);
         long now = System.nanoTime();
-        state.add(call);
-        state.health().callStarted(now);
+        state.add(call, now);
         HttpConnection pooled =
                 description.newConnection()
                         ? null
@@ -223,8 +232,12 @@
         return answerEvents;
     }
 
-    void dataReceived(TargetState state) {
-        state.dataReceived(System.nanoTime());
+    void dataReceived(TargetState state, long now) {
+        if (state.dataReceived(now)) {
+            LOG.info("target: sends data again target={}", state.instance().id());
+            metrics.countTargetSilence("ended");
+            silenceEndListener.accept(state.instance());
+        }
     }
 
     void responseReceived(TargetCall call, TargetResponse response) {
@@ -259,24 +272,43 @@
         }
     }
 
-    private void checkTargets() {
+    private void scheduleCheck() {
+        boolean callsRun = targets.values().stream().anyMatch(state -> !state.calls().isEmpty());
+        Duration interval = callsRun ? HEALTH_CHECK_INTERVAL : REST_CHECK_INTERVAL;
+        long dueNanos = System.nanoTime() + interval.toNanos();
+        loop.schedule(() -> checkTargets(dueNanos), interval.toMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private void checkTargets(long dueNanos) {
         long now = System.nanoTime();
+        boolean late = now - dueNanos > LATE_CHECK.toNanos();
         for (TargetState state : targets.values()) {
             state.closeStaleConnections(now);
-            if (!state.calls().isEmpty()
-                    && state.health()
-                            .checkSilence(now, state.silentSinceNanos(now), state.silenceLimit())) {
-                LOG.info(
-                        "target: silent target={} calls={}",
-                        state.instance().id(),
-                        state.calls().size());
-            }
-            if (state.isSilenceReportDue(now)) {
-                silenceListener.accept(state.instance());
+            if (!late) {
+                checkSilence(state, now);
             }
         }
-        boolean callsRun = targets.values().stream().anyMatch(state -> !state.calls().isEmpty());
-        Duration interval = callsRun ? HEALTH_CHECK_INTERVAL : REST_CHECK_INTERVAL;
-        loop.schedule(this::checkTargets, interval.toMillis(), TimeUnit.MILLISECONDS);
+        scheduleCheck();
+    }
+
+    private void checkSilence(TargetState state, long now) {
+        if (state.checkSilence(now)) {
+            LOG.info(
+                    "target: silent target={} calls={}",
+                    state.instance().id(),
+                    state.calls().size());
+            metrics.countTargetSilence("found");
+            // They may be as dead as the connections of the calls; a trial needs a new one.
+            state.closeIdleConnections();
+            silenceListener.accept(state.instance());
+        }
+        for (TargetCall call : state.checkStalls(now)) {
+            LOG.info(
+                    "target: stalled call target={} request={}",
+                    state.instance().id(),
+                    call.description().requestId());
+            metrics.countTargetSilence("stalled_call");
+            state.closeIdleConnections();
+        }
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/target/TargetState.java
@@ -2,29 +2,28 @@
 
 import java.time.Duration;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.OptionalDouble;
 import java.util.Set;
 import org.fuchsiaspindle.core.serving.ConnectionReuse;
 import org.fuchsiaspindle.core.serving.TargetInstance;
+import org.fuchsiaspindle.core.serving.TargetSilence;
 import org.fuchsiaspindle.platform.channel.HttpConnection;
 
 /** The connections, calls and health of one incarnation of a target; not thread-safe. */
 final class TargetState {
 
-    /** Time between two reports that the target is silent. */
-    private static final Duration SILENCE_REPORT_INTERVAL = Duration.ofSeconds(1);
-
     private final AnswerEvents answerEvents;
     private TargetInstance instance;
     private boolean registered = true;
     private final TargetHealth health = new TargetHealth();
+    private final TargetSilence silence = new TargetSilence(System.nanoTime());
     private final Deque<HttpConnection> idleConnections = new ArrayDeque<>();
     private final Set<TargetCall> calls = new LinkedHashSet<>();
-    private long lastDataNanos;
-    private long silenceReportedNanos;
     private boolean leavingAnnounced;
     private OptionalDouble requestLimit = OptionalDouble.empty();
 
@@ -74,46 +73,50 @@
         return isNew;
     }
 
-    /** Returns how long the target may send no data while its current calls run. */
-    Duration silenceLimit() {
-        return calls.stream().anyMatch(TargetCall::isStream)
-                ? TargetHealth.STREAM_SILENCE_LIMIT
-                : TargetHealth.UNARY_SILENCE_LIMIT;
+    /** Returns whether the target may receive a call now. */
+    boolean acceptsCalls(long now) {
+        return !health.isBlocked(now) && silence.acceptsCalls(now);
     }
 
-    void add(TargetCall call) {
+    void add(TargetCall call, long now) {
         calls.add(call);
+        silence.callStarted(now);
     }
 
     boolean remove(TargetCall call) {
         return calls.remove(call);
     }
 
-    /** Returns whether the coordinator must be told now that the target is silent. */
-    boolean isSilenceReportDue(long now) {
-        boolean due =
-                health.isSilent() && now - silenceReportedNanos > SILENCE_REPORT_INTERVAL.toNanos();
-        if (due) {
-            silenceReportedNanos = now;
-        }
-        return due;
+    /** Records data from the target; returns whether this ends a silence. */
+    boolean dataReceived(long now) {
+        health.dataReceived();
+        return silence.dataReceived(now);
     }
 
-    void dataReceived(long now) {
-        lastDataNanos = now;
-        health.dataReceived();
+    /** Returns whether the target was silent while a call waited, and has not sent data since. */
+    boolean isSilentFor(TargetCall call) {
+        return silence.isMetBy(call.waitingSinceNanos());
     }
 
-    /** Returns the time since which calls have been running without any data from the target. */
-    long silentSinceNanos(long now) {
-        long earliestStartNanos = now;
+    /** Returns whether the target is found silent now, or again by a call after that. */
+    boolean checkSilence(long now) {
+        if (calls.isEmpty()) {
+            return false;
+        }
+        List<TargetSilence.WaitingCall> waiting = new ArrayList<>();
         for (TargetCall call : calls) {
-            earliestStartNanos =
-                    call.createdNanos() - earliestStartNanos < 0
-                            ? call.createdNanos()
-                            : earliestStartNanos;
+            if (call.isReading()) {
+                waiting.add(
+                        new TargetSilence.WaitingCall(
+                                call.waitingSinceNanos(), call.isStream(), call.isOnline()));
+            }
         }
-        return earliestStartNanos - lastDataNanos > 0 ? earliestStartNanos : lastDataNanos;
+        return silence.check(waiting, now);
+    }
+
+    /** Returns the calls that are found now to wait for data of a connection that sends none. */
+    List<TargetCall> checkStalls(long now) {
+        return calls.stream().filter(call -> call.checkStall(now)).toList();
     }
 
     /** Returns how many requests a second the target accepted according to its last response. */
@@ -188,7 +191,8 @@
         return Duration.ofNanos(now - connection.idleSinceNanos());
     }
 
-    private void closeIdleConnections() {
+    /** Closes the connections without a call. */
+    void closeIdleConnections() {
         idleConnections.forEach(HttpConnection::close);
         idleConnections.clear();
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
@@ -86,6 +86,13 @@
                     .labelNames("event")
                     .register(registry);
 
+    private final Counter targetSilences =
+            Counter.builder()
+                    .name("fuchsiaspindle_target_silence_events_total")
+                    .help("Targets found silent, heard again, and calls that stalled alone.")
+                    .labelNames("event")
+                    .register(registry);
+
     private final Counter limits =
             Counter.builder()
                     .name("fuchsiaspindle_limit_events_total")
@@ -143,6 +150,11 @@
         answers.labelValues(event).inc();
     }
 
+    /** Counts a target that was found silent or heard again, or a call that stalled alone. */
+    public void countTargetSilence(String event) {
+        targetSilences.labelValues(event).inc();
+    }
+
     /** Counts an event on a request under the limit of its workspace. */
     public void countLimitEvent(String event) {
         limits.labelValues(event).inc();
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/BlockingHttpServer.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/BlockingHttpServer.java
@@ -11,8 +11,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 
@@ -28,7 +28,7 @@
 
     private volatile ServerSocket listener;
     private final Handler handler;
-    private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+    private final Map<Socket, Connection> connections = new ConcurrentHashMap<>();
     private volatile boolean paused;
 
     /** Handles the requests of a connection in sequence. */
@@ -81,6 +81,7 @@
 
         private final Socket socket;
         private final OutputStream out;
+        private volatile boolean silent;
 
         Connection(Socket socket) throws IOException {
             this.socket = socket;
@@ -88,8 +89,14 @@
         }
 
         void write(String text) throws IOException {
-            out.write(text.getBytes(StandardCharsets.UTF_8));
-            out.flush();
+            write(text.getBytes(StandardCharsets.UTF_8));
+        }
+
+        private void write(byte[] bytes) throws IOException {
+            if (!silent) {
+                out.write(bytes);
+                out.flush();
+            }
         }
 
         void respond(int status, String headers, byte[] body) throws IOException {
@@ -104,8 +111,7 @@
                             + "\r\n\r\n";
             bytes.writeBytes(head.getBytes(StandardCharsets.UTF_8));
             bytes.writeBytes(body);
-            out.write(bytes.toByteArray());
-            out.flush();
+            write(bytes.toByteArray());
         }
 
         /** Writes one chunk of a chunked body. */
@@ -121,6 +127,9 @@
 
         /** Returns whether the client has closed the connection; blocks for at most 1 ms. */
         boolean isClosedByPeer() {
+            if (silent) {
+                return socket.isClosed();
+            }
             try {
                 socket.setSoTimeout(1);
                 return socket.getInputStream().read() < 0;
@@ -191,9 +200,24 @@
         return paused;
     }
 
+    /**
+     * Makes open connections silent for good: nothing passes on them any more in either direction,
+     * and nobody is told. New connections work.
+     *
+     * @param share the share of the open connections, from 0 to 1
+     * @return how many connections are silent now that were not before
+     */
+    int silenceConnections(double share) {
+        List<Connection> open =
+                connections.values().stream().filter(connection -> !connection.silent).toList();
+        int count = (int) Math.ceil(open.size() * share);
+        open.subList(0, count).forEach(connection -> connection.silent = true);
+        return count;
+    }
+
     /** Resets all open connections. */
     void resetConnections() {
-        for (Socket socket : connections) {
+        for (Socket socket : connections.keySet()) {
             try {
                 socket.setSoLinger(true, 0);
                 socket.close();
@@ -220,20 +244,23 @@
             try {
                 Socket socket = openListener.accept();
                 socket.setTcpNoDelay(true);
-                connections.add(socket);
-                Thread.startVirtualThread(() -> serve(socket));
+                Connection connection = new Connection(socket);
+                connections.put(socket, connection);
+                Thread.startVirtualThread(() -> serve(socket, connection));
             } catch (IOException closed) {
                 return;
             }
         }
     }
 
-    private void serve(Socket socket) {
+    private void serve(Socket socket, Connection connection) {
         try (socket) {
             InputStream in = new BufferedInputStream(socket.getInputStream());
-            Connection connection = new Connection(socket);
             Request request;
             while ((request = readHead(in)) != null) {
+                if (connection.silent) {
+                    continue;
+                }
                 boolean answered = handler.handleHead(request, connection);
                 request = readBody(request, in);
                 waitWhilePaused(socket);
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/EngineEmulator.java
@@ -130,6 +130,7 @@
     private volatile boolean unresponsive;
     private volatile String crashingPart = "";
     private volatile Duration crashTime = Duration.ZERO;
+    private volatile Duration startTime = Duration.ZERO;
     private volatile String limitHeader = "";
     private volatile String leavingHeader = "";
     private volatile int incarnation = 1;
@@ -196,6 +197,21 @@
         server.setPaused(newUnresponsive);
     }
 
+    /**
+     * Makes open connections silent for good, while new ones work; what runs on them goes on.
+     *
+     * @param share the share of the open connections, from 0 to 1
+     * @return how many connections went silent
+     */
+    public int silenceConnections(double share) {
+        return server.silenceConnections(share);
+    }
+
+    /** Sets how long each run takes before it sends anything. */
+    public void setStartTime(Duration time) {
+        startTime = time;
+    }
+
     /**
      * Makes the engine crash when it starts to answer a request whose prompt has a part.
      *
@@ -325,6 +341,7 @@
     private boolean run(Request request, Connection connection, Run run) throws IOException {
         ResponseFault fault = nextFault;
         nextFault = ResponseFault.NONE;
+        pause(startTime);
         if (hasCrashingPart(request)) {
             pause(spec.eventTime());
             crash(crashTime);
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrame.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrame.java
@@ -46,6 +46,7 @@
     PERMIT_REQUEST(21),
     PERMIT_REPLY(22),
     PERMIT_RETURN(23),
+    DATA_REPORT(24),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -83,6 +84,7 @@
         case 21: return PERMIT_REQUEST;
         case 22: return PERMIT_REPLY;
         case 23: return PERMIT_RETURN;
+        case 24: return DATA_REPORT;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -1204,6 +1206,56 @@
     }
   }
 
+  public static final int DATA_REPORT_FIELD_NUMBER = 24;
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+   */
+  @java.lang.Override
+  public boolean hasDataReport() {
+    return bodyCase_ == 24;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+   */
+  @java.lang.Override
+  public org.fuchsiaspindle.wire.peer.DataReport getDataReport() {
+    if (bodyCase_ == 24) {
+       return (org.fuchsiaspindle.wire.peer.DataReport) body_;
+    }
+    return org.fuchsiaspindle.wire.peer.DataReport.getDefaultInstance();
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+   */
+  private void setDataReport(org.fuchsiaspindle.wire.peer.DataReport value) {
+    java.util.Objects.requireNonNull(value);
+    body_ = value;
+    bodyCase_ = 24;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+   */
+  private void mergeDataReport(org.fuchsiaspindle.wire.peer.DataReport value) {
+    java.util.Objects.requireNonNull(value);
+    if (bodyCase_ == 24 &&
+        body_ != org.fuchsiaspindle.wire.peer.DataReport.getDefaultInstance()) {
+      body_ = org.fuchsiaspindle.wire.peer.DataReport.newBuilder((org.fuchsiaspindle.wire.peer.DataReport) body_)
+          .mergeFrom(value).buildPartial();
+    } else {
+      body_ = value;
+    }
+    bodyCase_ = 24;
+  }
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+   */
+  private void clearDataReport() {
+    if (bodyCase_ == 24) {
+      bodyCase_ = 0;
+      body_ = null;
+    }
+  }
+
   public static org.fuchsiaspindle.wire.peer.PeerFrame parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -2373,6 +2425,54 @@
       return this;
     }
 
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+     */
+    @java.lang.Override
+    public boolean hasDataReport() {
+      return instance.hasDataReport();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+     */
+    @java.lang.Override
+    public org.fuchsiaspindle.wire.peer.DataReport getDataReport() {
+      return instance.getDataReport();
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+     */
+    public Builder setDataReport(org.fuchsiaspindle.wire.peer.DataReport value) {
+      copyOnWrite();
+      instance.setDataReport(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+     */
+    public Builder setDataReport(
+        org.fuchsiaspindle.wire.peer.DataReport.Builder builderForValue) {
+      copyOnWrite();
+      instance.setDataReport(builderForValue.build());
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+     */
+    public Builder mergeDataReport(org.fuchsiaspindle.wire.peer.DataReport value) {
+      copyOnWrite();
+      instance.mergeDataReport(value);
+      return this;
+    }
+    /**
+     * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+     */
+    public Builder clearDataReport() {
+      copyOnWrite();
+      instance.clearDataReport();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.PeerFrame)
   }
   @java.lang.Override
@@ -2413,12 +2513,14 @@
             org.fuchsiaspindle.wire.peer.PermitRequestMessage.class,
             org.fuchsiaspindle.wire.peer.PermitReplyMessage.class,
             org.fuchsiaspindle.wire.peer.PermitReturnMessage.class,
+            org.fuchsiaspindle.wire.peer.DataReport.class,
           };
           java.lang.String info =
-              "\u0000\u0016\u0001\u0000\u0001\u0017\u0016\u0000\u0000\u0000\u0001<\u0000\u0003<" +
+              "\u0000\u0017\u0001\u0000\u0001\u0018\u0017\u0000\u0000\u0000\u0001<\u0000\u0003<" +
               "\u0000\u0004<\u0000\u0005<\u0000\u0006<\u0000\u0007<\u0000\b<\u0000\t<\u0000\n<\u0000" +
               "\u000b<\u0000\f<\u0000\r<\u0000\u000e<\u0000\u000f<\u0000\u0010<\u0000\u0011<\u0000" +
-              "\u0012<\u0000\u0013<\u0000\u0014<\u0000\u0015<\u0000\u0016<\u0000\u0017<\u0000";
+              "\u0012<\u0000\u0013<\u0000\u0014<\u0000\u0015<\u0000\u0016<\u0000\u0017<\u0000\u0018" +
+              "<\u0000";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrameOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerFrameOrBuilder.java
@@ -252,5 +252,16 @@
    */
   org.fuchsiaspindle.wire.peer.PermitReturnMessage getPermitReturn();
 
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+   * @return Whether the dataReport field is set.
+   */
+  boolean hasDataReport();
+  /**
+   * <code>.org.fuchsiaspindle.wire.peer.DataReport data_report = 24;</code>
+   * @return The dataReport.
+   */
+  org.fuchsiaspindle.wire.peer.DataReport getDataReport();
+
   public org.fuchsiaspindle.wire.peer.PeerFrame.BodyCase getBodyCase();
 }
