Replace connections between gateways that pass nothing on

Cause: a gateway sends on the connection that it opened and hears its peer on the other one, so it does not notice that its own is dead. The far end closed its own connection and opened it again; the near end kept the dead one, which counts as open, and sent its batch demands there for ever: connectToHeard does nothing while a link is open.

Change: heartbeats to a peer are numbered, and each names the newest number that arrived from that peer. A connection on which a heartbeat is missing for 2 s is replaced (core.membership.HeartbeatEcho), also one that was dead from the start. A batch demand is sent again each 2 s while items wait, because frames are dropped on a connection that is written to faster than it is read.

--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerLink.java
@@ -17,6 +17,7 @@
 import java.util.function.Consumer;
 import org.fuchsiaspindle.core.membership.AddressAnnouncement;
 import org.fuchsiaspindle.core.membership.Backoff;
+import org.fuchsiaspindle.core.membership.HeartbeatEcho;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
 
 /**
@@ -51,6 +52,7 @@
     private long heartbeatSentNanos;
     private Duration announcedInterval = PeerMesh.HEARTBEAT_INTERVAL;
     private AddressAnnouncement announcement = new AddressAnnouncement();
+    private final HeartbeatEcho echo = new HeartbeatEcho();
 
     /**
      * Creates a link that does not connect yet.
@@ -126,6 +128,7 @@
         channel = newChannel;
         lastConnectedNanos = System.nanoTime();
         announcement = new AddressAnnouncement();
+        echo.reset();
         onConnected.accept(this);
     }
 
@@ -160,6 +163,16 @@
         }
     }
 
+    /** Returns the number of a heartbeat that is being sent. */
+    long nextHeartbeatNumber(long nowNanos) {
+        return echo.send(nowNanos);
+    }
+
+    /** Returns whether the peer, which hears up to a number, does not hear this connection. */
+    boolean isUnheard(long heardNumber, long nowNanos) {
+        return echo.recordHeard(heardNumber, nowNanos);
+    }
+
     /** Returns whether the peer must hear again, or must learn of a shorter interval. */
     boolean isHeartbeatDue(Duration interval, long nowNanos) {
         // Half an interval of the timer covers its jitter.
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
@@ -16,6 +16,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -49,9 +50,6 @@
      */
     private static final int MAX_HEARTBEATS_PER_SECOND = 20;
 
-    /** A peer is lost if it is silent for this many of the intervals that it announced. */
-    private static final double SILENCE_LIMIT_INTERVALS = 3.4;
-
     /** An address that could not be reached for longer is removed. */
     private static final Duration ADDRESS_EXPIRY = Duration.ofSeconds(30);
 
@@ -116,8 +114,7 @@
     private final PeerListener peerListener;
     private final GatewayMetrics metrics;
     private final Map<String, PeerLink> links = new HashMap<>();
-    private final Map<Channel, String> ipsByChannel = new HashMap<>();
-    private final Map<String, PeerHeartbeat> heartbeats = new HashMap<>();
+    private final HeardPeers heardPeers = new HeardPeers();
     private Supplier<Set<String>> closePeers = Set::of;
     private PromptListener promptListener;
     private LimitListener limitListener;
@@ -140,20 +137,6 @@
         this.metrics = metrics;
     }
 
-    /**
-     * The last heartbeat of a peer.
-     *
-     * @param info what it said
-     * @param interval the time until the next heartbeat, as announced
-     * @param receivedNanos when it arrived, in monotonic nanoseconds
-     */
-    private record PeerHeartbeat(PeerInfo info, Duration interval, long receivedNanos) {
-
-        boolean isSilent(long now) {
-            return now - receivedNanos > interval.toNanos() * SILENCE_LIMIT_INTERVALS;
-        }
-    }
-
     /** The part of this process's state that peers are told as soon as it changes. */
     private record AnnouncedState(long configVersion, boolean storeReachable, boolean stopping) {}
 
@@ -282,16 +265,17 @@
      * shutting down.
      */
     public boolean isServing(String ip, String incarnation) {
-        PeerHeartbeat heartbeat = heartbeats.get(ip);
-        return heartbeat != null
-                && heartbeat.info().incarnation().equals(incarnation)
-                && heartbeat.info().storeReachable()
-                && !heartbeat.info().stopping();
+        return heardPeers
+                .heartbeat(ip)
+                .map(HeardPeers.Heartbeat::info)
+                .filter(info -> info.incarnation().equals(incarnation))
+                .filter(info -> info.storeReachable() && !info.stopping())
+                .isPresent();
     }
 
     /** Returns the peers that have sent a heartbeat recently. */
     public List<PeerInfo> peers() {
-        return heartbeats.values().stream().map(PeerHeartbeat::info).toList();
+        return heardPeers.infos();
     }
 
     private List<PeerInfo> connectedPeers() {
@@ -361,27 +345,26 @@
 
     private void expireOrReconnect(PeerLink link, long now) {
         boolean isOld = now - link.lastConnectedNanos() > ADDRESS_EXPIRY.toNanos();
-        if (!heartbeats.containsKey(link.ip()) && isOld) {
+        if (!heardPeers.isHeard(link.ip()) && isOld) {
             links.remove(link.ip());
+            heardPeers.closeConnections(link.ip());
         } else {
             link.connect();
         }
     }
 
     private void removeSilentPeers(long now) {
-        for (Map.Entry<String, PeerHeartbeat> entry : List.copyOf(heartbeats.entrySet())) {
-            if (entry.getValue().isSilent(now)) {
-                removePeer(entry.getKey(), "silent");
-                PeerLink link = links.get(entry.getKey());
-                if (link != null) {
-                    link.close();
-                }
+        for (String ip : heardPeers.silentIps(now)) {
+            removePeer(ip, "silent");
+            PeerLink link = links.get(ip);
+            if (link != null) {
+                link.close();
             }
         }
     }
 
     private void removePeer(String ip, String reason) {
-        if (heartbeats.remove(ip) != null) {
+        if (heardPeers.remove(ip)) {
             LOG.info("peer: lost ip={} reason={}", ip, reason);
             peerListener.onPeerLost(ip);
             peerListener.onMembersChanged();
@@ -389,7 +372,7 @@
     }
 
     private Set<String> knownIps() {
-        Set<String> known = new HashSet<>(heartbeats.keySet());
+        Set<String> known = new HashSet<>(heardPeers.ips());
         links.forEach(
                 (ip, link) -> {
                     if (link.isOpen()) {
@@ -403,12 +386,12 @@
     private void sendHeartbeat(PeerLink link, Set<String> known, Duration interval) {
         long now = System.nanoTime();
         Set<String> addresses = link.addressesToSend(known, now);
-        if (send(link.ip(), heartbeatFrame(addresses, interval))) {
+        if (send(link.ip(), heartbeatFrame(link, addresses, interval, now))) {
             link.recordHeartbeat(addresses, interval, now);
         }
     }
 
-    private PeerFrame heartbeatFrame(Set<String> ips, Duration interval) {
+    private PeerFrame heartbeatFrame(PeerLink link, Set<String> ips, Duration interval, long now) {
         FleetView view = viewHolder.view();
         PeerState.Builder state =
                 PeerState.newBuilder()
@@ -420,7 +403,13 @@
                         .setStopping(stopping)
                         .setDataCentre(self.dataCentre())
                         .setCapacityMillicores((int) (self.capacity() * MILLICORES_PER_CORE))
-                        .setIntervalMillis((int) interval.toMillis());
+                        .setIntervalMillis((int) interval.toMillis())
+                        .setHeartbeatNumber(link.nextHeartbeatNumber(now))
+                        .setHeardNumber(
+                                heardPeers
+                                        .heartbeat(link.ip())
+                                        .map(HeardPeers.Heartbeat::number)
+                                        .orElse(0L));
         if (!ips.isEmpty()) {
             state.setNode(self.node());
             ips.stream().sorted().forEach(state::addKnownIps);
@@ -429,8 +418,8 @@
     }
 
     private void handleHeartbeat(Channel channel, PeerState state) {
+        long now = System.nanoTime();
         String ip = state.getIp();
-        ipsByChannel.put(channel, ip);
         PeerInfo info =
                 new PeerInfo(
                         ip,
@@ -445,11 +434,16 @@
                 state.getIntervalMillis() == 0
                         ? HEARTBEAT_INTERVAL
                         : Duration.ofMillis(state.getIntervalMillis());
-        PeerHeartbeat previous =
-                heartbeats.put(ip, new PeerHeartbeat(info, interval, System.nanoTime()));
+        Optional<PeerInfo> previous =
+                heardPeers
+                        .record(
+                                channel,
+                                new HeardPeers.Heartbeat(
+                                        info, interval, state.getHeartbeatNumber(), now))
+                        .map(HeardPeers.Heartbeat::info);
         boolean restarted =
-                previous != null && !previous.info().incarnation().equals(info.incarnation());
-        if (previous == null || restarted) {
+                previous.filter(last -> !last.incarnation().equals(info.incarnation())).isPresent();
+        if (previous.isEmpty() || restarted) {
             LOG.info(
                     "peer: first heartbeat received ip={} node={} incarnation={}",
                     ip,
@@ -459,10 +453,13 @@
         if (restarted) {
             peerListener.onPeerLost(ip);
         }
-        if (previous == null || restarted) {
+        if (previous.isEmpty() || restarted) {
             connectToHeard(ip);
         }
-        if (previous == null || restarted || previous.info().stopping() != info.stopping()) {
+        if (state.getHeartbeatNumber() > 0) {
+            checkLink(ip, state.getHeardNumber(), now);
+        }
+        if (previous.isEmpty() || restarted || previous.get().stopping() != info.stopping()) {
             peerListener.onMembersChanged();
         }
         List<String> ips = new ArrayList<>(state.getKnownIpsList());
@@ -470,6 +467,17 @@
         addPeers(ips);
     }
 
+    /** Replaces a connection to a peer if the peer says that nothing arrives on it. */
+    private void checkLink(String ip, long heardNumber, long now) {
+        PeerLink link = links.get(ip);
+        if (link != null && link.isOpen() && link.isUnheard(heardNumber, now)) {
+            LOG.info("peer: connection passes nothing on, replaced ip={}", ip);
+            metrics.countPeerEvent("dead_connection");
+            link.close();
+            link.connect();
+        }
+    }
+
     private final class FrameListener implements PeerChannels.Listener {
 
         @Override
@@ -482,28 +490,17 @@
                 case PROMPT_CRASH, HARMLESS_PROMPT_PARTS, PROMPT_QUARANTINES ->
                         promptListener.onPromptFrame(frame);
                 case SLICE_LEND, SLICE_LEND_ACK, PERMIT_REQUEST, PERMIT_REPLY, PERMIT_RETURN -> {
-                    String ip = ipsByChannel.get(channel);
-                    if (ip != null) {
-                        limitListener.onLimitFrame(ip, frame);
-                    }
+                    heardPeers.ip(channel).ifPresent(ip -> limitListener.onLimitFrame(ip, frame));
                 }
                 // A newer version may send frames that this one does not know.
                 case BODY_NOT_SET -> LOG.debug("peer: frame of an unknown type ignored");
-                default -> {
-                    String ip = ipsByChannel.get(channel);
-                    if (ip != null) {
-                        peerListener.onFrame(ip, frame);
-                    }
-                }
+                default -> heardPeers.ip(channel).ifPresent(ip -> peerListener.onFrame(ip, frame));
             }
         }
 
         @Override
         public void onClosed(Channel channel) {
-            String ip = ipsByChannel.remove(channel);
-            if (ip != null && !ipsByChannel.containsValue(ip)) {
-                removePeer(ip, "closed");
-            }
+            heardPeers.removeChannel(channel).ifPresent(ip -> removePeer(ip, "closed"));
         }
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
@@ -31,6 +31,9 @@
     /** Time that items wait before pools of other data centres are asked. */
     private static final Duration REMOTE_DELAY = Duration.ofMillis(60);
 
+    /** Time after which a demand that waits is sent again, because a frame may have been lost. */
+    private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(2);
+
     /** Largest number of items for which one pool of another data centre is asked at a time. */
     private static final int MAX_REMOTE_ITEMS = 4;
 
@@ -150,19 +153,21 @@
                             boolean ask = askRemote || !hasLocalPool;
                             items = ask ? Math.min(items, MAX_REMOTE_ITEMS) : 0;
                         }
-                        send(pool, items, waiting, client.avoidedTargets(pool));
+                        send(pool, items, waiting, client.avoidedTargets(pool), now);
                     }
                 });
     }
 
-    private void send(PoolId pool, int items, Waiting waiting, ImmutableSet<String> avoided) {
+    private void send(
+            PoolId pool, int items, Waiting waiting, ImmutableSet<String> avoided, long now) {
         PoolHoldings holdings = client.holdings(pool);
         BatchDemand sent = holdings.sentDemand();
         long granted = holdings.batchGrants() - sent.grantsReceived();
         boolean known =
                 items == Math.max(0, sent.waiting() - granted)
                         && (items == 0
-                                || waiting.dueMillis() == sent.dueMillis()
+                                || holdings.demandAge(now).compareTo(REPEAT_INTERVAL) < 0
+                                        && waiting.dueMillis() == sent.dueMillis()
                                         && waiting.largestTokens() == sent.largestItemTokens()
                                         && avoided.equals(sent.avoided()));
         if (!known) {
@@ -173,7 +178,7 @@
                             holdings.batchGrants(),
                             avoided,
                             waiting.largestTokens());
-            holdings.setSentDemand(demand);
+            holdings.setSentDemand(demand, now);
             client.send(holdings.coordinator(), SlotCodec.demand(pool, demand));
         }
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/PoolHoldings.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/PoolHoldings.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -17,6 +18,7 @@
     private final Map<Long, SlotAcquisition> acquisitions = new HashMap<>();
     private String coordinator;
     private BatchDemand sentDemand = BatchDemand.NONE;
+    private long demandSentNanos;
     private final Map<String, Long> batchGrants = new HashMap<>();
 
     PoolHoldings(String coordinator) {
@@ -66,8 +68,14 @@
         return sentDemand;
     }
 
-    void setSentDemand(BatchDemand demand) {
+    void setSentDemand(BatchDemand demand, long now) {
         sentDemand = demand;
+        demandSentNanos = now;
+    }
+
+    /** Returns the time since the last demand was sent. */
+    Duration demandAge(long now) {
+        return Duration.ofNanos(now - demandSentNanos);
     }
 
     /** Returns whether the coordinator must notice soon that this gateway is lost. */
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -447,7 +447,7 @@
 
     /** Tells the coordinator of a pool everything that it must know of this gateway. */
     private void startExchange(PoolId pool, PoolHoldings holdings) {
-        holdings.setSentDemand(BatchDemand.NONE);
+        holdings.setSentDemand(BatchDemand.NONE, System.nanoTime());
         send(
                 holdings.coordinator(),
                 SlotCodec.holdings(
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/telemetry/GatewayMetrics.java
@@ -57,6 +57,12 @@
                     .help("Bytes of the messages sent to other gateways, without framing.")
                     .labelNames("kind")
                     .register(registry);
+    private final Counter peers =
+            Counter.builder()
+                    .name("fuchsiaspindle_peer_events_total")
+                    .help("Events on connections to other gateways.")
+                    .labelNames("event")
+                    .register(registry);
     private final Counter slots =
             Counter.builder()
                     .name("fuchsiaspindle_slot_events_total")
@@ -130,6 +136,11 @@
         controlBytes.labelValues(kind).inc(bytes);
     }
 
+    /** Counts an event on a connection to another gateway. */
+    public void countPeerEvent(String event) {
+        peers.labelValues(event).inc();
+    }
+
     /** Counts an event on a slot or on a request for one. */
     public void countSlotEvent(String event) {
         slots.labelValues(event).inc();
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerState.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerState.java
@@ -638,6 +638,85 @@
     intervalMillis_ = 0;
   }
 
+  public static final int HEARTBEAT_NUMBER_FIELD_NUMBER = 12;
+  private long heartbeatNumber_;
+  /**
+   * <pre>
+   * Counts the heartbeats that the sender sent to the receiver, from 1; 0 from earlier versions.
+   * </pre>
+   *
+   * <code>uint64 heartbeat_number = 12;</code>
+   * @return The heartbeatNumber.
+   */
+  @java.lang.Override
+  public long getHeartbeatNumber() {
+    return heartbeatNumber_;
+  }
+  /**
+   * <pre>
+   * Counts the heartbeats that the sender sent to the receiver, from 1; 0 from earlier versions.
+   * </pre>
+   *
+   * <code>uint64 heartbeat_number = 12;</code>
+   * @param value The heartbeatNumber to set.
+   */
+  private void setHeartbeatNumber(long value) {
+    
+    heartbeatNumber_ = value;
+  }
+  /**
+   * <pre>
+   * Counts the heartbeats that the sender sent to the receiver, from 1; 0 from earlier versions.
+   * </pre>
+   *
+   * <code>uint64 heartbeat_number = 12;</code>
+   */
+  private void clearHeartbeatNumber() {
+
+    heartbeatNumber_ = 0L;
+  }
+
+  public static final int HEARD_NUMBER_FIELD_NUMBER = 13;
+  private long heardNumber_;
+  /**
+   * <pre>
+   * The newest heartbeat_number that the sender received from the receiver; 0 if it does not hear
+   * the receiver.
+   * </pre>
+   *
+   * <code>uint64 heard_number = 13;</code>
+   * @return The heardNumber.
+   */
+  @java.lang.Override
+  public long getHeardNumber() {
+    return heardNumber_;
+  }
+  /**
+   * <pre>
+   * The newest heartbeat_number that the sender received from the receiver; 0 if it does not hear
+   * the receiver.
+   * </pre>
+   *
+   * <code>uint64 heard_number = 13;</code>
+   * @param value The heardNumber to set.
+   */
+  private void setHeardNumber(long value) {
+    
+    heardNumber_ = value;
+  }
+  /**
+   * <pre>
+   * The newest heartbeat_number that the sender received from the receiver; 0 if it does not hear
+   * the receiver.
+   * </pre>
+   *
+   * <code>uint64 heard_number = 13;</code>
+   */
+  private void clearHeardNumber() {
+
+    heardNumber_ = 0L;
+  }
+
   public static org.fuchsiaspindle.wire.peer.PeerState parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -1371,6 +1450,89 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Counts the heartbeats that the sender sent to the receiver, from 1; 0 from earlier versions.
+     * </pre>
+     *
+     * <code>uint64 heartbeat_number = 12;</code>
+     * @return The heartbeatNumber.
+     */
+    @java.lang.Override
+    public long getHeartbeatNumber() {
+      return instance.getHeartbeatNumber();
+    }
+    /**
+     * <pre>
+     * Counts the heartbeats that the sender sent to the receiver, from 1; 0 from earlier versions.
+     * </pre>
+     *
+     * <code>uint64 heartbeat_number = 12;</code>
+     * @param value The heartbeatNumber to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeartbeatNumber(long value) {
+      copyOnWrite();
+      instance.setHeartbeatNumber(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Counts the heartbeats that the sender sent to the receiver, from 1; 0 from earlier versions.
+     * </pre>
+     *
+     * <code>uint64 heartbeat_number = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeartbeatNumber() {
+      copyOnWrite();
+      instance.clearHeartbeatNumber();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * The newest heartbeat_number that the sender received from the receiver; 0 if it does not hear
+     * the receiver.
+     * </pre>
+     *
+     * <code>uint64 heard_number = 13;</code>
+     * @return The heardNumber.
+     */
+    @java.lang.Override
+    public long getHeardNumber() {
+      return instance.getHeardNumber();
+    }
+    /**
+     * <pre>
+     * The newest heartbeat_number that the sender received from the receiver; 0 if it does not hear
+     * the receiver.
+     * </pre>
+     *
+     * <code>uint64 heard_number = 13;</code>
+     * @param value The heardNumber to set.
+     * @return This builder for chaining.
+     */
+    public Builder setHeardNumber(long value) {
+      copyOnWrite();
+      instance.setHeardNumber(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The newest heartbeat_number that the sender received from the receiver; 0 if it does not hear
+     * the receiver.
+     * </pre>
+     *
+     * <code>uint64 heard_number = 13;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearHeardNumber() {
+      copyOnWrite();
+      instance.clearHeardNumber();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.PeerState)
   }
   @java.lang.Override
@@ -1398,11 +1560,13 @@
             "dataCentre_",
             "capacityMillicores_",
             "intervalMillis_",
+            "heartbeatNumber_",
+            "heardNumber_",
           };
           java.lang.String info =
-              "\u0000\u000b\u0000\u0000\u0001\u000b\u000b\u0000\u0001\u0000\u0001\u0208\u0002\u0208" +
-              "\u0003\u0208\u0004\u0002\u0005\u0002\u0006\u0007\u0007\u0007\b\u021a\t\u0208\n\u000b" +
-              "\u000b\u000b";
+              "\u0000\r\u0000\u0000\u0001\r\r\u0000\u0001\u0000\u0001\u0208\u0002\u0208\u0003\u0208" +
+              "\u0004\u0002\u0005\u0002\u0006\u0007\u0007\u0007\b\u021a\t\u0208\n\u000b\u000b\u000b" +
+              "\f\u0003\r\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerStateOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/PeerStateOrBuilder.java
@@ -187,4 +187,25 @@
    * @return The intervalMillis.
    */
   int getIntervalMillis();
+
+  /**
+   * <pre>
+   * Counts the heartbeats that the sender sent to the receiver, from 1; 0 from earlier versions.
+   * </pre>
+   *
+   * <code>uint64 heartbeat_number = 12;</code>
+   * @return The heartbeatNumber.
+   */
+  long getHeartbeatNumber();
+
+  /**
+   * <pre>
+   * The newest heartbeat_number that the sender received from the receiver; 0 if it does not hear
+   * the receiver.
+   * </pre>
+   *
+   * <code>uint64 heard_number = 13;</code>
+   * @return The heardNumber.
+   */
+  long getHeardNumber();
 }
