Find gateways by their rows in the store, and let nobody believe itself alone without reading them

Cause: gateways met only through seeds and peers. An address that is not reached in 30 s is forgotten; then the gateway knew only itself, and FleetKnowledge took a fleet of one for complete, so it lent itself whole slices. Two added gateways that know only each other would have done so at once.

Change: gateways read the table member, in which each renews its row (PeerDiscovery, MemberTable, which JobOwnership shares; core.membership.StoredMembers decides which rows are alive), and connect to those they find. A slice is used only after a peer told the size of the fleet, or the rows were read and those that are known answered; gateways that hear each other but cannot read the store wait 3 s, one that hears nobody waits for the store. Rows that are renewed count in the size of the fleet also where the network is cut, and a seed that was never reached and has no row does not, which had lowered the limits for 30 s.

The simulation reads the store like a gateway does; its expectations are as they were.

--- a/core/src/main/java/org/fuchsiaspindle/core/limit/FleetKnowledge.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/FleetKnowledge.java
@@ -7,8 +7,9 @@
  * fleet is.
  *
  * <p>A gateway that believes in a smaller fleet than there is uses too large a slice. It therefore
- * waits until another gateway announces the size, or until all gateways that it knows have
- * answered. Not thread-safe. Times are monotonic nanoseconds.
+ * waits until another gateway announces the size, or until it has read the rows of all gateways in
+ * the store and those that it knows have answered. One that hears nobody is alone only if the store
+ * says so. Not thread-safe. Times are monotonic nanoseconds.
  */
 final class FleetKnowledge {
 
@@ -18,9 +19,15 @@
     /** Time after the first answer of another gateway after which missing ones count as down. */
     private static final Duration PARTIAL_START_TIME = Duration.ofMillis(200);
 
-    /** Time after which a gateway that no other one answers uses its slice. */
+    /**
+     * Time after which a gateway that no other one answers uses its slice; the others have found
+     * its row in the store by then.
+     */
     private static final Duration ISOLATED_START_TIME = Duration.ofSeconds(30);
 
+    /** Time after which gateways that hear each other do not wait for the store any more. */
+    private static final Duration STORE_WAIT_TIME = Duration.ofSeconds(3);
+
     /** Time for which a size that another gateway announced is believed. */
     private static final Duration ANNOUNCED_SIZE_VALIDITY = Duration.ofMinutes(2);
 
@@ -68,14 +75,28 @@
     boolean isComplete(long nowNanos) {
         if (!complete) {
             complete =
-                    fleet.known().size() == 1
-                            || allHeard() && hasPassed(SETTLING_TIME, changedNanos, nowNanos)
-                            || anyHeard && hasPassed(PARTIAL_START_TIME, firstHeardNanos, nowNanos)
-                            || hasPassed(ISOLATED_START_TIME, startNanos, nowNanos);
+                    fleet.storeRead()
+                            ? isAlone() || isHeard(nowNanos) || isIsolated(nowNanos)
+                            : isHeard(nowNanos) && hasPassed(STORE_WAIT_TIME, startNanos, nowNanos);
         }
         return complete;
     }
 
+    private boolean isAlone() {
+        return fleet.known().size() == 1;
+    }
+
+    private boolean isIsolated(long nowNanos) {
+        return hasPassed(ISOLATED_START_TIME, startNanos, nowNanos);
+    }
+
+    /** Returns whether those that answer are heard, and the others count as down. */
+    private boolean isHeard(long nowNanos) {
+        return anyHeard
+                && (allHeard() && hasPassed(SETTLING_TIME, changedNanos, nowNanos)
+                        || hasPassed(PARTIAL_START_TIME, firstHeardNanos, nowNanos));
+    }
+
     /** Returns the number of gateways known to this one, without what others announced. */
     int observedSize() {
         return Math.max(1, fleet.known().size());
--- a/core/src/main/java/org/fuchsiaspindle/core/limit/LimitFleet.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/limit/LimitFleet.java
@@ -12,9 +12,13 @@
  * @param heard the other gateways from which messages arrive
  * @param candidates the gateways that may become granters: those that are in touch and not
  *     stopping, including this one
+ * @param storeRead whether {@code known} includes all gateways that live by their rows in the store
  */
 public record LimitFleet(
-        ImmutableSet<String> known, ImmutableSet<String> heard, ImmutableSet<String> candidates) {
+        ImmutableSet<String> known,
+        ImmutableSet<String> heard,
+        ImmutableSet<String> candidates,
+        boolean storeRead) {
 
     /** Validates the components. */
     public LimitFleet {
--- a/core/src/test/java/org/fuchsiaspindle/core/limit/PermitFleetTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/PermitFleetTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.List;
 import java.util.Map;
 import org.fuchsiaspindle.core.limit.PermitSimulation.Node;
 import org.fuchsiaspindle.core.limit.PermitSimulation.Usage;
@@ -216,6 +217,47 @@
         assertBound("large", LARGE);
     }
 
+    /** Guards against gateways with stale seeds that use the whole limit once more. */
+    @Test
+    void gatewaysWithStaleSeedsUseNoMoreThanTheirSlices() {
+        limit("large", LARGE);
+        List<Node> added = simulation.nodes.subList(GATEWAYS - 2, GATEWAYS);
+        simulation.nodes.subList(0, GATEWAYS - 2).forEach(Node::start);
+        for (Node node : added) {
+            node.staleSeeds = true;
+            node.group = 1;
+            simulation.schedule(3 * SECOND, node::start);
+        }
+        sendEverywhere("large", 50 * SECOND);
+        simulation.runUntil(51 * SECOND);
+        assertBound("large", LARGE);
+    }
+
+    /** Guards against a gateway with stale seeds that takes itself for the only one at once. */
+    @Test
+    void gatewayThatHearsNobodyUsesNothingUntilItHasReadTheStore() {
+        limit("large", LARGE);
+        Node added = simulation.nodes.getLast();
+        added.staleSeeds = true;
+        added.group = 1;
+        simulation.storeReachable = false;
+        simulation.nodes.forEach(Node::start);
+        simulation.runUntil(50 * SECOND);
+        assertEquals(0.0, added.share("large"));
+        simulation.storeReachable = true;
+        simulation.schedule(SECOND, () -> added.group = 0);
+        simulation.runUntil(53 * SECOND);
+        assertAtLeast(0.9, simulation.nodes.stream().mapToDouble(n -> n.share("large")).sum());
+    }
+
+    private void sendEverywhere(String workspace, long until) {
+        for (long at = 4 * SECOND; at < until; at += SECOND / 8) {
+            for (Node node : simulation.nodes) {
+                simulation.schedule(at, () -> node.request(workspace));
+            }
+        }
+    }
+
     /** Guards against a process that believes that it is alone while it is cut off. */
     @Test
     void gatewayThatStartsCutOffUsesNoSlice() {
--- a/core/src/test/java/org/fuchsiaspindle/core/limit/PermitSimulation.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/PermitSimulation.java
@@ -26,6 +26,13 @@
     private static final long FREEZE_CLOCK_ERROR = 20 * MILLI;
 
     private static final long SILENCE = 5800 * MILLI;
+
+    /**
+     * Time from the start of a gateway until it knows the rows of the others, and between reads.
+     */
+    private static final long FIRST_STORE_READ = 1300 * MILLI;
+
+    private static final long STORE_READ_INTERVAL = 20 * SECOND;
     private static final Duration PATIENCE = Duration.ofMillis(50);
 
     final Random random;
@@ -34,6 +41,7 @@
     final Map<String, VersionedLimit> limits = new HashMap<>();
     LongUnaryOperator delay;
     double givenBack;
+    boolean storeReachable = true;
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(
                     (a, b) ->
@@ -93,6 +101,10 @@
         final String ip;
         int group;
         boolean alive;
+
+        /** Whether its seeds are stale, so that it knows only itself when it starts. */
+        boolean staleSeeds;
+
         boolean frozen;
         boolean stopping;
         long diedAt;
@@ -101,6 +113,8 @@
         private long knownBits;
         private long heardBits;
         private long candidateBits;
+        private boolean storeRead;
+        private long storeReadAt;
         private final long[] reachedAt = new long[64];
         private SliceLender lender;
         private PermitGranter granter;
@@ -126,11 +140,13 @@
             deferred.clear();
             clockOffset = random.nextLong(1000 * SECOND);
             knownBits = 1L << index;
-            for (int seed = 0; seed < seeds; seed++) {
+            for (int seed = 0; seed < seeds && !staleSeeds; seed++) {
                 knownBits |= 1L << seed;
             }
             heardBits = 0;
             candidateBits = 1L << index;
+            storeRead = false;
+            storeReadAt = now + FIRST_STORE_READ;
             java.util.Arrays.fill(reachedAt, now - 10 * SECOND);
             known.clear();
             known.putAll(limits);
@@ -283,20 +299,41 @@
             if (stopping && candidates != 1L << index) {
                 candidates &= ~(1L << index);
             }
+            if (storeReachable) {
+                readStore(heard);
+            }
             knownBits |= heard;
             heardBits = heard;
             candidateBits = candidates;
             lender.update(fleet(), clock());
         }
 
+        /** Learns of the gateways that renew their rows; rows of others are left over. */
+        private void readStore(long heard) {
+            long rows = 0;
+            long renewed = 0;
+            for (Node other : nodes) {
+                rows |= other.incarnation > 0 ? 1L << other.index : 0;
+                renewed |= other.alive ? 1L << other.index : 0;
+            }
+            storeRead |= (rows & ~heard & ~(1L << index)) == 0;
+            if (now >= storeReadAt) {
+                storeRead = true;
+                storeReadAt = now + STORE_READ_INTERVAL;
+                knownBits |= renewed;
+            }
+        }
+
         private long fleetKey;
         private LimitFleet fleet;
 
         private LimitFleet fleet() {
-            long key = knownBits * 31 + heardBits * 17 + candidateBits;
+            long key = (knownBits * 31 + heardBits * 17 + candidateBits) * 2 + (storeRead ? 1 : 0);
             if (fleet == null || key != fleetKey) {
                 fleetKey = key;
-                fleet = new LimitFleet(ips(knownBits), ips(heardBits), ips(candidateBits));
+                fleet =
+                        new LimitFleet(
+                                ips(knownBits), ips(heardBits), ips(candidateBits), storeRead);
             }
             return fleet;
         }
--- a/core/src/test/java/org/fuchsiaspindle/core/limit/SliceLendingTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/limit/SliceLendingTest.java
@@ -170,6 +170,7 @@
         return new LimitFleet(
                 ImmutableSet.of("self", "a", "b"),
                 ImmutableSet.copyOf(candidates),
-                ImmutableSet.copyOf(candidates));
+                ImmutableSet.copyOf(candidates),
+                true);
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -31,6 +31,7 @@
 import org.fuchsiaspindle.gateway.batch.JobTable;
 import org.fuchsiaspindle.gateway.limit.WorkspaceLimits;
 import org.fuchsiaspindle.gateway.online.OnlineDispatcher;
+import org.fuchsiaspindle.gateway.peer.PeerDiscovery;
 import org.fuchsiaspindle.gateway.peer.PeerInfo;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
 import org.fuchsiaspindle.gateway.prompt.PromptGuard;
@@ -40,6 +41,7 @@
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
 import org.fuchsiaspindle.gateway.view.TargetDirectory;
 import org.fuchsiaspindle.gateway.watch.ConfigWatch;
+import org.fuchsiaspindle.gateway.watch.MemberTable;
 import org.fuchsiaspindle.gateway.watch.StoreHealth;
 import org.fuchsiaspindle.gateway.watch.TargetWatch;
 import org.fuchsiaspindle.platform.ingress.ClientServer;
@@ -81,6 +83,7 @@
     private final SlotClient slots;
     private final PeerMesh mesh;
     private final OnlineDispatcher onlineDispatcher;
+    private final MemberTable memberTable;
     private final JobTable jobTable;
     private final JobStore jobStore;
     private final JobOwner self;
@@ -126,6 +129,7 @@
                         limits,
                         metrics,
                         () -> stopWindow);
+        this.memberTable = MemberTable.create(requestLoop, storeClient, settings.ip(), incarnation);
         this.jobTable = JobTable.create(requestLoop);
         this.jobStore = JobStore.on(storeClient);
         this.self = new JobOwner(settings.ip(), incarnation);
@@ -156,7 +160,7 @@
         HostAndPort statusAddress = required(settings.readinessAddress(), "listen.readiness");
         slots.start(mesh, fleet);
         promptGuard.start(mesh);
-        limits.start(mesh);
+        limits.start(mesh, PeerDiscovery.start(requestLoop, settings.ip(), memberTable, mesh));
         metrics.observeTargets(fleet::openTargets);
         metrics.observeItemMemory(() -> runner.itemBytes(), () -> runner.waitingJobCount());
         fleet.start(slots::reportSilence, slots::reportData, slots::reportRequestLimit);
@@ -181,7 +185,7 @@
         ownership =
                 JobOwnership.start(
                         requestLoop,
-                        storeClient,
+                        memberTable,
                         jobStore,
                         jobTable,
                         runner,
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobOwnership.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobOwnership.java
@@ -3,7 +3,6 @@
 import static com.google.common.base.Preconditions.checkNotNull;
 
 import io.netty.channel.EventLoop;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -17,12 +16,8 @@
 import org.fuchsiaspindle.core.job.OwnerLiveness;
 import org.fuchsiaspindle.core.job.Takeover;
 import org.fuchsiaspindle.gateway.batch.JobStore.VersionedJob;
+import org.fuchsiaspindle.gateway.watch.MemberTable;
 import org.fuchsiaspindle.platform.store.CommitResult;
-import org.fuchsiaspindle.platform.store.RowKey;
-import org.fuchsiaspindle.platform.store.RowPage;
-import org.fuchsiaspindle.platform.store.RowTransaction;
-import org.fuchsiaspindle.platform.store.StoreClient;
-import org.fuchsiaspindle.platform.store.StoredRow;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -37,7 +32,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(JobOwnership.class);
 
-    private static final String MEMBERS_TABLE = "member";
     private static final Duration RENEWAL_INTERVAL = Duration.ofMillis(1000);
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(400);
 
@@ -49,7 +43,7 @@
     private static final Duration HEALTHY_READ_INTERVAL = Duration.ofMillis(1200);
 
     private final EventLoop loop;
-    private final StoreClient storeClient;
+    private final MemberTable members;
     private final JobStore jobStore;
     private final JobTable jobTable;
     private final JobRunner runner;
@@ -58,21 +52,19 @@
     private final OwnerLiveness liveness = new OwnerLiveness();
     private final Map<String, Long> orphanedSinceNanos = new HashMap<>();
     private final Set<String> takeoversInProgress = new HashSet<>();
-    private long lastReadNanos = System.nanoTime();
-    private boolean reading;
     private boolean renewing;
     private boolean stopping;
 
     private JobOwnership(
             EventLoop loop,
-            StoreClient storeClient,
+            MemberTable members,
             JobStore jobStore,
             JobTable jobTable,
             JobRunner runner,
             JobOwner self,
             Predicate<JobOwner> isConnected) {
         this.loop = loop;
-        this.storeClient = storeClient;
+        this.members = members;
         this.jobStore = jobStore;
         this.jobTable = jobTable;
         this.runner = runner;
@@ -84,7 +76,7 @@
      * Starts to renew the membership row and to look for jobs without a live owner.
      *
      * @param loop its event loop
-     * @param storeClient the client of the platform's store
+     * @param members the rows that the gateways renew
      * @param jobStore the stored jobs
      * @param jobTable the known jobs
      * @param runner runs the jobs that are taken over
@@ -94,7 +86,7 @@
      */
     public static JobOwnership start(
             EventLoop loop,
-            StoreClient storeClient,
+            MemberTable members,
             JobStore jobStore,
             JobTable jobTable,
             JobRunner runner,
@@ -103,13 +95,14 @@
         JobOwnership ownership =
                 new JobOwnership(
                         checkNotNull(loop, "loop"),
-                        checkNotNull(storeClient, "storeClient"),
+                        checkNotNull(members, "members"),
                         checkNotNull(jobStore, "jobStore"),
                         checkNotNull(jobTable, "jobTable"),
                         checkNotNull(runner, "runner"),
                         checkNotNull(self, "self"),
                         checkNotNull(isConnected, "isConnected"));
         jobTable.addListener(ownership::jobChanged);
+        members.addListener(ownership::takeOverIfDue);
         loop.execute(ownership::renew);
         loop.scheduleAtFixedRate(
                 ownership::renew,
@@ -130,9 +123,7 @@
      */
     public void stop() {
         stopping = true;
-        RowKey memberKey = new RowKey(MEMBERS_TABLE, "", self.ip());
-        storeClient
-                .commit(RowTransaction.inPartition("").remove(memberKey).build())
+        members.remove()
                 .thenAccept(result -> LOG.info("batch: membership row deleted result={}", result));
     }
 
@@ -147,14 +138,7 @@
             return;
         }
         renewing = true;
-        RowTransaction renewal =
-                RowTransaction.inPartition("")
-                        .write(
-                                new RowKey(MEMBERS_TABLE, "", self.ip()),
-                                self.incarnation().getBytes(StandardCharsets.UTF_8))
-                        .build();
-        storeClient
-                .commit(renewal)
+        members.renew()
                 .whenCompleteAsync(
                         (result, failure) -> {
                             renewing = false;
@@ -166,40 +150,26 @@
     }
 
     private void checkOwners() {
-        if (reading || stopping || !isReadDue()) {
-            return;
+        if (!stopping && isReadDue()) {
+            members.read();
         }
-        reading = true;
-        lastReadNanos = System.nanoTime();
-        storeClient
-                .allRows(MEMBERS_TABLE, "", "", "")
-                .whenCompleteAsync(
-                        (page, failure) -> {
-                            reading = false;
-                            if (failure == null) {
-                                takeOverIfDue(page);
-                            }
-                        },
-                        loop);
     }
 
     private boolean isReadDue() {
         boolean healthyReadDue =
-                System.nanoTime() - lastReadNanos > HEALTHY_READ_INTERVAL.toNanos();
+                System.nanoTime() - members.lastReadNanos() > HEALTHY_READ_INTERVAL.toNanos();
         return jobTable.jobs().stream()
                 .map(VersionedJob::job)
                 .filter(job -> job.isOpen() && !runner.hasJob(job.id()))
                 .anyMatch(job -> healthyReadDue || !isConnected.test(job.owner()));
     }
 
-    private void takeOverIfDue(RowPage page) {
+    private void takeOverIfDue(Map<String, OwnerLiveness.Renewal> rows) {
         long now = System.nanoTime();
-        Map<String, OwnerLiveness.Renewal> members = new HashMap<>();
-        for (StoredRow row : page.rows()) {
-            String incarnation = new String(row.value(), StandardCharsets.UTF_8);
-            members.put(row.key().key(), new OwnerLiveness.Renewal(incarnation, row.version()));
+        liveness.update(rows, now);
+        if (stopping) {
+            return;
         }
-        liveness.update(members, now);
         for (VersionedJob job : List.copyOf(jobTable.jobs())) {
             takeOverIfDue(job, now);
         }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/KnownGateways.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/KnownGateways.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import org.fuchsiaspindle.core.limit.LimitFleet;
 import org.fuchsiaspindle.gateway.peer.PeerInfo;
+import org.fuchsiaspindle.gateway.peer.StoredGateways;
 
 /**
  * The gateways that own a slice of each limit: all that are known, and those lost not long ago.
@@ -54,11 +55,16 @@
      *
      * @param peers the gateways in touch
      * @param addresses all addresses of gateways, also those that were never reached
+     * @param stored the gateways with rows in the store
      * @param stopping whether this gateway is shutting down
      * @param nowNanos the time
      */
     LimitFleet update(
-            List<PeerInfo> peers, Collection<String> addresses, boolean stopping, long nowNanos) {
+            List<PeerInfo> peers,
+            Collection<String> addresses,
+            StoredGateways stored,
+            boolean stopping,
+            long nowNanos) {
         Set<String> heard = new HashSet<>();
         for (PeerInfo peer : peers) {
             heard.add(peer.ip());
@@ -66,8 +72,13 @@
         }
         Set<String> known = new HashSet<>(heard);
         known.add(self);
-        // An address that was never reached counts as long as connections to it are tried.
-        addresses.stream().filter(address -> !seen.containsKey(address)).forEach(known::add);
+        stored.live().stream().filter(address -> !isStopped(address)).forEach(known::add);
+        // An address that was never reached counts as long as connections to it are tried, unless
+        // the store shows that no gateway lives there.
+        addresses.stream()
+                .filter(address -> !seen.containsKey(address))
+                .filter(address -> !stored.complete() || stored.present().contains(address))
+                .forEach(known::add);
         seen.forEach(
                 (address, last) -> {
                     if (last.counts(nowNanos)) {
@@ -82,7 +93,14 @@
         return new LimitFleet(
                 ImmutableSet.copyOf(known),
                 ImmutableSet.copyOf(heard),
-                candidates(peers, stopping));
+                candidates(peers, stopping),
+                stored.complete());
+    }
+
+    /** Returns whether a gateway announced its stop, which its row may show only later. */
+    private boolean isStopped(String address) {
+        LastSeen last = seen.get(address);
+        return last != null && last.stopping();
     }
 
     private ImmutableSet<String> candidates(List<PeerInfo> peers, boolean stopping) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/WorkspaceLimits.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/limit/WorkspaceLimits.java
@@ -20,6 +20,7 @@
 import org.fuchsiaspindle.core.serving.ServingConfig;
 import org.fuchsiaspindle.core.time.Clock;
 import org.fuchsiaspindle.core.workspace.Workspace;
+import org.fuchsiaspindle.gateway.peer.PeerDiscovery;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.gateway.view.FleetViewHolder;
@@ -49,6 +50,7 @@
     private final PermitGranter granter;
     private final PermitHolder holder;
     private PeerMesh mesh;
+    private PeerDiscovery discovery;
     private Optional<SliceLender> lender = Optional.empty();
     private long limitedVersion = -1;
     private boolean limited;
@@ -112,9 +114,10 @@
                 checkNotNull(metrics, "metrics"));
     }
 
-    /** Starts the exchange with other gateways. */
-    public void start(PeerMesh newMesh) {
+    /** Starts the exchange with other gateways, which are heard or found in the store. */
+    public void start(PeerMesh newMesh, PeerDiscovery newDiscovery) {
         mesh = checkNotNull(newMesh, "newMesh");
+        discovery = checkNotNull(newDiscovery, "newDiscovery");
         newMesh.setLimitListener(this);
         loop.scheduleAtFixedRate(
                 this::tick, 0, SliceLender.TICK_INTERVAL.toMillis(), TimeUnit.MILLISECONDS);
@@ -213,7 +216,12 @@
         }
         long now = clock.nanoTime();
         LimitFleet fleet =
-                knownGateways.update(mesh.peers(), mesh.knownAddresses(), mesh.isStopping(), now);
+                knownGateways.update(
+                        mesh.peers(),
+                        mesh.knownAddresses(),
+                        discovery.gateways(),
+                        mesh.isStopping(),
+                        now);
         SliceLender current =
                 lender.orElseGet(
                         () ->
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -5,7 +5,6 @@
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -109,11 +108,17 @@
 
     /** Starts a gateway on its own loopback address and returns the address. */
     public String startGateway(int number) {
+        return startGateway(number, List.copyOf(gateways.keySet()));
+    }
+
+    /** Starts a gateway with the given seeds, and returns its address. */
+    public String startGateway(int number, List<String> seeds) {
         String ip = "127.0.0." + (10 + number);
         incarnations++;
         gateways.put(
                 ip,
-                Gateway.start(settings(ip), OptionalInt.empty(), "incarnation-" + incarnations));
+                Gateway.start(
+                        settings(ip, seeds), OptionalInt.empty(), "incarnation-" + incarnations));
         return ip;
     }
 
@@ -202,8 +207,7 @@
         store.close();
     }
 
-    private ProcessSettings settings(String ip) {
-        List<String> seeds = new ArrayList<>(gateways.keySet());
+    private ProcessSettings settings(String ip, List<String> seeds) {
         return new ProcessSettings(
                 "node-" + ip,
                 ip,
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/WorkspaceLimitTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/WorkspaceLimitTest.java
@@ -121,6 +121,19 @@
         assertThat(count(lastSeconds, 200)).isGreaterThan(RATE);
     }
 
+    /** Guards against a gateway whose seeds are stale: it served nobody, then without a bound. */
+    @Test
+    void gatewayWithStaleSeeds_sharesTheLimitWithTheOthers() throws Exception {
+        await("served", () -> call(ips.get(0), LIMITED).status() == 200);
+        String added = platform.startGateway(4, List.of("127.0.0.99"));
+        await(
+                "limited requests served at " + added,
+                Duration.ofSeconds(5),
+                () -> call(added, LIMITED).status() == 200);
+        ips.add(added);
+        assertBound(load(Duration.ofSeconds(7), () -> {}));
+    }
+
     private static long count(List<Timed> responses, int status) {
         return responses.stream().filter(response -> response.status() == status).count();
     }
