Let items wait that are larger than the targets of the present configuration

Cause: JobRunner gave up each pending item that exceeds the memory of the service in the configuration in force ("given_up reason=larger than the memory of a target"). A result is final, a configuration is not. Where a route is split between services, the service was drawn without regard to the memory, so that an item could be given up that another service of its route could run.

Change: such an item waits and runs when a configuration brings a service with the memory; only the retention ends it. Of several services of a route, the item runs on one that has the memory.

--- a/core/src/main/java/org/fuchsiaspindle/core/serving/Route.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/serving/Route.java
@@ -6,6 +6,7 @@
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
+import java.util.function.Predicate;
 
 /**
  * A route from a host and a path prefix to services.
@@ -109,14 +110,36 @@
      * @param randomFraction a random number, at least 0 and less than 1
      */
     public String chooseService(double randomFraction) {
-        double total = services.stream().mapToDouble(WeightedService::weight).sum();
+        return choose(services, randomFraction);
+    }
+
+    /**
+     * Returns the service for a request that only some services can run, chosen at random in
+     * proportion to the weights; empty if none can.
+     *
+     * @param randomFraction a random number, at least 0 and less than 1
+     * @param canRun whether a service can run the request, not null
+     */
+    public Optional<String> chooseService(double randomFraction, Predicate<String> canRun) {
+        List<WeightedService> suitable =
+                services.stream()
+                        .filter(candidate -> candidate.weight() > 0 || services.size() == 1)
+                        .filter(candidate -> canRun.test(candidate.service()))
+                        .toList();
+        return suitable.isEmpty()
+                ? Optional.empty()
+                : Optional.of(choose(suitable, randomFraction));
+    }
+
+    private static String choose(List<WeightedService> candidates, double randomFraction) {
+        double total = candidates.stream().mapToDouble(WeightedService::weight).sum();
         double remaining = randomFraction * total;
-        for (WeightedService candidate : services) {
+        for (WeightedService candidate : candidates) {
             remaining -= candidate.weight();
             if (remaining < 0) {
                 return candidate.service();
             }
         }
-        return services.getLast().service();
+        return candidates.getLast().service();
     }
 }
--- a/core/src/test/java/org/fuchsiaspindle/core/serving/ServingConfigTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/serving/ServingConfigTest.java
@@ -43,6 +43,9 @@
         assertThat(route.chooseService(0.0)).isEqualTo("big");
         assertThat(route.chooseService(0.89)).isEqualTo("big");
         assertThat(route.chooseService(0.91)).isEqualTo("small");
+        assertThat(route.chooseService(0.91, service -> true)).contains("small");
+        assertThat(route.chooseService(0.91, "big"::equals)).contains("big");
+        assertThat(route.chooseService(0.91, service -> false)).isEmpty();
         assertThat(route.isIdempotent()).isFalse();
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/ItemRun.java
@@ -8,6 +8,7 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.function.Predicate;
 import org.fuchsiaspindle.core.serving.Route;
 import org.fuchsiaspindle.gateway.target.TargetCall;
 import org.fuchsiaspindle.platform.job.BatchItem;
@@ -41,6 +42,7 @@
     private TargetCall call;
     private boolean completed;
     private boolean quarantined;
+    private boolean unsuitable;
     private boolean needsNewConnection;
     private int stalledRuns;
     private long startedNanos;
@@ -135,10 +137,6 @@
         return lastEvent;
     }
 
-    boolean isPending() {
-        return state == State.PENDING;
-    }
-
     boolean mayStart(long now) {
         return state == State.PENDING && now - earliestStartNanos >= 0;
     }
@@ -160,11 +158,21 @@
     }
 
     /**
-     * Returns the service on which the item runs; of several services of the route, it is the same
-     * in each run while their weights are.
+     * Returns the service on which the item runs, empty if no service of the route can run it now;
+     * of several, it is the same in each run while their weights are.
+     *
+     * @param route the route in the configuration in force
+     * @param canRun whether a service can run the item
      */
-    String service(Route route) {
-        return route.chooseService(serviceFraction);
+    Optional<String> service(Route route, Predicate<String> canRun) {
+        return route.chooseService(serviceFraction, canRun);
+    }
+
+    /** Sets whether no service can run the item; returns whether this is new. */
+    boolean setUnsuitable(boolean newUnsuitable) {
+        boolean isNew = newUnsuitable && !unsuitable;
+        unsuitable = newUnsuitable;
+        return isNew;
     }
 
     /** Returns the identifier of the target of the current or last run, a dash before the first. */
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -309,11 +309,6 @@
             return;
         }
         routeMissingSinceNanos.remove(job.id());
-        for (ItemRun run : job.runs()) {
-            if (run.isPending() && isTooLarge(run, run.service(route.get()))) {
-                finish(run, false, "larger than the memory of a target");
-            }
-        }
         OptionalLong storeNow = storeClock.nowMillis();
         if (storeNow.isEmpty()) {
             return;
@@ -392,11 +387,10 @@
                     .ifPresent(
                             route -> {
                                 for (ItemRun run : job.runs()) {
-                                    String service = run.service(route);
-                                    if (run.mayStart(now)
-                                            && !isTooLarge(run, service)
-                                            && mayRun(run, service, now)) {
-                                        startable.put(run, service);
+                                    if (run.mayStart(now)) {
+                                        service(run, route)
+                                                .filter(service -> mayRun(run, service, now))
+                                                .ifPresent(service -> startable.put(run, service));
                                     }
                                 }
                             });
@@ -404,14 +398,29 @@
         return startable;
     }
 
-    /** Returns whether no target of a service has the memory for an item. */
-    private boolean isTooLarge(ItemRun run, String service) {
+    /**
+     * Returns the service on which an item runs. While none has targets with the memory for it, the
+     * item waits, because the next configuration may bring one.
+     */
+    private Optional<String> service(ItemRun run, Route route) {
+        Optional<String> service = run.service(route, candidate -> hasMemoryFor(run, candidate));
+        if (run.setUnsuitable(service.isEmpty())) {
+            DecisionLog.batch(
+                    run.job().id(),
+                    run.item().id(),
+                    "waiting",
+                    "larger than the memory of the targets of route " + route.name());
+        }
+        return service;
+    }
+
+    private boolean hasMemoryFor(ItemRun run, String service) {
         return viewHolder
                 .view()
                 .config()
                 .flatMap(config -> config.model(service))
-                .map(model -> !model.hasMemoryFor(run.maxTokens()))
-                .orElse(false);
+                .map(model -> model.hasMemoryFor(run.maxTokens()))
+                .orElse(true);
     }
 
     private boolean mayRun(ItemRun run, String service, long now) {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/RequestMemoryTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/RequestMemoryTest.java
@@ -1,10 +1,16 @@
 package org.fuchsiaspindle.testbed.emulator;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.fuchsiaspindle.testbed.emulator.EmulatorJobs.submission;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.BATCH;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.STREAM;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.await;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.configureAll;
+import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.headers;
 import static org.fuchsiaspindle.testbed.emulator.GatewayFixture.startGateways;
 
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.Comparator;
@@ -13,6 +19,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
+import java.util.stream.IntStream;
 import org.fuchsiaspindle.testbed.emulator.EmulatorClient.Response;
 import org.fuchsiaspindle.testbed.emulator.EngineEmulator.Arrival;
 import org.junit.jupiter.api.AfterEach;
@@ -24,6 +31,8 @@
 
     private static final int MEMORY_TOKENS = 1000;
     private static final int EVENTS = 20;
+    private static final int ITEMS = 12;
+    private static final ObjectMapper JSON = new ObjectMapper();
     private static final Duration EVENT_TIME = Duration.ofMillis(10);
 
     private final PlatformEmulator platform = PlatformEmulator.start();
@@ -79,6 +88,49 @@
         assertThat(engine.arrivals()).isEmpty();
     }
 
+    /** Guards against items that are lost for good by a configuration that is soon over. */
+    @Test
+    void itemsLargerThanTheTargetsForAWhile_completeLater() throws Exception {
+        String[] items =
+                IntStream.range(0, ITEMS)
+                        .mapToObj(number -> largeItem("item-" + number))
+                        .toArray(String[]::new);
+        Response accepted =
+                platform.client(gateways.getFirst())
+                        .call("POST", BATCH + "job", headers("job"), submission(items));
+        assertThat(accepted.status()).isEqualTo(202);
+        platform.setEngineMemory(MEMORY_TOKENS / 2);
+        int smaller = platform.configure(GatewayFixture.allRoutes());
+        awaitVersion(smaller);
+        Thread.sleep(1000);
+        platform.setEngineMemory(MEMORY_TOKENS);
+        configureAll(platform);
+        await("all items are listed", () -> results().size() == ITEMS);
+        for (JsonNode result : results()) {
+            assertThat(result.path("state").asText()).isEqualTo("completed");
+        }
+    }
+
+    private static String largeItem(String id) {
+        return EmulatorJobs.item(
+                id, Map.of("X-Events", String.valueOf(EVENTS), "Token-Count", "400,200"));
+    }
+
+    private void awaitVersion(int version) throws Exception {
+        await(
+                "version " + version + " in force",
+                () ->
+                        call(gateways.getFirst(), "probe", "400,200").status() == 413
+                                && call(gateways.getLast(), "probe", "400,200").status() == 413);
+    }
+
+    private JsonNode results() throws Exception {
+        Response response =
+                platform.client(gateways.getLast())
+                        .call("GET", "/lots/job?after=0", headers("read"), "");
+        return JSON.readTree(response.body()).path("results");
+    }
+
     private Response call(String ip, String id, String tokens) throws Exception {
         return platform.client(ip)
                 .call(
