--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/FaultyAnswersTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/FaultyAnswersTest.java
@@ -232,6 +232,49 @@
         assertThat(results("job-2")).contains("\"one\\ntwo\"");
     }
 
+    /** Guards against a status that no client can tell the meaning of, and that is passed on. */
+    @Test
+    void answerWithAnImpossibleStatus_isNoAnswer() throws Exception {
+        platform.store().remove("servers", "plain-ready");
+        soundTargets = 0;
+        for (String status : List.of("000", "099", "600", "999", "1000")) {
+            startServer(
+                    "plain",
+                    (request, connection) -> {
+                        connection.write(
+                                HEAD.replace("200", status).formatted(request.header("Attempt-Id"))
+                                        + "Content-Length: 4\r\n\r\nodd!");
+                        return true;
+                    });
+            Response response = call(UNSAFE, "f" + status);
+            assertThat(response.status()).as(status).isEqualTo(502);
+            assertThat(response.body()).as(status).doesNotContain("odd!");
+            server.close();
+        }
+    }
+
+    /** Guards against an item that ends, or counts a failure, by a status that says nothing. */
+    @Test
+    void itemWithAnImpossibleStatus_runsAgain() throws Exception {
+        AtomicInteger requests = new AtomicInteger();
+        startServer(
+                "model",
+                (request, connection) -> {
+                    String head = HEAD.formatted(request.header("Attempt-Id"));
+                    boolean odd = requests.incrementAndGet() <= 4;
+                    connection.write(
+                            (odd ? head.replace("200", "600") : head)
+                                    + EVENTS
+                                    + "\r\n"
+                                    + FIRST_EVENT
+                                    + SECOND_EVENT);
+                    return false;
+                });
+        assertThat(submit("job-3")).isEqualTo(202);
+        await("item completed", () -> results("job-3").contains("completed"));
+        assertThat(results("job-3")).contains("\"one\ntwo\"".replace("\n", "\\n"));
+    }
+
     private int submit(String job) throws IOException {
         String body = EmulatorJobs.submission(job, 1, 2);
         return platform.client(ip)
