--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/batch/JobRunner.java
@@ -84,7 +84,6 @@
     private final FleetViewHolder viewHolder;
     private final TargetFleet fleet;
     private final BatchDemands batchDemands;
-    private final PromptGuard promptGuard;
     private final JobStore jobStore;
     private final JobTable jobTable;
     private final StoreClock storeClock;
@@ -96,6 +95,7 @@
     private final JobLoader loader;
     private final Map<String, Long> routeMissingSinceNanos = new HashMap<>();
     private final ItemTrials trials;
+    private final StartableItems startableItems;
     private boolean demandUpdateScheduled;
     private long lastCheckpointNanos = System.nanoTime();
     private boolean stopping;
@@ -105,14 +105,16 @@
         this.viewHolder = dependencies.viewHolder();
         this.fleet = dependencies.fleet();
         this.batchDemands = dependencies.batchDemands();
-        this.promptGuard = dependencies.promptGuard();
         this.jobStore = dependencies.jobStore();
         this.jobTable = dependencies.jobTable();
         this.storeClock = dependencies.storeClock();
         this.self = dependencies.self();
         this.metrics = dependencies.metrics();
         this.schedule = new ItemSchedule(dependencies.viewHolder(), dependencies.storeClock());
-        this.trials = new ItemTrials(promptGuard, dependencies.timeSinceOnlineRequest());
+        this.trials =
+                new ItemTrials(dependencies.promptGuard(), dependencies.timeSinceOnlineRequest());
+        this.startableItems =
+                new StartableItems(viewHolder, schedule, dependencies.promptGuard(), trials);
         this.loader =
                 new JobLoader(
                         loop,
@@ -365,7 +367,8 @@
     private void updateDemand() {
         Map<String, List<ItemRun>> startable = new HashMap<>();
         if (!stopping) {
-            startableRuns()
+            startableItems
+                    .of(ownedJobs.values(), System.nanoTime())
                     .forEach(
                             (run, service) ->
                                     startable
@@ -379,74 +382,14 @@
         }
     }
 
-    private Map<ItemRun, String> startableRuns() {
-        long now = System.nanoTime();
-        Map<ItemRun, String> startable = new HashMap<>();
-        for (OwnedJob job : ownedJobs.values()) {
-            schedule.route(job.job())
-                    .ifPresent(
-                            route -> {
-                                for (ItemRun run : job.runs()) {
-                                    if (run.mayStart(now)) {
-                                        service(run, route)
-                                                .filter(service -> mayRun(run, service, now))
-                                                .ifPresent(service -> startable.put(run, service));
-                                    }
-                                }
-                            });
-        }
-        return startable;
-    }
-
-    /**
-     * Returns the service on which an item runs. While none has targets with the memory for it, the
-     * item waits, because the next configuration may bring one.
-     */
-    private Optional<String> service(ItemRun run, Route route) {
-        Optional<String> service = run.service(route, candidate -> hasMemoryFor(run, candidate));
-        if (run.setUnsuitable(service.isEmpty())) {
-            DecisionLog.batch(
-                    run.job().id(),
-                    run.item().id(),
-                    "waiting",
-                    "larger than the memory of the targets of route " + route.name());
-        }
-        return service;
-    }
-
-    private boolean hasMemoryFor(ItemRun run, String service) {
-        return viewHolder
-                .view()
-                .config()
-                .flatMap(config -> config.model(service))
-                .map(model -> model.hasMemoryFor(run.maxTokens()))
-                .orElse(true);
-    }
-
-    private boolean mayRun(ItemRun run, String service, long now) {
-        return !isQuarantined(run, service) || trials.isDue(run, service, now);
-    }
-
-    /** Returns whether a prompt part keeps an item from targets; it then waits. */
-    private boolean isQuarantined(ItemRun run, String service) {
-        Optional<Duration> remaining = promptGuard.quarantine(service, run.promptParts());
-        if (run.setQuarantined(remaining.isPresent())) {
-            DecisionLog.batch(
-                    run.job().id(),
-                    run.item().id(),
-                    "waiting",
-                    "PROMPT_QUARANTINED for " + remaining.orElseThrow().toSeconds() + "s");
-        }
-        return remaining.isPresent();
-    }
-
     /** Starts the most urgent item of a service in a granted slot, if there is one. */
     private boolean onSlot(SlotLease lease, TargetInstance target) {
         if (stopping) {
             return false;
         }
         List<ItemRun> startable = new ArrayList<>();
-        startableRuns()
+        startableItems
+                .of(ownedJobs.values(), System.nanoTime())
                 .forEach(
                         (run, service) -> {
                             if (service.equals(target.service())) {
