Give the emulated platform three different ports

GatewayBatchTest.cancelledJob_startsNoMoreItems failed once beside other load: "Address already in use" at the start of a gateway. The emulator chose its ports one after the other, each free again at once, so two of them could be the same. Now all three are held until the last one is chosen.

--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -2,9 +2,11 @@
 
 import com.google.common.net.HostAndPort;
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -37,9 +39,10 @@
     private final StoreEmulator store = StoreEmulator.start(STORE_IP);
     private final Map<String, EngineEmulator> engines = new HashMap<>();
     private final Map<String, Gateway> gateways = new HashMap<>();
-    private final int clientPort = freePort();
-    private final int statusPort = freePort();
-    private final int peerPort = freePort();
+    private final List<Integer> freePorts = freePorts(3);
+    private final int clientPort = freePorts.get(0);
+    private final int statusPort = freePorts.get(1);
+    private final int peerPort = freePorts.get(2);
     private Duration resultRetention = Duration.ofSeconds(120);
     private long itemMemoryBytes = 64L << 20;
     private int incarnations;
@@ -223,11 +226,20 @@
                 itemMemoryBytes);
     }
 
-    private static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+    /** Returns different free ports; all are held until the last one is chosen. */
+    private static List<Integer> freePorts(int count) {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            for (int i = 0; i < count; i++) {
+                sockets.add(new ServerSocket(0));
+            }
+            List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
+            return ports;
         } catch (IOException failure) {
-            throw new java.io.UncheckedIOException(failure);
+            throw new UncheckedIOException(failure);
         }
     }
 }
