Keep what the store shows of gateways between two looks, and ask for trials only of silent targets

Both were worked out anew each 50 ms or for each target of a choice; the rows change only when they are read.

--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetReliability.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetReliability.java
@@ -107,16 +107,18 @@
         return blocked && now - blockedUntilNanos < 0;
     }
 
+    /** Returns whether the target was reported as silent and no data has come since. */
+    boolean isSilent() {
+        return silent;
+    }
+
     /**
-     * Returns whether the target is silent and gets no trial at the moment.
+     * Returns whether a silent target gets no trial at the moment.
      *
      * @param grantedNanos when the slots that are held were granted
      * @param now the time
      */
     boolean isWithheld(LongStream grantedNanos, long now) {
-        if (!silent) {
-            return false;
-        }
         if (now - silentSinceNanos <= SILENCE_REPORT_VALIDITY.toNanos()) {
             return true;
         }
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/TargetSlots.java
@@ -295,7 +295,9 @@
     /** Returns whether the target refuses requests, or is silent and gets no trial now. */
     boolean isUnavailable(long now) {
         return reliability.isBlocked(now)
-                || reliability.isWithheld(leases.stream().mapToLong(Lease::grantedNanos), now);
+                || reliability.isSilent()
+                        && reliability.isWithheld(
+                                leases.stream().mapToLong(Lease::grantedNanos), now);
     }
 
     /**
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerDiscovery.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerDiscovery.java
@@ -25,6 +25,7 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(PeerDiscovery.class);
 
+    /** Time between two looks at the rows that were read, some of which may be old by then. */
     private static final Duration CHECK_INTERVAL = Duration.ofMillis(400);
 
     /** Time for which a gateway counts that is known by its row alone. */
@@ -35,8 +36,7 @@
     private final MemberTable table;
     private final PeerMesh mesh;
     private final StoredMembers members = new StoredMembers();
-    private long readNanos;
-    private boolean anyRead;
+    private StoredGateways gateways = StoredGateways.UNKNOWN;
 
     private PeerDiscovery(EventLoop loop, String ip, MemberTable table, PeerMesh mesh) {
         this.loop = loop;
@@ -63,29 +63,28 @@
         table.addListener(discovery::handle);
         loop.execute(table::read);
         loop.scheduleAtFixedRate(
-                discovery::readIfDue,
+                discovery::check,
                 CHECK_INTERVAL.toMillis(),
                 CHECK_INTERVAL.toMillis(),
                 TimeUnit.MILLISECONDS);
         return discovery;
     }
 
-    private void readIfDue() {
-        long sinceNanos = System.nanoTime() - (anyRead ? readNanos : table.lastReadNanos());
-        if (sinceNanos >= members.interval(mesh.peers().isEmpty()).toNanos()) {
+    private void check() {
+        gateways = evaluate();
+        long sinceReadNanos = System.nanoTime() - table.lastReadNanos();
+        if (sinceReadNanos >= members.interval(mesh.peers().isEmpty()).toNanos()) {
             table.read();
         }
     }
 
     private void handle(Map<String, Renewal> rows) {
-        long now = System.nanoTime();
-        anyRead = true;
-        readNanos = now;
         members.update(
                 Maps.transformValues(
                         Maps.filterKeys(rows, member -> !member.equals(ip)), Renewal::version),
-                now);
-        Set<String> unknown = Set.copyOf(Sets.difference(live(), mesh.knownAddresses()));
+                System.nanoTime());
+        gateways = evaluate();
+        Set<String> unknown = Set.copyOf(Sets.difference(gateways.live(), mesh.knownAddresses()));
         if (!unknown.isEmpty()) {
             LOG.info("peer: found in the store ips={}", unknown);
             mesh.addPeers(unknown);
@@ -94,6 +93,13 @@
 
     /** Returns the gateways as the rows that were read last show them. */
     public StoredGateways gateways() {
+        if (!gateways.complete()) {
+            gateways = evaluate();
+        }
+        return gateways;
+    }
+
+    private StoredGateways evaluate() {
         return new StoredGateways(
                 live(),
                 members.presentWithin(RETENTION, System.nanoTime()),
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/StoredGateways.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/StoredGateways.java
@@ -14,6 +14,10 @@
 public record StoredGateways(
         ImmutableSet<String> live, ImmutableSet<String> present, boolean complete) {
 
+    /** Stands for rows that were not read yet. */
+    static final StoredGateways UNKNOWN =
+            new StoredGateways(ImmutableSet.of(), ImmutableSet.of(), false);
+
     /** Validates the components. */
     public StoredGateways {
         checkNotNull(live, "live");
