--- a/review/R3Kit.java
+++ b/review/R3Kit.java
@@ -875,6 +875,7 @@
             }
         }
 
+        /** Resets new connections at once, or no longer. */
         void refuse(boolean newRefusing) {
             refusing = newRefusing;
         }
