--- a/review/R3Kit.java
+++ b/review/R3Kit.java
@@ -604,17 +604,25 @@
         final AtomicInteger queued = new AtomicInteger();
         final AtomicInteger running = new AtomicInteger();
         private final long born = System.currentTimeMillis();
+        private final String address;
         private int sequence;
         private volatile boolean crashed;
 
         Engine(String id, String service, String zone, int slots, double eventSeconds, String ip) throws IOException {
+            this(id, service, zone, slots, eventSeconds, ip, 0, "");
+        }
+
+        /** An engine that listens on a port (0: any) and says that it listens at an address (empty: its own). */
+        Engine(String id, String service, String zone, int slots, double eventSeconds, String ip, int port, String said)
+                throws IOException {
             this.id = id;
             this.service = service;
             this.zone = zone;
             this.slots = slots;
             this.eventSeconds = eventSeconds;
             free = new Semaphore(slots, true);
-            server = new Server(ip, 0, this::handle);
+            server = new Server(ip, port, this::handle);
+            address = said.isEmpty() ? ip + ":" + server.port() : said;
             engines.add(this);
             beat();
             Thread.startVirtualThread(
@@ -633,8 +641,7 @@
             store.put(
                     "servers",
                     id,
-                    ("{\"service\":\"" + service + "\",\"address\":\"" + server.listener.getInetAddress().getHostAddress()
-                                    + ":" + server.port() + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":"
+                    ("{\"service\":\"" + service + "\",\"address\":\"" + address + "\",\"zone\":\"" + zone + "\",\"version\":\"v1\",\"slots\":"
                                     + slots + ",\"state\":\"ready\",\"coldLeftMs\":0,\"stage\":\"both\",\"models\":[{\"name\":"
                                     + "\"m\",\"version\":1,\"adapters\":[]}],\"sequence\":" + ++sequence + ",\"born\":" + born + "}")
                             .getBytes(StandardCharsets.UTF_8));
@@ -778,11 +785,13 @@
         private final ServerSocket listener;
         private final List<Pair> pairs = new CopyOnWriteArrayList<>();
         private volatile boolean refusing;
+        private volatile boolean cut;
 
         private static final class Pair {
             final Socket near;
             final Socket far;
             volatile boolean held;
+            volatile boolean dead;
 
             Pair(Socket near, Socket far) {
                 this.near = near;
@@ -813,6 +822,9 @@
         }
 
         private void open(Socket near, String ip, int port) {
+            while (cut) {
+                sleep(0.002);
+            }
             try {
                 Socket far = new Socket();
                 far.connect(new InetSocketAddress(ip, port), 1000);
@@ -835,13 +847,21 @@
                     while (pair.held) {
                         sleep(0.002);
                     }
+                    if (pair.dead) {
+                        // The far end doesn't know this connection any more.
+                        throw new IOException("dead");
+                    }
                     to.getOutputStream().write(buffer, 0, count);
                 }
-                to.shutdownOutput();
+                if (!pair.dead) {
+                    to.shutdownOutput();
+                }
             } catch (IOException ended) {
                 pairs.remove(pair);
                 reset(from);
-                reset(to);
+                if (!pair.dead || to == pair.far) {
+                    reset(to);
+                }
             }
         }
 
@@ -860,8 +880,23 @@
             return pairs.size();
         }
 
+        /**
+         * Cuts everything silently while the far end crashes: the near ends of open connections hear nothing of that.
+         * Once the cut is over ({@link #resume}), what they send is answered with a reset, and new connections work.
+         */
+        int cut() {
+            cut = true;
+            pairs.forEach(
+                    pair -> {
+                        pair.dead = true;
+                        pair.held = true;
+                    });
+            return pairs.size();
+        }
+
         /** What was held arrives. */
         void resume() {
+            cut = false;
             pairs.forEach(pair -> pair.held = false);
         }
 
