Read the rows of the gateways a second time only when the answer can confirm the first

Cause: a gateway needs two answers that are 1.2 s apart. The second read began 1.2 s after the first one began, and the first answer takes longest, so the second answer was passed over and a third read was needed.

Change: the second read begins 1.2 s after the first answer (StoredMembers.isReadDue). After a failed read the interval is as before. The test of the reads is unchanged.

--- a/core/src/main/java/org/fuchsiaspindle/core/membership/StoredMembers.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/membership/StoredMembers.java
@@ -111,12 +111,25 @@
     }
 
     /**
-     * Returns the time from one read to the next, which grows with the fleet, so that the reads of
-     * all processes together do not.
+     * Returns whether the rows should be read again.
      *
+     * @param readStartNanos when the last read began
      * @param alone whether no other process is heard
+     * @param nowNanos the time
+     */
+    public boolean isReadDue(long readStartNanos, boolean alone, long nowNanos) {
+        if (nowNanos - readStartNanos < interval(alone).toNanos()) {
+            return false;
+        }
+        // The second answer must come late enough after the first one, which may have taken long.
+        return reads != 1 || nowNanos - readNanos >= CONFIRMATION_TIME.toNanos();
+    }
+
+    /**
+     * Returns the time from one read to the next, which grows with the fleet, so that the reads of
+     * all processes together do not.
      */
-    public Duration interval(boolean alone) {
+    private Duration interval(boolean alone) {
         if (!isConfirmed()) {
             return CONFIRMATION_TIME;
         }
--- a/core/src/test/java/org/fuchsiaspindle/core/membership/StoredMembersTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/membership/StoredMembersTest.java
@@ -43,6 +43,28 @@
         assertThat(members.isConfirmed()).isFalse();
     }
 
+    /** Guards against a second read that confirms nothing, because it was answered too soon. */
+    @Test
+    void secondRead_isDueWhenItsAnswerConfirms() {
+        long firstStart = now;
+        now += Duration.ofMillis(100).toNanos();
+        members.update(Map.of("a", 1L), now);
+        long tooEarly = firstStart + StoredMembers.CONFIRMATION_TIME.toNanos();
+        assertThat(members.isReadDue(firstStart, true, tooEarly)).isFalse();
+        now += StoredMembers.CONFIRMATION_TIME.toNanos();
+        assertThat(members.isReadDue(firstStart, true, now)).isTrue();
+        members.update(Map.of("a", 2L), now);
+        assertThat(members.isConfirmed()).isTrue();
+    }
+
+    /** Guards against reads without a pause while the store fails. */
+    @Test
+    void readThatFails_isRepeatedAfterItsInterval() {
+        assertThat(members.isReadDue(now, true, now + 1)).isFalse();
+        long due = now + StoredMembers.CONFIRMATION_TIME.toNanos();
+        assertThat(members.isReadDue(now, true, due)).isTrue();
+    }
+
     /** Guards against a wait of all processes that start together and hear each other. */
     @Test
     void firstRead_isEnoughIfAllRowsAreOfHeardProcesses() {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerDiscovery.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerDiscovery.java
@@ -72,8 +72,8 @@
 
     private void check() {
         gateways = evaluate();
-        long sinceReadNanos = System.nanoTime() - table.lastReadNanos();
-        if (sinceReadNanos >= members.interval(mesh.peers().isEmpty()).toNanos()) {
+        boolean alone = mesh.peers().isEmpty();
+        if (members.isReadDue(table.lastReadNanos(), alone, System.nanoTime())) {
             table.read();
         }
     }
