Confirm batch grants within a second, and show those that are not confirmed

The two counts that are suspected, the grants that a coordinator made and those that the holder received, were visible nowhere, and a holder whose items all had slots did not confirm its grants until it wanted something else.

A holder now confirms 1 s after a grant if it says nothing before. Nothing else changes.

--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -62,9 +62,15 @@
         private BatchDemand demand = BatchDemand.NONE;
         private long batchGrants;
 
+        /** When the oldest unconfirmed grant was made or a later confirmation arrived. */
+        private long unconfirmedSinceNanos;
+
+        long unconfirmedGrants() {
+            return Math.max(0, batchGrants - demand.grantsReceived());
+        }
+
         int ungrantedItems() {
-            long grantsOnTheirWay = Math.max(0, batchGrants - demand.grantsReceived());
-            return (int) Math.max(0, demand.waiting() - grantsOnTheirWay);
+            return (int) Math.max(0, demand.waiting() - unconfirmedGrants());
         }
     }
 
@@ -184,8 +190,12 @@
     /** Replaces the batch demand of a gateway. */
     public List<SlotDecision> demand(String holder, BatchDemand demand, long now) {
         Holder state = holder(holder);
+        boolean progress = demand.grantsReceived() != state.demand.grantsReceived();
         state.demand = checkNotNull(demand, "demand");
         state.batchGrants = Math.max(state.batchGrants, demand.grantsReceived());
+        if (progress || state.unconfirmedGrants() == 0) {
+            state.unconfirmedSinceNanos = now;
+        }
         return assignFreeSlots(now);
     }
 
@@ -274,6 +284,25 @@
         return decisions;
     }
 
+    /** Returns the gateways that have not confirmed grants of batch slots for a time. */
+    public List<UnconfirmedGrants> unconfirmedGrants(Duration time, long now) {
+        List<UnconfirmedGrants> unconfirmed = new ArrayList<>();
+        holders.forEach(
+                (ip, holder) -> {
+                    if (holder.unconfirmedGrants() > 0
+                            && now - holder.unconfirmedSinceNanos > time.toNanos()) {
+                        unconfirmed.add(
+                                new UnconfirmedGrants(
+                                        ip,
+                                        holder.batchGrants,
+                                        holder.demand.grantsReceived(),
+                                        holder.demand.waiting(),
+                                        holder.leases.size()));
+                    }
+                });
+        return unconfirmed;
+    }
+
     /** Returns whether the pool holds no slots, requests or demand, so that it can be dropped. */
     public boolean isIdle() {
         return waiting.size() == 0
@@ -468,6 +497,9 @@
         long ticket = nextBatchTicket++;
         long dueMillis = holder.demand.dueMillis();
         int reservedTokens = holder.demand.largestItemTokens();
+        if (holder.unconfirmedGrants() == 0) {
+            holder.unconfirmedSinceNanos = now;
+        }
         holder.batchGrants++;
         add(
                 holder,
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
@@ -34,6 +34,9 @@
     /** Time after which a demand that waits is sent again, because a frame may have been lost. */
     private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(2);
 
+    /** Time after which grants are confirmed if nothing else is said to the coordinator. */
+    private static final Duration CONFIRMATION_DELAY = Duration.ofSeconds(1);
+
     /** Largest number of items for which one pool of another data centre is asked at a time. */
     private static final int MAX_REMOTE_ITEMS = 4;
 
@@ -63,6 +66,7 @@
     private Listener listener = (lease, target) -> false;
     private boolean sendScheduled;
     private boolean remoteCheckScheduled;
+    private boolean confirmationScheduled;
 
     BatchDemands(SlotClient client, EventLoop loop) {
         this.client = checkNotNull(client, "client");
@@ -126,6 +130,20 @@
         }
     }
 
+    /** Lets the coordinators know within some time that their grants have arrived. */
+    void confirmGrants() {
+        if (!confirmationScheduled) {
+            confirmationScheduled = true;
+            loop.schedule(
+                    () -> {
+                        confirmationScheduled = false;
+                        send();
+                    },
+                    CONFIRMATION_DELAY.toMillis(),
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void checkRemote() {
         remoteCheckScheduled = false;
         send();
@@ -163,8 +181,11 @@
         PoolHoldings holdings = client.holdings(pool);
         BatchDemand sent = holdings.sentDemand();
         long granted = holdings.batchGrants() - sent.grantsReceived();
+        boolean confirmed =
+                granted == 0 || holdings.demandAge(now).compareTo(CONFIRMATION_DELAY) < 0;
         boolean known =
-                items == Math.max(0, sent.waiting() - granted)
+                confirmed
+                        && items == Math.max(0, sent.waiting() - granted)
                         && (items == 0
                                 || holdings.demandAge(now).compareTo(REPEAT_INTERVAL) < 0
                                         && waiting.dueMillis() == sent.dueMillis()
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -338,6 +338,8 @@
         PoolId pool = SlotCodec.decode(grant.getPool());
         PoolHoldings holdings = holdings(pool);
         if (!holdings.coordinator().equals(ip)) {
+            metrics.countSlotEvent("batch_returned");
+            LOG.info("slots: batch grant returned pool={} from={}", pool, ip);
             send(
                     ip,
                     SlotCodec.release(
@@ -346,6 +348,7 @@
         }
         metrics.countSlotEvent("batch_granted");
         holdings.countBatchGrant();
+        batchDemands.confirmGrants();
         SlotLease lease =
                 addLease(
                         pool,
