--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotDecision.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotDecision.java
@@ -78,6 +78,7 @@
      * A waiting batch item of the holder may run on a target.
      *
      * @param ticket a new ticket for the slot
+     * @param exchange the exchange in which it is granted
      * @param targetLimited as for an online request
      * @param reservedTokens the memory of the target that is reserved for the item, in tokens; 0 if
      *     unknown
@@ -85,6 +86,7 @@
     record BatchGranted(
             String holder,
             long ticket,
+            long exchange,
             String target,
             long dueMillis,
             boolean targetLimited,
@@ -98,8 +100,12 @@
         }
     }
 
-    /** A batch item must be stopped, because an online request got its slot. */
-    record Preempted(String holder, long ticket) implements SlotDecision {
+    /**
+     * A batch item must be stopped, because an online request got its slot.
+     *
+     * @param exchange the exchange with the holder in which this was decided
+     */
+    record Preempted(String holder, long ticket, long exchange) implements SlotDecision {
 
         /** Validates the components. */
         public Preempted {
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -60,18 +60,29 @@
     private static final class Holder {
         private final Map<Long, Lease> leases = new HashMap<>();
         private BatchDemand demand = BatchDemand.NONE;
+
+        /** The exchange in which the grants are counted. */
+        private long exchange = ReceivedGrants.NO_EXCHANGE;
+
         private long batchGrants;
 
         /** When the oldest unconfirmed grant was made or a later confirmation arrived. */
         private long unconfirmedSinceNanos;
 
         long unconfirmedGrants() {
-            return Math.max(0, batchGrants - demand.grantsReceived());
+            return Math.max(0, batchGrants - demand.received().count());
         }
 
         int ungrantedItems() {
             return (int) Math.max(0, demand.waiting() - unconfirmedGrants());
         }
+
+        /** Continues the count of an exchange, or begins that of another one. */
+        void count(ReceivedGrants received) {
+            boolean sameExchange = received.exchange() == exchange;
+            exchange = received.exchange();
+            batchGrants = sameExchange ? Math.max(batchGrants, received.count()) : received.count();
+        }
     }
 
     private SlotPool(long firstBatchTicket) {
@@ -190,9 +201,9 @@
     /** Replaces the batch demand of a gateway. */
     public List<SlotDecision> demand(String holder, BatchDemand demand, long now) {
         Holder state = holder(holder);
-        boolean progress = demand.grantsReceived() != state.demand.grantsReceived();
+        boolean progress = !demand.received().equals(state.demand.received());
         state.demand = checkNotNull(demand, "demand");
-        state.batchGrants = Math.max(state.batchGrants, demand.grantsReceived());
+        state.count(demand.received());
         if (progress || state.unconfirmedGrants() == 0) {
             state.unconfirmedSinceNanos = now;
         }
@@ -201,17 +212,20 @@
 
     /**
      * Replaces everything that is known of a gateway by the slots that it holds. Batch slots that
-     * were granted after the gateway had sent its report are kept.
+     * were granted in the same exchange after the gateway had sent its report are kept; those of
+     * another exchange are not, because the gateway returns them.
      *
      * @param holder the gateway, not null
      * @param slots the slots that it holds, not null
-     * @param grantsReceived how many batch slots of this coordinator it had received by then
+     * @param received the batch slots of this coordinator that it had received by then, not null
      * @param now the time
      */
     public List<SlotDecision> replaceHoldings(
-            String holder, Collection<HeldSlot> slots, long grantsReceived, long now) {
+            String holder, Collection<HeldSlot> slots, ReceivedGrants received, long now) {
         Holder state = holder(holder);
-        removeKnownTo(state, holder, grantsReceived);
+        boolean sameExchange = received.exchange() == state.exchange;
+        removeKnownTo(state, holder, sameExchange ? received.count() : Long.MAX_VALUE);
+        state.count(received);
         for (HeldSlot slot : slots) {
             add(
                     state,
@@ -284,18 +298,22 @@
         return decisions;
     }
 
-    /** Returns the gateways that have not confirmed grants of batch slots for a time. */
+    /**
+     * Returns the gateways that have not confirmed grants of batch slots for a time. Those of
+     * earlier versions confirm only with their next demand, so they are left out.
+     */
     public List<UnconfirmedGrants> unconfirmedGrants(Duration time, long now) {
         List<UnconfirmedGrants> unconfirmed = new ArrayList<>();
         holders.forEach(
                 (ip, holder) -> {
-                    if (holder.unconfirmedGrants() > 0
+                    if (holder.exchange != ReceivedGrants.NO_EXCHANGE
+                            && holder.unconfirmedGrants() > 0
                             && now - holder.unconfirmedSinceNanos > time.toNanos()) {
                         unconfirmed.add(
                                 new UnconfirmedGrants(
                                         ip,
                                         holder.batchGrants,
-                                        holder.demand.grantsReceived(),
+                                        holder.demand.received().count(),
                                         holder.demand.waiting(),
                                         holder.leases.size()));
                     }
@@ -360,7 +378,6 @@
             }
         }
         state.demand = BatchDemand.NONE;
-        state.batchGrants = Math.max(state.batchGrants, grantsReceived);
         waiting.removeIf(request -> request.holder().equals(holder));
         removeUnusedTargets();
     }
@@ -387,8 +404,11 @@
         preempted.ifPresent(
                 lease -> {
                     target.remove(lease);
-                    holders.get(lease.holder()).leases.remove(lease.ticket());
-                    decisions.add(new SlotDecision.Preempted(lease.holder(), lease.ticket()));
+                    Holder holder = holders.get(lease.holder());
+                    holder.leases.remove(lease.ticket());
+                    decisions.add(
+                            new SlotDecision.Preempted(
+                                    lease.holder(), lease.ticket(), holder.exchange));
                 });
         return preempted.isPresent();
     }
@@ -517,6 +537,7 @@
                 new SlotDecision.BatchGranted(
                         ip,
                         ticket,
+                        holder.exchange,
                         chosen.get().id(),
                         dueMillis,
                         chosen.get().hasRequestLimit(),
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/PoolReplay.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/PoolReplay.java
@@ -276,7 +276,12 @@
         apply(
                 pool.demand(
                         "b",
-                        new BatchDemand(items.size(), 1000, grants, ImmutableSet.of(), 0),
+                        new BatchDemand(
+                                items.size(),
+                                1000,
+                                new ReceivedGrants(ReceivedGrants.NO_EXCHANGE, grants),
+                                ImmutableSet.of(),
+                                0),
                         now));
     }
 
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -28,6 +28,7 @@
 
     private static final int SLOTS = 4;
     private static final long FIRST_BATCH_TICKET = 1_000_000;
+    private static final long EXCHANGE = 7;
 
     private final SlotPool pool = SlotPool.create(FIRST_BATCH_TICKET);
     private long now = Duration.ofSeconds(100).toNanos();
@@ -207,7 +208,7 @@
                         Optional.of(Duration.ofMillis(50)),
                         Duration.ofSeconds(1));
         pool.release("g1", item, report, now);
-        pool.demand("g1", new BatchDemand(10, 1000, 1, ImmutableSet.of(), 0), now);
+        pool.demand("g1", new BatchDemand(10, 1000, received(1), ImmutableSet.of(), 0), now);
         Granted online = granted(request("g2", false));
         now += Duration.ofMillis(101).toNanos();
         assertThat(release("g2", online.ticket(), LeaseOutcome.DONE)).isEmpty();
@@ -234,9 +235,17 @@
     void grantsOnTheirWay_countAgainstTheDemand() {
         targets("a", "b");
         assertThat(demand("g1", 3, 1000)).hasSize(3);
-        assertThat(pool.demand("g1", new BatchDemand(3, 1000, 0, ImmutableSet.of(), 0), now))
+        assertThat(
+                        pool.demand(
+                                "g1",
+                                new BatchDemand(3, 1000, received(0), ImmutableSet.of(), 0),
+                                now))
                 .isEmpty();
-        assertThat(pool.demand("g1", new BatchDemand(2, 1000, 3, ImmutableSet.of(), 0), now))
+        assertThat(
+                        pool.demand(
+                                "g1",
+                                new BatchDemand(2, 1000, received(3), ImmutableSet.of(), 0),
+                                now))
                 .hasSize(2);
     }
 
@@ -261,10 +270,10 @@
         for (long ticket = 50; ticket < 53; ticket++) {
             held.add(new HeldSlot(ticket, "a", TrafficClass.BATCH, 1000, 0));
         }
-        assertThat(pool.replaceHoldings("g2", held, 0, now))
+        assertThat(pool.replaceHoldings("g2", held, received(0), now))
                 .hasSize(3)
                 .allSatisfy(decision -> assertThat(decision).isInstanceOf(Preempted.class));
-        pool.replaceHoldings("g1", List.of(), 0, now);
+        pool.replaceHoldings("g1", List.of(), received(0), now);
         assertThat(pool.occupiedSlots()).isZero();
     }
 
@@ -276,12 +285,55 @@
     void reportThatCrossesAGrant_doesNotRemoveTheSlot() {
         targets("a");
         demand("g1", 1, 1000);
-        pool.replaceHoldings("g1", List.of(), 0, now);
+        pool.replaceHoldings("g1", List.of(), received(0), now);
         assertThat(pool.occupiedSlots()).isEqualTo(1);
-        pool.replaceHoldings("g1", List.of(), 1, now);
+        pool.replaceHoldings("g1", List.of(), received(1), now);
         assertThat(pool.occupiedSlots()).isZero();
     }
 
+    /**
+     * Guards against grants that the holder has returned or never received, and that hold slots.
+     */
+    @Test
+    void grantsOfAnExchangeThatIsOver_areForgottenAndNotCounted() {
+        targets("a");
+        assertThat(demand("g1", SLOTS, 1000)).hasSize(SLOTS);
+        pool.replaceHoldings("g1", List.of(), new ReceivedGrants(EXCHANGE + 1, 0), now);
+        assertThat(pool.occupiedSlots()).isZero();
+        ReceivedGrants none = new ReceivedGrants(EXCHANGE + 1, 0);
+        assertThat(pool.demand("g1", new BatchDemand(2, 1000, none, ImmutableSet.of(), 0), now))
+                .hasSize(2)
+                .allSatisfy(
+                        decision ->
+                                assertThat(((BatchGranted) decision).exchange())
+                                        .isEqualTo(EXCHANGE + 1));
+    }
+
+    /** Guards against a gateway whose grants still count after it has forgotten them. */
+    @Test
+    void demandOfANewExchange_isNotReducedByEarlierGrants() {
+        targets("a", "b");
+        List<SlotDecision> granted = demand("g1", SLOTS, 1000);
+        granted.forEach(grant -> release("g1", ((BatchGranted) grant).ticket(), LeaseOutcome.DONE));
+        ReceivedGrants none = new ReceivedGrants(EXCHANGE + 1, 0);
+        assertThat(pool.demand("g1", new BatchDemand(SLOTS, 1000, none, ImmutableSet.of(), 0), now))
+                .hasSize(SLOTS);
+    }
+
+    /** Guards against a lost grant that nobody notices. */
+    @Test
+    void unconfirmedGrants_areReportedAfterSomeTime() {
+        targets("a");
+        demand("g1", 2, 1000);
+        Duration time = Duration.ofSeconds(2);
+        assertThat(pool.unconfirmedGrants(time, now)).isEmpty();
+        now += Duration.ofSeconds(3).toNanos();
+        assertThat(pool.unconfirmedGrants(time, now))
+                .containsExactly(new UnconfirmedGrants("g1", 2, 0, 2, 2));
+        pool.demand("g1", new BatchDemand(0, 0, received(2), ImmutableSet.of(), 0), now);
+        assertThat(pool.unconfirmedGrants(time, now)).isEmpty();
+    }
+
     @Test
     void waitingRequest_whoseLatestStartPasses_isRefused() {
         targets("a");
@@ -483,7 +535,7 @@
     private void hold(String target, String... holders) {
         for (String holder : holders) {
             HeldSlot slot = new HeldSlot(nextTicket++, target, TrafficClass.ONLINE, 0, 0);
-            pool.replaceHoldings(holder, List.of(slot), 0, now);
+            pool.replaceHoldings(holder, List.of(slot), received(0), now);
         }
     }
 
@@ -525,7 +577,12 @@
     }
 
     private List<SlotDecision> demand(String holder, int waiting, long due) {
-        return pool.demand(holder, new BatchDemand(waiting, due, 0, ImmutableSet.of(), 0), now);
+        return pool.demand(
+                holder, new BatchDemand(waiting, due, received(0), ImmutableSet.of(), 0), now);
+    }
+
+    private static ReceivedGrants received(long count) {
+        return new ReceivedGrants(EXCHANGE, count);
     }
 
     private List<SlotDecision> release(String holder, long ticket, LeaseOutcome outcome) {
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceTest.java
@@ -124,7 +124,7 @@
         pool.setModel(Optional.of(new TargetModel(SIZE.maxTokens() + 100, 1)));
         targets("a");
         HeldSlot held = new HeldSlot(1, "a", TrafficClass.ONLINE, 0, SIZE.maxTokens());
-        pool.replaceHoldings("other", List.of(held), 0, now);
+        pool.replaceHoldings("other", List.of(held), ReceivedGrants.NONE, now);
         assertThat(request(SIZE)).singleElement().isInstanceOf(Refused.class);
     }
 
@@ -228,7 +228,12 @@
     private List<SlotDecision> demand(int items, long dueMillis, long grantsReceived) {
         return pool.demand(
                 "g",
-                new BatchDemand(items, dueMillis, grantsReceived, ImmutableSet.of(), ITEM_TOKENS),
+                new BatchDemand(
+                        items,
+                        dueMillis,
+                        new ReceivedGrants(ReceivedGrants.NO_EXCHANGE, grantsReceived),
+                        ImmutableSet.of(),
+                        ITEM_TOKENS),
                 now);
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/BatchDemands.java
@@ -10,8 +10,8 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.fuchsiaspindle.core.serving.TargetInstance;
-import org.fuchsiaspindle.core.slot.BatchDemand;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
+import org.fuchsiaspindle.core.slot.PoolExchange;
 import org.fuchsiaspindle.core.slot.PoolId;
 import org.fuchsiaspindle.core.slot.RunReport;
 
@@ -31,12 +31,6 @@
     /** Time that items wait before pools of other data centres are asked. */
     private static final Duration REMOTE_DELAY = Duration.ofMillis(60);
 
-    /** Time after which a demand that waits is sent again, because a frame may have been lost. */
-    private static final Duration REPEAT_INTERVAL = Duration.ofSeconds(2);
-
-    /** Time after which grants are confirmed if nothing else is said to the coordinator. */
-    private static final Duration CONFIRMATION_DELAY = Duration.ofSeconds(1);
-
     /** Largest number of items for which one pool of another data centre is asked at a time. */
     private static final int MAX_REMOTE_ITEMS = 4;
 
@@ -139,7 +133,7 @@
                         confirmationScheduled = false;
                         send();
                     },
-                    CONFIRMATION_DELAY.toMillis(),
+                    PoolExchange.CONFIRMATION_DELAY.toMillis(),
                     TimeUnit.MILLISECONDS);
         }
     }
@@ -179,28 +173,13 @@
     private void send(
             PoolId pool, int items, Waiting waiting, ImmutableSet<String> avoided, long now) {
         PoolHoldings holdings = client.holdings(pool);
-        BatchDemand sent = holdings.sentDemand();
-        long granted = holdings.batchGrants() - sent.grantsReceived();
-        boolean confirmed =
-                granted == 0 || holdings.demandAge(now).compareTo(CONFIRMATION_DELAY) < 0;
-        boolean known =
-                confirmed
-                        && items == Math.max(0, sent.waiting() - granted)
-                        && (items == 0
-                                || holdings.demandAge(now).compareTo(REPEAT_INTERVAL) < 0
-                                        && waiting.dueMillis() == sent.dueMillis()
-                                        && waiting.largestTokens() == sent.largestItemTokens()
-                                        && avoided.equals(sent.avoided()));
-        if (!known) {
-            BatchDemand demand =
-                    new BatchDemand(
-                            items,
-                            waiting.dueMillis(),
-                            holdings.batchGrants(),
-                            avoided,
-                            waiting.largestTokens());
-            holdings.setSentDemand(demand, now);
-            client.send(holdings.coordinator(), SlotCodec.demand(pool, demand));
-        }
+        holdings.exchange()
+                .demandToSend(items, waiting.dueMillis(), avoided, waiting.largestTokens(), now)
+                .ifPresent(
+                        demand ->
+                                client.send(
+                                        holdings.coordinator(),
+                                        SlotCodec.demand(
+                                                pool, demand, holdings.grantsInAllExchanges())));
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/PoolHoldings.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/PoolHoldings.java
@@ -2,35 +2,32 @@
 
 import static com.google.common.base.Preconditions.checkNotNull;
 
-import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import org.fuchsiaspindle.core.slot.BatchDemand;
 import org.fuchsiaspindle.core.slot.HeldSlot;
+import org.fuchsiaspindle.core.slot.PoolExchange;
 
 /** What this gateway holds and wants of one pool, as its coordinator knows it; not thread-safe. */
 final class PoolHoldings {
 
     private final Map<Long, SlotLease> leases = new HashMap<>();
     private final Map<Long, SlotAcquisition> acquisitions = new HashMap<>();
-    private String coordinator;
-    private BatchDemand sentDemand = BatchDemand.NONE;
-    private long demandSentNanos;
-    private final Map<String, Long> batchGrants = new HashMap<>();
+    private final Map<String, Long> grantsByCoordinator = new HashMap<>();
+    private final PoolExchange exchange;
 
-    PoolHoldings(String coordinator) {
-        this.coordinator = checkNotNull(coordinator, "coordinator");
+    PoolHoldings(PoolExchange exchange) {
+        this.exchange = checkNotNull(exchange, "exchange");
     }
 
-    String coordinator() {
-        return coordinator;
+    PoolExchange exchange() {
+        return exchange;
     }
 
-    void setCoordinator(String newCoordinator) {
-        coordinator = newCoordinator;
+    String coordinator() {
+        return exchange.coordinator();
     }
 
     Map<Long, SlotAcquisition> acquisitions() {
@@ -55,31 +52,21 @@
         return slots;
     }
 
-    /** Returns how many batch slots the coordinator has granted to this gateway so far. */
-    long batchGrants() {
-        return batchGrants.getOrDefault(coordinator, 0L);
+    /**
+     * Returns how many batch slots the coordinator has granted in all exchanges, which is what
+     * coordinators of earlier versions count.
+     */
+    long grantsInAllExchanges() {
+        return grantsByCoordinator.getOrDefault(coordinator(), 0L);
     }
 
     void countBatchGrant() {
-        batchGrants.merge(coordinator, 1L, Long::sum);
-    }
-
-    BatchDemand sentDemand() {
-        return sentDemand;
-    }
-
-    void setSentDemand(BatchDemand demand, long now) {
-        sentDemand = demand;
-        demandSentNanos = now;
-    }
-
-    /** Returns the time since the last demand was sent. */
-    Duration demandAge(long now) {
-        return Duration.ofNanos(now - demandSentNanos);
+        exchange.countGrant();
+        grantsByCoordinator.merge(coordinator(), 1L, Long::sum);
     }
 
     /** Returns whether the coordinator must notice soon that this gateway is lost. */
     boolean isInUse() {
-        return !leases.isEmpty() || !acquisitions.isEmpty() || sentDemand.waiting() > 0;
+        return !leases.isEmpty() || !acquisitions.isEmpty() || exchange.hasSentDemand();
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -19,11 +19,12 @@
 import java.util.function.Function;
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.serving.TargetModel;
-import org.fuchsiaspindle.core.slot.BatchDemand;
 import org.fuchsiaspindle.core.slot.HeldSlot;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
+import org.fuchsiaspindle.core.slot.PoolExchange;
 import org.fuchsiaspindle.core.slot.PoolId;
 import org.fuchsiaspindle.core.slot.PoolPlan;
+import org.fuchsiaspindle.core.slot.ReceivedGrants;
 import org.fuchsiaspindle.core.slot.RunReport;
 import org.fuchsiaspindle.core.slot.SlotRequest;
 import org.fuchsiaspindle.core.slot.TrafficClass;
@@ -35,6 +36,7 @@
 import org.fuchsiaspindle.wire.peer.CoordinatorCheck;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
 import org.fuchsiaspindle.wire.peer.SlotReply;
+import org.fuchsiaspindle.wire.peer.SlotRevocation;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -93,6 +95,7 @@
     private Targets targets;
     private ScheduledFuture<?> nextCheck;
     private long nextTicket = ThreadLocalRandom.current().nextLong();
+    private long nextExchange = ThreadLocalRandom.current().nextLong();
 
     private SlotClient(
             EventLoop loop,
@@ -254,11 +257,7 @@
         switch (frame.getBodyCase()) {
             case SLOT_REPLY -> onReply(peerIp, frame.getSlotReply());
             case BATCH_GRANT -> onBatchGrant(peerIp, frame.getBatchGrant());
-            case SLOT_REVOCATION ->
-                    onRevocation(
-                            peerIp,
-                            SlotCodec.decode(frame.getSlotRevocation().getPool()),
-                            frame.getSlotRevocation().getTicket());
+            case SLOT_REVOCATION -> onRevocation(peerIp, frame.getSlotRevocation());
             case HOLDINGS_QUERY ->
                     onHoldingsQuery(peerIp, SlotCodec.decode(frame.getHoldingsQuery().getPool()));
             case COORDINATOR_CHECK -> {
@@ -283,7 +282,7 @@
                 (pool, holdings) -> {
                     if (holdings.coordinator().equals(peerIp)) {
                         // The peer forgot what this gateway held when the old connection closed.
-                        startExchange(pool, holdings);
+                        beginExchange(pool, holdings, holdings.coordinator());
                     }
                 });
         refreshCoordinators();
@@ -337,9 +336,11 @@
     private void onBatchGrant(String ip, BatchGrant grant) {
         PoolId pool = SlotCodec.decode(grant.getPool());
         PoolHoldings holdings = holdings(pool);
-        if (!holdings.coordinator().equals(ip)) {
+        if (!holdings.exchange().includes(ip, grant.getExchange())) {
+            // The coordinator counts it as taken until it learns of the exchange that has begun.
             metrics.countSlotEvent("batch_returned");
-            LOG.info("slots: batch grant returned pool={} from={}", pool, ip);
+            LOG.info(
+                    "slots: batch grant of an earlier exchange returned pool={} from={}", pool, ip);
             send(
                     ip,
                     SlotCodec.release(
@@ -376,11 +377,12 @@
         }
     }
 
-    private void onRevocation(String ip, PoolId pool, long ticket) {
-        PoolHoldings holdings = pools.get(pool);
-        if (holdings != null && holdings.coordinator().equals(ip)) {
+    private void onRevocation(String ip, SlotRevocation revocation) {
+        PoolHoldings holdings = pools.get(SlotCodec.decode(revocation.getPool()));
+        // A slot that was taken back in an earlier exchange has been reported as held since then.
+        if (holdings != null && holdings.exchange().includes(ip, revocation.getExchange())) {
             metrics.countSlotEvent("preempted");
-            holdings.removeTicket(ticket).ifPresent(SlotLease::revoke);
+            holdings.removeTicket(revocation.getTicket()).ifPresent(SlotLease::revoke);
         }
     }
 
@@ -395,7 +397,7 @@
         }
         refreshCoordinator(pool, holdings);
         if (holdings.coordinator().equals(ip)) {
-            startExchange(pool, holdings);
+            beginExchange(pool, holdings, holdings.coordinator());
         } else {
             sendCheck(holdings.coordinator());
         }
@@ -442,21 +444,47 @@
         if (!chosen.equals(holdings.coordinator())) {
             send(
                     holdings.coordinator(),
-                    SlotCodec.holdings(pool, List.of(), Map.of(), holdings.batchGrants()));
-            holdings.setCoordinator(chosen);
-            startExchange(pool, holdings);
+                    SlotCodec.holdings(
+                            pool,
+                            List.of(),
+                            Map.of(),
+                            nextExchange(),
+                            holdings.grantsInAllExchanges()));
+            beginExchange(pool, holdings, chosen);
         }
     }
 
     /** Tells the coordinator of a pool everything that it must know of this gateway. */
-    private void startExchange(PoolId pool, PoolHoldings holdings) {
-        holdings.setSentDemand(BatchDemand.NONE, System.nanoTime());
+    private void beginExchange(PoolId pool, PoolHoldings holdings, String chosen) {
+        holdings.exchange().begin(chosen, nextExchange());
+        sendHoldings(pool, holdings);
+        List.copyOf(holdings.acquisitions().values()).forEach(SlotAcquisition::restart);
+        batchDemands.changed();
+    }
+
+    private void sendHoldings(PoolId pool, PoolHoldings holdings) {
+        LOG.debug(
+                "slots: exchange begins pool={} coordinator={} number={} slots={}",
+                pool,
+                holdings.coordinator(),
+                holdings.exchange().received().exchange(),
+                holdings.heldSlots().size());
         send(
                 holdings.coordinator(),
                 SlotCodec.holdings(
-                        pool, holdings.heldSlots(), requestLimits(pool), holdings.batchGrants()));
-        List.copyOf(holdings.acquisitions().values()).forEach(SlotAcquisition::restart);
-        batchDemands.changed();
+                        pool,
+                        holdings.heldSlots(),
+                        requestLimits(pool),
+                        holdings.exchange().received().exchange(),
+                        holdings.grantsInAllExchanges()));
+    }
+
+    private long nextExchange() {
+        nextExchange++;
+        if (nextExchange == ReceivedGrants.NO_EXCHANGE) {
+            nextExchange++;
+        }
+        return nextExchange;
     }
 
     private Set<String> coordinatorsInUse() {
@@ -521,8 +549,16 @@
     }
 
     PoolHoldings holdings(PoolId pool) {
-        return pools.computeIfAbsent(
-                pool, id -> new PoolHoldings(coordinators.of(id, System.nanoTime())));
+        PoolHoldings known = pools.get(pool);
+        if (known != null) {
+            return known;
+        }
+        String chosen = coordinators.of(pool, System.nanoTime());
+        PoolHoldings holdings = new PoolHoldings(new PoolExchange(chosen, nextExchange()));
+        pools.put(pool, holdings);
+        // The coordinator may remember grants to this gateway from before the pool was dropped.
+        sendHoldings(pool, holdings);
+        return holdings;
     }
 
     /** Sends a request to the coordinator of a pool, and returns the address of the coordinator. */
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
@@ -12,6 +12,7 @@
 import org.fuchsiaspindle.core.slot.HeldSlot;
 import org.fuchsiaspindle.core.slot.LeaseOutcome;
 import org.fuchsiaspindle.core.slot.PoolId;
+import org.fuchsiaspindle.core.slot.ReceivedGrants;
 import org.fuchsiaspindle.core.slot.RunReport;
 import org.fuchsiaspindle.core.slot.SlotDecision;
 import org.fuchsiaspindle.core.slot.SlotRequest;
@@ -168,14 +169,22 @@
         };
     }
 
-    static PeerFrame demand(PoolId pool, BatchDemand demand) {
+    /**
+     * Encodes a demand.
+     *
+     * @param grantsInAllExchanges how many batch slots the coordinator granted, for one that runs
+     *     an earlier version
+     */
+    static PeerFrame demand(PoolId pool, BatchDemand demand, long grantsInAllExchanges) {
         return PeerFrame.newBuilder()
                 .setBatchDemand(
                         BatchDemandMessage.newBuilder()
                                 .setPool(encode(pool))
                                 .setWaiting(demand.waiting())
                                 .setDueMillis(demand.dueMillis())
-                                .setGrantsReceived(demand.grantsReceived())
+                                .setGrantsReceived(grantsInAllExchanges)
+                                .setExchange(demand.received().exchange())
+                                .setExchangeGrantsReceived(demand.received().count())
                                 .addAllAvoidedTargets(demand.avoided())
                                 .setLargestItemTokens(demand.largestItemTokens()))
                 .build();
@@ -185,18 +194,37 @@
         return new BatchDemand(
                 message.getWaiting(),
                 message.getDueMillis(),
-                message.getGrantsReceived(),
+                received(
+                        message.getExchange(),
+                        message.getExchangeGrantsReceived(),
+                        message.getGrantsReceived()),
                 ImmutableSet.copyOf(message.getAvoidedTargetsList()),
                 nonNegative(message.getLargestItemTokens()));
     }
 
+    /** Returns the count of an exchange, or that of all exchanges if the holder knows of none. */
+    private static ReceivedGrants received(long exchange, long count, long inAllExchanges) {
+        boolean known = exchange != ReceivedGrants.NO_EXCHANGE;
+        return new ReceivedGrants(exchange, Math.max(0, known ? count : inAllExchanges));
+    }
+
+    /**
+     * Encodes the slots that are held when an exchange begins.
+     *
+     * @param exchange the number of the exchange
+     * @param grantsInAllExchanges as for a demand
+     */
     static PeerFrame holdings(
             PoolId pool,
             List<HeldSlot> slots,
             Map<String, Double> requestLimits,
-            long grantsReceived) {
+            long exchange,
+            long grantsInAllExchanges) {
         SlotHoldings.Builder holdings =
-                SlotHoldings.newBuilder().setPool(encode(pool)).setGrantsReceived(grantsReceived);
+                SlotHoldings.newBuilder()
+                        .setPool(encode(pool))
+                        .setExchange(exchange)
+                        .setGrantsReceived(grantsInAllExchanges);
         requestLimits.forEach(
                 (target, limit) ->
                         holdings.addRequestLimits(
@@ -228,6 +256,10 @@
                 .toList();
     }
 
+    static ReceivedGrants received(SlotHoldings holdings) {
+        return received(holdings.getExchange(), 0, holdings.getGrantsReceived());
+    }
+
     static PeerFrame requestLimit(PoolId pool, String target, OptionalDouble limit) {
         RequestLimitReport.Builder report =
                 RequestLimitReport.newBuilder().setPool(encode(pool)).setTarget(target);
@@ -294,12 +326,14 @@
                                     .setTarget(granted.target())
                                     .setDueMillis(granted.dueMillis())
                                     .setTargetLimited(granted.targetLimited())
-                                    .setReservedTokens(granted.reservedTokens()));
+                                    .setReservedTokens(granted.reservedTokens())
+                                    .setExchange(granted.exchange()));
             case SlotDecision.Preempted preempted ->
                     frame.setSlotRevocation(
                             SlotRevocation.newBuilder()
                                     .setPool(encodedPool)
-                                    .setTicket(preempted.ticket()));
+                                    .setTicket(preempted.ticket())
+                                    .setExchange(preempted.exchange()));
         }
         return frame.build();
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
@@ -162,7 +162,7 @@
                         pool.replaceHoldings(
                                 holder,
                                 SlotCodec.decode(frame.getSlotHoldings()),
-                                frame.getSlotHoldings().getGrantsReceived(),
+                                SlotCodec.received(frame.getSlotHoldings()),
                                 now));
             }
             case REQUEST_LIMIT_REPORT ->
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -33,7 +33,6 @@
 
     private static final String STORE_IP = "127.0.1.1";
     private static final String ENGINE_IP = "127.0.2.1";
-    private static final double CPU_CAPACITY = 1;
     private static final Duration STOP_GRACE = Duration.ofSeconds(8);
 
     private final StoreEmulator store = StoreEmulator.start(STORE_IP);
@@ -42,7 +41,8 @@
     private final List<Integer> freePorts = freePorts(3);
     private final int clientPort = freePorts.get(0);
     private final int statusPort = freePorts.get(1);
-    private final int peerPort = freePorts.get(2);
+    private int peerPort = freePorts.get(2);
+    private double capacity = 1;
     private Duration resultRetention = Duration.ofSeconds(120);
     private long itemMemoryBytes = 64L << 20;
     private int incarnations;
@@ -99,6 +99,22 @@
         storeProxy = Optional.of(address);
     }
 
+    /**
+     * Sets the port on which the gateways that start later accept connections of their peers, and
+     * at which they look for their peers.
+     */
+    public void setPeerPort(int port) {
+        peerPort = port;
+    }
+
+    /**
+     * Sets the processor capacity of the gateways that start later, in cores; much larger ones
+     * coordinate the slots of targets.
+     */
+    public void setCapacity(double cores) {
+        capacity = cores;
+    }
+
     /** Sets the memory of model engines in the configurations that are stored later, in tokens. */
     public void setEngineMemory(int tokens) {
         engineSettings = "{\"kvCapacity\":" + tokens + "}";
@@ -220,14 +236,14 @@
                 peerPort,
                 seeds,
                 storeProxy.orElse(HostAndPort.fromParts(STORE_IP, store.port())),
-                CPU_CAPACITY,
+                capacity,
                 resultRetention,
                 STOP_GRACE,
                 itemMemoryBytes);
     }
 
     /** Returns different free ports; all are held until the last one is chosen. */
-    private static List<Integer> freePorts(int count) {
+    public static List<Integer> freePorts(int count) {
         List<ServerSocket> sockets = new ArrayList<>();
         try {
             for (int i = 0; i < count; i++) {
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/proxy/FaultProxy.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/proxy/FaultProxy.java
@@ -57,10 +57,20 @@
      * @param target the address that it forwards connections to
      */
     public static FaultProxy start(int port, InetSocketAddress target) {
+        return start(new InetSocketAddress(LOOPBACK, port), target);
+    }
+
+    /**
+     * Starts a proxy.
+     *
+     * @param address the loopback address on which it accepts connections
+     * @param target the address that it forwards connections to
+     */
+    public static FaultProxy start(InetSocketAddress address, InetSocketAddress target) {
         try {
             FaultProxy proxy =
                     new FaultProxy(
-                            new ServerSocket(port, BACKLOG, LOOPBACK),
+                            new ServerSocket(address.getPort(), BACKLOG, address.getAddress()),
                             checkNotNull(target, "target"));
             Thread.ofVirtual().name("proxy-accept").start(proxy::accept);
             return proxy;
@@ -77,12 +87,13 @@
 
     /** Returns the address on which the proxy accepts connections. */
     public InetSocketAddress address() {
-        return new InetSocketAddress(LOOPBACK, listener.getLocalPort());
+        return new InetSocketAddress(listener.getInetAddress(), listener.getLocalPort());
     }
 
     /** Returns the address as an HTTP URL. */
     public URI url() {
-        return URI.create("http://127.0.0.1:" + listener.getLocalPort());
+        String host = listener.getInetAddress().getHostAddress();
+        return URI.create("http://" + host + ":" + listener.getLocalPort());
     }
 
     /** Returns the faults that apply to all connections in the direction of the target. */
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchDemandMessage.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchDemandMessage.java
@@ -137,7 +137,8 @@
   private long grantsReceived_;
   /**
    * <pre>
-   * Number of batch grants that the sender has received from this coordinator.
+   * Number of batch grants that the sender has received from this coordinator in all exchanges;
+   * used by earlier versions.
    * </pre>
    *
    * <code>uint64 grants_received = 4;</code>
@@ -149,7 +150,8 @@
   }
   /**
    * <pre>
-   * Number of batch grants that the sender has received from this coordinator.
+   * Number of batch grants that the sender has received from this coordinator in all exchanges;
+   * used by earlier versions.
    * </pre>
    *
    * <code>uint64 grants_received = 4;</code>
@@ -161,7 +163,8 @@
   }
   /**
    * <pre>
-   * Number of batch grants that the sender has received from this coordinator.
+   * Number of batch grants that the sender has received from this coordinator in all exchanges;
+   * used by earlier versions.
    * </pre>
    *
    * <code>uint64 grants_received = 4;</code>
@@ -302,6 +305,82 @@
     largestItemTokens_ = 0;
   }
 
+  public static final int EXCHANGE_FIELD_NUMBER = 7;
+  private long exchange_;
+  /**
+   * <pre>
+   * As in SlotHoldings.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 7;</code>
+   * @return The exchange.
+   */
+  @java.lang.Override
+  public long getExchange() {
+    return exchange_;
+  }
+  /**
+   * <pre>
+   * As in SlotHoldings.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 7;</code>
+   * @param value The exchange to set.
+   */
+  private void setExchange(long value) {
+    
+    exchange_ = value;
+  }
+  /**
+   * <pre>
+   * As in SlotHoldings.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 7;</code>
+   */
+  private void clearExchange() {
+
+    exchange_ = 0L;
+  }
+
+  public static final int EXCHANGE_GRANTS_RECEIVED_FIELD_NUMBER = 8;
+  private long exchangeGrantsReceived_;
+  /**
+   * <pre>
+   * Number of batch grants that the sender has received in the exchange.
+   * </pre>
+   *
+   * <code>uint64 exchange_grants_received = 8;</code>
+   * @return The exchangeGrantsReceived.
+   */
+  @java.lang.Override
+  public long getExchangeGrantsReceived() {
+    return exchangeGrantsReceived_;
+  }
+  /**
+   * <pre>
+   * Number of batch grants that the sender has received in the exchange.
+   * </pre>
+   *
+   * <code>uint64 exchange_grants_received = 8;</code>
+   * @param value The exchangeGrantsReceived to set.
+   */
+  private void setExchangeGrantsReceived(long value) {
+    
+    exchangeGrantsReceived_ = value;
+  }
+  /**
+   * <pre>
+   * Number of batch grants that the sender has received in the exchange.
+   * </pre>
+   *
+   * <code>uint64 exchange_grants_received = 8;</code>
+   */
+  private void clearExchangeGrantsReceived() {
+
+    exchangeGrantsReceived_ = 0L;
+  }
+
   public static org.fuchsiaspindle.wire.peer.BatchDemandMessage parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -520,7 +599,8 @@
 
     /**
      * <pre>
-     * Number of batch grants that the sender has received from this coordinator.
+     * Number of batch grants that the sender has received from this coordinator in all exchanges;
+     * used by earlier versions.
      * </pre>
      *
      * <code>uint64 grants_received = 4;</code>
@@ -532,7 +612,8 @@
     }
     /**
      * <pre>
-     * Number of batch grants that the sender has received from this coordinator.
+     * Number of batch grants that the sender has received from this coordinator in all exchanges;
+     * used by earlier versions.
      * </pre>
      *
      * <code>uint64 grants_received = 4;</code>
@@ -546,7 +627,8 @@
     }
     /**
      * <pre>
-     * Number of batch grants that the sender has received from this coordinator.
+     * Number of batch grants that the sender has received from this coordinator in all exchanges;
+     * used by earlier versions.
      * </pre>
      *
      * <code>uint64 grants_received = 4;</code>
@@ -690,6 +772,86 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * As in SlotHoldings.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 7;</code>
+     * @return The exchange.
+     */
+    @java.lang.Override
+    public long getExchange() {
+      return instance.getExchange();
+    }
+    /**
+     * <pre>
+     * As in SlotHoldings.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 7;</code>
+     * @param value The exchange to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExchange(long value) {
+      copyOnWrite();
+      instance.setExchange(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * As in SlotHoldings.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExchange() {
+      copyOnWrite();
+      instance.clearExchange();
+      return this;
+    }
+
+    /**
+     * <pre>
+     * Number of batch grants that the sender has received in the exchange.
+     * </pre>
+     *
+     * <code>uint64 exchange_grants_received = 8;</code>
+     * @return The exchangeGrantsReceived.
+     */
+    @java.lang.Override
+    public long getExchangeGrantsReceived() {
+      return instance.getExchangeGrantsReceived();
+    }
+    /**
+     * <pre>
+     * Number of batch grants that the sender has received in the exchange.
+     * </pre>
+     *
+     * <code>uint64 exchange_grants_received = 8;</code>
+     * @param value The exchangeGrantsReceived to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExchangeGrantsReceived(long value) {
+      copyOnWrite();
+      instance.setExchangeGrantsReceived(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Number of batch grants that the sender has received in the exchange.
+     * </pre>
+     *
+     * <code>uint64 exchange_grants_received = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExchangeGrantsReceived() {
+      copyOnWrite();
+      instance.clearExchangeGrantsReceived();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.BatchDemandMessage)
   }
   @java.lang.Override
@@ -713,10 +875,12 @@
             "grantsReceived_",
             "avoidedTargets_",
             "largestItemTokens_",
+            "exchange_",
+            "exchangeGrantsReceived_",
           };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0001\u0000\u0001\u1009\u0000\u0002" +
-              "\u000b\u0003\u0002\u0004\u0003\u0005\u021a\u0006\u000b";
+              "\u0000\b\u0000\u0001\u0001\b\b\u0000\u0001\u0000\u0001\u1009\u0000\u0002\u000b\u0003" +
+              "\u0002\u0004\u0003\u0005\u021a\u0006\u000b\u0007\u0005\b\u0003";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchDemandMessageOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchDemandMessageOrBuilder.java
@@ -39,7 +39,8 @@
 
   /**
    * <pre>
-   * Number of batch grants that the sender has received from this coordinator.
+   * Number of batch grants that the sender has received from this coordinator in all exchanges;
+   * used by earlier versions.
    * </pre>
    *
    * <code>uint64 grants_received = 4;</code>
@@ -81,4 +82,24 @@
    * @return The largestItemTokens.
    */
   int getLargestItemTokens();
+
+  /**
+   * <pre>
+   * As in SlotHoldings.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 7;</code>
+   * @return The exchange.
+   */
+  long getExchange();
+
+  /**
+   * <pre>
+   * Number of batch grants that the sender has received in the exchange.
+   * </pre>
+   *
+   * <code>uint64 exchange_grants_received = 8;</code>
+   * @return The exchangeGrantsReceived.
+   */
+  long getExchangeGrantsReceived();
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchGrant.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchGrant.java
@@ -244,6 +244,44 @@
     reservedTokens_ = 0;
   }
 
+  public static final int EXCHANGE_FIELD_NUMBER = 7;
+  private long exchange_;
+  /**
+   * <pre>
+   * The exchange in which it is granted; the receiver returns a grant of an exchange that is over.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 7;</code>
+   * @return The exchange.
+   */
+  @java.lang.Override
+  public long getExchange() {
+    return exchange_;
+  }
+  /**
+   * <pre>
+   * The exchange in which it is granted; the receiver returns a grant of an exchange that is over.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 7;</code>
+   * @param value The exchange to set.
+   */
+  private void setExchange(long value) {
+    
+    exchange_ = value;
+  }
+  /**
+   * <pre>
+   * The exchange in which it is granted; the receiver returns a grant of an exchange that is over.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 7;</code>
+   */
+  private void clearExchange() {
+
+    exchange_ = 0L;
+  }
+
   public static org.fuchsiaspindle.wire.peer.BatchGrant parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -577,6 +615,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The exchange in which it is granted; the receiver returns a grant of an exchange that is over.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 7;</code>
+     * @return The exchange.
+     */
+    @java.lang.Override
+    public long getExchange() {
+      return instance.getExchange();
+    }
+    /**
+     * <pre>
+     * The exchange in which it is granted; the receiver returns a grant of an exchange that is over.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 7;</code>
+     * @param value The exchange to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExchange(long value) {
+      copyOnWrite();
+      instance.setExchange(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The exchange in which it is granted; the receiver returns a grant of an exchange that is over.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExchange() {
+      copyOnWrite();
+      instance.clearExchange();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.BatchGrant)
   }
   @java.lang.Override
@@ -600,10 +678,11 @@
             "dueMillis_",
             "targetLimited_",
             "reservedTokens_",
+            "exchange_",
           };
           java.lang.String info =
-              "\u0000\u0006\u0000\u0001\u0001\u0006\u0006\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0005\u0003\u0208\u0004\u0002\u0005\u0007\u0006\u000b";
+              "\u0000\u0007\u0000\u0001\u0001\u0007\u0007\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0005\u0003\u0208\u0004\u0002\u0005\u0007\u0006\u000b\u0007\u0005";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchGrantOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/BatchGrantOrBuilder.java
@@ -64,4 +64,14 @@
    * @return The reservedTokens.
    */
   int getReservedTokens();
+
+  /**
+   * <pre>
+   * The exchange in which it is granted; the receiver returns a grant of an exchange that is over.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 7;</code>
+   * @return The exchange.
+   */
+  long getExchange();
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/HoldingsQuery.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/HoldingsQuery.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Asks for the slots of a pool that the receiver holds; sent by a new coordinator.
+ * Asks for the slots of a pool that the receiver holds.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.peer.HoldingsQuery}
@@ -68,6 +68,47 @@
     bitField0_ = (bitField0_ & ~0x00000001);
   }
 
+  public static final int EXCHANGE_FIELD_NUMBER = 2;
+  private long exchange_;
+  /**
+   * <pre>
+   * The exchange in which the receiver and the sender are out of step; 0 if the sender is a new
+   * coordinator, which knows of none.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 2;</code>
+   * @return The exchange.
+   */
+  @java.lang.Override
+  public long getExchange() {
+    return exchange_;
+  }
+  /**
+   * <pre>
+   * The exchange in which the receiver and the sender are out of step; 0 if the sender is a new
+   * coordinator, which knows of none.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 2;</code>
+   * @param value The exchange to set.
+   */
+  private void setExchange(long value) {
+    
+    exchange_ = value;
+  }
+  /**
+   * <pre>
+   * The exchange in which the receiver and the sender are out of step; 0 if the sender is a new
+   * coordinator, which knows of none.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 2;</code>
+   */
+  private void clearExchange() {
+
+    exchange_ = 0L;
+  }
+
   public static org.fuchsiaspindle.wire.peer.HoldingsQuery parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -153,7 +194,7 @@
 
   /**
    * <pre>
-   * Asks for the slots of a pool that the receiver holds; sent by a new coordinator.
+   * Asks for the slots of a pool that the receiver holds.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.peer.HoldingsQuery}
@@ -216,6 +257,49 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The exchange in which the receiver and the sender are out of step; 0 if the sender is a new
+     * coordinator, which knows of none.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 2;</code>
+     * @return The exchange.
+     */
+    @java.lang.Override
+    public long getExchange() {
+      return instance.getExchange();
+    }
+    /**
+     * <pre>
+     * The exchange in which the receiver and the sender are out of step; 0 if the sender is a new
+     * coordinator, which knows of none.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 2;</code>
+     * @param value The exchange to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExchange(long value) {
+      copyOnWrite();
+      instance.setExchange(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The exchange in which the receiver and the sender are out of step; 0 if the sender is a new
+     * coordinator, which knows of none.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 2;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExchange() {
+      copyOnWrite();
+      instance.clearExchange();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.HoldingsQuery)
   }
   @java.lang.Override
@@ -234,9 +318,11 @@
           java.lang.Object[] objects = new java.lang.Object[] {
             "bitField0_",
             "pool_",
+            "exchange_",
           };
           java.lang.String info =
-              "\u0000\u0001\u0000\u0001\u0001\u0001\u0001\u0000\u0000\u0000\u0001\u1009\u0000";
+              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0005";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/HoldingsQueryOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/HoldingsQueryOrBuilder.java
@@ -20,4 +20,15 @@
    * @return The pool.
    */
   org.fuchsiaspindle.wire.peer.Pool getPool();
+
+  /**
+   * <pre>
+   * The exchange in which the receiver and the sender are out of step; 0 if the sender is a new
+   * coordinator, which knows of none.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 2;</code>
+   * @return The exchange.
+   */
+  long getExchange();
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotHoldings.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotHoldings.java
@@ -7,7 +7,8 @@
 
 /**
  * <pre>
- * All slots of a pool that the sender holds; replaces what the receiver knows of the sender.
+ * All slots of a pool that the sender holds; replaces what the receiver knows of the sender, and
+ * begins an exchange in which the grants are counted from 0.
  * </pre>
  *
  * Protobuf type {@code org.fuchsiaspindle.wire.peer.SlotHoldings}
@@ -168,7 +169,8 @@
   private long grantsReceived_;
   /**
    * <pre>
-   * Number of batch grants that the sender has received from this coordinator.
+   * Number of batch grants that the sender has received from this coordinator in all exchanges;
+   * used by earlier versions.
    * </pre>
    *
    * <code>uint64 grants_received = 3;</code>
@@ -180,7 +182,8 @@
   }
   /**
    * <pre>
-   * Number of batch grants that the sender has received from this coordinator.
+   * Number of batch grants that the sender has received from this coordinator in all exchanges;
+   * used by earlier versions.
    * </pre>
    *
    * <code>uint64 grants_received = 3;</code>
@@ -192,7 +195,8 @@
   }
   /**
    * <pre>
-   * Number of batch grants that the sender has received from this coordinator.
+   * Number of batch grants that the sender has received from this coordinator in all exchanges;
+   * used by earlier versions.
    * </pre>
    *
    * <code>uint64 grants_received = 3;</code>
@@ -340,6 +344,47 @@
     requestLimits_.remove(index);
   }
 
+  public static final int EXCHANGE_FIELD_NUMBER = 5;
+  private long exchange_;
+  /**
+   * <pre>
+   * Identifies the exchange among those of the sender; 0 from earlier versions, whose exchange with
+   * a coordinator never ends.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 5;</code>
+   * @return The exchange.
+   */
+  @java.lang.Override
+  public long getExchange() {
+    return exchange_;
+  }
+  /**
+   * <pre>
+   * Identifies the exchange among those of the sender; 0 from earlier versions, whose exchange with
+   * a coordinator never ends.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 5;</code>
+   * @param value The exchange to set.
+   */
+  private void setExchange(long value) {
+    
+    exchange_ = value;
+  }
+  /**
+   * <pre>
+   * Identifies the exchange among those of the sender; 0 from earlier versions, whose exchange with
+   * a coordinator never ends.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 5;</code>
+   */
+  private void clearExchange() {
+
+    exchange_ = 0L;
+  }
+
   public static org.fuchsiaspindle.wire.peer.SlotHoldings parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -425,7 +470,8 @@
 
   /**
    * <pre>
-   * All slots of a pool that the sender holds; replaces what the receiver knows of the sender.
+   * All slots of a pool that the sender holds; replaces what the receiver knows of the sender, and
+   * begins an exchange in which the grants are counted from 0.
    * </pre>
    *
    * Protobuf type {@code org.fuchsiaspindle.wire.peer.SlotHoldings}
@@ -592,7 +638,8 @@
 
     /**
      * <pre>
-     * Number of batch grants that the sender has received from this coordinator.
+     * Number of batch grants that the sender has received from this coordinator in all exchanges;
+     * used by earlier versions.
      * </pre>
      *
      * <code>uint64 grants_received = 3;</code>
@@ -604,7 +651,8 @@
     }
     /**
      * <pre>
-     * Number of batch grants that the sender has received from this coordinator.
+     * Number of batch grants that the sender has received from this coordinator in all exchanges;
+     * used by earlier versions.
      * </pre>
      *
      * <code>uint64 grants_received = 3;</code>
@@ -618,7 +666,8 @@
     }
     /**
      * <pre>
-     * Number of batch grants that the sender has received from this coordinator.
+     * Number of batch grants that the sender has received from this coordinator in all exchanges;
+     * used by earlier versions.
      * </pre>
      *
      * <code>uint64 grants_received = 3;</code>
@@ -780,6 +829,49 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * Identifies the exchange among those of the sender; 0 from earlier versions, whose exchange with
+     * a coordinator never ends.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 5;</code>
+     * @return The exchange.
+     */
+    @java.lang.Override
+    public long getExchange() {
+      return instance.getExchange();
+    }
+    /**
+     * <pre>
+     * Identifies the exchange among those of the sender; 0 from earlier versions, whose exchange with
+     * a coordinator never ends.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 5;</code>
+     * @param value The exchange to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExchange(long value) {
+      copyOnWrite();
+      instance.setExchange(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * Identifies the exchange among those of the sender; 0 from earlier versions, whose exchange with
+     * a coordinator never ends.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExchange() {
+      copyOnWrite();
+      instance.clearExchange();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.SlotHoldings)
   }
   @java.lang.Override
@@ -803,10 +895,11 @@
             "grantsReceived_",
             "requestLimits_",
             org.fuchsiaspindle.wire.peer.RequestLimit.class,
+            "exchange_",
           };
           java.lang.String info =
-              "\u0000\u0004\u0000\u0001\u0001\u0004\u0004\u0000\u0002\u0000\u0001\u1009\u0000\u0002" +
-              "\u001b\u0003\u0003\u0004\u001b";
+              "\u0000\u0005\u0000\u0001\u0001\u0005\u0005\u0000\u0002\u0000\u0001\u1009\u0000\u0002" +
+              "\u001b\u0003\u0003\u0004\u001b\u0005\u0005";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotHoldingsOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotHoldingsOrBuilder.java
@@ -37,7 +37,8 @@
 
   /**
    * <pre>
-   * Number of batch grants that the sender has received from this coordinator.
+   * Number of batch grants that the sender has received from this coordinator in all exchanges;
+   * used by earlier versions.
    * </pre>
    *
    * <code>uint64 grants_received = 3;</code>
@@ -70,4 +71,15 @@
    * <code>repeated .org.fuchsiaspindle.wire.peer.RequestLimit request_limits = 4;</code>
    */
   int getRequestLimitsCount();
+
+  /**
+   * <pre>
+   * Identifies the exchange among those of the sender; 0 from earlier versions, whose exchange with
+   * a coordinator never ends.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 5;</code>
+   * @return The exchange.
+   */
+  long getExchange();
 }
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRevocation.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRevocation.java
@@ -94,6 +94,44 @@
     ticket_ = 0L;
   }
 
+  public static final int EXCHANGE_FIELD_NUMBER = 3;
+  private long exchange_;
+  /**
+   * <pre>
+   * The exchange in which it is taken back; the receiver has reported the slot anew if it is over.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 3;</code>
+   * @return The exchange.
+   */
+  @java.lang.Override
+  public long getExchange() {
+    return exchange_;
+  }
+  /**
+   * <pre>
+   * The exchange in which it is taken back; the receiver has reported the slot anew if it is over.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 3;</code>
+   * @param value The exchange to set.
+   */
+  private void setExchange(long value) {
+    
+    exchange_ = value;
+  }
+  /**
+   * <pre>
+   * The exchange in which it is taken back; the receiver has reported the slot anew if it is over.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 3;</code>
+   */
+  private void clearExchange() {
+
+    exchange_ = 0L;
+  }
+
   public static org.fuchsiaspindle.wire.peer.SlotRevocation parseFrom(
       java.nio.ByteBuffer data)
       throws com.google.protobuf.InvalidProtocolBufferException {
@@ -270,6 +308,46 @@
       return this;
     }
 
+    /**
+     * <pre>
+     * The exchange in which it is taken back; the receiver has reported the slot anew if it is over.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 3;</code>
+     * @return The exchange.
+     */
+    @java.lang.Override
+    public long getExchange() {
+      return instance.getExchange();
+    }
+    /**
+     * <pre>
+     * The exchange in which it is taken back; the receiver has reported the slot anew if it is over.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 3;</code>
+     * @param value The exchange to set.
+     * @return This builder for chaining.
+     */
+    public Builder setExchange(long value) {
+      copyOnWrite();
+      instance.setExchange(value);
+      return this;
+    }
+    /**
+     * <pre>
+     * The exchange in which it is taken back; the receiver has reported the slot anew if it is over.
+     * </pre>
+     *
+     * <code>fixed64 exchange = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearExchange() {
+      copyOnWrite();
+      instance.clearExchange();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:org.fuchsiaspindle.wire.peer.SlotRevocation)
   }
   @java.lang.Override
@@ -289,10 +367,11 @@
             "bitField0_",
             "pool_",
             "ticket_",
+            "exchange_",
           };
           java.lang.String info =
-              "\u0000\u0002\u0000\u0001\u0001\u0002\u0002\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
-              "\u0005";
+              "\u0000\u0003\u0000\u0001\u0001\u0003\u0003\u0000\u0000\u0000\u0001\u1009\u0000\u0002" +
+              "\u0005\u0003\u0005";
           return newMessageInfo(DEFAULT_INSTANCE, info, objects);
       }
       case GET_DEFAULT_INSTANCE: {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRevocationOrBuilder.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/peer/SlotRevocationOrBuilder.java
@@ -26,4 +26,14 @@
    * @return The ticket.
    */
   long getTicket();
+
+  /**
+   * <pre>
+   * The exchange in which it is taken back; the receiver has reported the slot anew if it is over.
+   * </pre>
+   *
+   * <code>fixed64 exchange = 3;</code>
+   * @return The exchange.
+   */
+  long getExchange();
 }
