Ask gateways for their slots when decisions may not have reached them

What callers would see: accepted batch items wait beside idle targets, or slots stay taken by nobody.

Cause: a gateway that replaces its connection to a peer loses what is on its way. The peer hears the new connection before or instead of the end of the old one, so it takes nobody for lost and begins no new exchange. A coordinator that forgot a gateway which doesn't know it (after a freeze) is in the same position, and nothing compared the two sides within an exchange.

Change: the coordinator asks a gateway for its slots after a connection to it was replaced, when a demand names an unknown exchange, and when grants weren't confirmed for 2.5 s, each second until it reports. The query names the exchange, so that one which has been answered begins no other. What the coordinator knows of a gateway has moved from SlotPool, which had grown large, to SlotHolder; the log line on unconfirmed grants names each such query instead.

--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotDecision.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotDecision.java
@@ -10,9 +10,6 @@
     /** Returns the gateway that the decision concerns. */
     String holder();
 
-    /** Returns the ticket of the slot or of the request for one. */
-    long ticket();
-
     /** Why a request gets no slot. */
     enum Refusal {
         /** Online requests occupy all slots. */
@@ -112,4 +109,23 @@
             checkNotNull(holder, "holder");
         }
     }
+
+    /**
+     * The holder must report the slots that it holds, because the coordinator may know of others.
+     *
+     * @param exchange the exchange in which this was noticed
+     * @param granted how many batch slots were granted in it
+     * @param confirmed how many of them the holder said to have received
+     * @param waiting how many batch items wait there, as it said last
+     * @param held how many slots it holds, as far as the coordinator knows
+     */
+    record HoldingsQueried(
+            String holder, long exchange, long granted, long confirmed, int waiting, int held)
+            implements SlotDecision {
+
+        /** Validates the components. */
+        public HoldingsQueried {
+            checkNotNull(holder, "holder");
+        }
+    }
 }
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -50,41 +49,12 @@
     private final Map<String, TargetSlots> targets = new LinkedHashMap<>();
     private final PoolWork work = new PoolWork();
     private final TargetChoice choice = new TargetChoice(targets.values(), work);
-    private final Map<String, Holder> holders = new LinkedHashMap<>();
+    private final Map<String, SlotHolder> holders = new LinkedHashMap<>();
     private final WaitingRequests waiting = new WaitingRequests(waves);
     private TargetModel model = UNKNOWN_MODEL;
     private double holdNanos = INITIAL_HOLD_TIME.toNanos();
     private long nextBatchTicket;
 
-    /** The slots and the batch demand of one gateway. */
-    private static final class Holder {
-        private final Map<Long, Lease> leases = new HashMap<>();
-        private BatchDemand demand = BatchDemand.NONE;
-
-        /** The exchange in which the grants are counted. */
-        private long exchange = ReceivedGrants.NO_EXCHANGE;
-
-        private long batchGrants;
-
-        /** When the oldest unconfirmed grant was made or a later confirmation arrived. */
-        private long unconfirmedSinceNanos;
-
-        long unconfirmedGrants() {
-            return Math.max(0, batchGrants - demand.received().count());
-        }
-
-        int ungrantedItems() {
-            return (int) Math.max(0, demand.waiting() - unconfirmedGrants());
-        }
-
-        /** Continues the count of an exchange, or begins that of another one. */
-        void count(ReceivedGrants received) {
-            boolean sameExchange = received.exchange() == exchange;
-            exchange = received.exchange();
-            batchGrants = sameExchange ? Math.max(batchGrants, received.count()) : received.count();
-        }
-    }
-
     private SlotPool(long firstBatchTicket) {
         nextBatchTicket = firstBatchTicket;
     }
@@ -164,8 +134,8 @@
     /** Handles the release of a slot, or the withdrawal of a waiting request. */
     public List<SlotDecision> release(String holder, long ticket, RunReport report, long now) {
         checkNotNull(report, "report");
-        Holder state = holders.get(holder);
-        Lease lease = state == null ? null : state.leases.remove(ticket);
+        SlotHolder state = holders.get(holder);
+        Lease lease = state == null ? null : state.leases().remove(ticket);
         if (lease == null) {
             waiting.removeIf(
                     request -> request.ticket() == ticket && request.holder().equals(holder));
@@ -200,14 +170,24 @@
 
     /** Replaces the batch demand of a gateway. */
     public List<SlotDecision> demand(String holder, BatchDemand demand, long now) {
-        Holder state = holder(holder);
-        boolean progress = !demand.received().equals(state.demand.received());
-        state.demand = checkNotNull(demand, "demand");
-        state.count(demand.received());
-        if (progress || state.unconfirmedGrants() == 0) {
-            state.unconfirmedSinceNanos = now;
+        SlotHolder state = holder(holder);
+        state.setDemand(demand, now);
+        List<SlotDecision> decisions = assignFreeSlots(now);
+        state.dueQuery(now).ifPresent(decisions::add);
+        return decisions;
+    }
+
+    /**
+     * Records that decisions may not have reached a gateway, because a connection to it was
+     * replaced or did not take them. It is asked for its slots if it has any or wants some.
+     */
+    public List<SlotDecision> recordLoss(String holder, long now) {
+        SlotHolder state = holders.get(holder);
+        if (state == null) {
+            return List.of();
         }
-        return assignFreeSlots(now);
+        state.recordLoss();
+        return state.dueQuery(now).stream().<SlotDecision>map(query -> query).toList();
     }
 
     /**
@@ -222,10 +202,10 @@
      */
     public List<SlotDecision> replaceHoldings(
             String holder, Collection<HeldSlot> slots, ReceivedGrants received, long now) {
-        Holder state = holder(holder);
-        boolean sameExchange = received.exchange() == state.exchange;
+        SlotHolder state = holder(holder);
+        boolean sameExchange = received.exchange() == state.exchange();
         removeKnownTo(state, holder, sameExchange ? received.count() : Long.MAX_VALUE);
-        state.count(received);
+        state.begin(received);
         for (HeldSlot slot : slots) {
             add(
                     state,
@@ -295,37 +275,15 @@
                 waiting.refuseExpectedTimeouts(
                         request -> choice.hasRoomForOnline(request, now), pace(now)));
         decisions.addAll(assignFreeSlots(now));
+        holders.values().forEach(holder -> holder.dueQuery(now).ifPresent(decisions::add));
         return decisions;
     }
 
-    /**
-     * Returns the gateways that have not confirmed grants of batch slots for a time. Those of
-     * earlier versions confirm only with their next demand, so they are left out.
-     */
-    public List<UnconfirmedGrants> unconfirmedGrants(Duration time, long now) {
-        List<UnconfirmedGrants> unconfirmed = new ArrayList<>();
-        holders.forEach(
-                (ip, holder) -> {
-                    if (holder.exchange != ReceivedGrants.NO_EXCHANGE
-                            && holder.unconfirmedGrants() > 0
-                            && now - holder.unconfirmedSinceNanos > time.toNanos()) {
-                        unconfirmed.add(
-                                new UnconfirmedGrants(
-                                        ip,
-                                        holder.batchGrants,
-                                        holder.demand.received().count(),
-                                        holder.demand.waiting(),
-                                        holder.leases.size()));
-                    }
-                });
-        return unconfirmed;
-    }
-
     /** Returns whether the pool holds no slots, requests or demand, so that it can be dropped. */
     public boolean isIdle() {
         return waiting.size() == 0
                 && targets.values().stream().allMatch(TargetSlots::isEmpty)
-                && holders.values().stream().allMatch(holder -> holder.demand.waiting() == 0);
+                && holders.values().stream().allMatch(holder -> holder.demand().waiting() == 0);
     }
 
     /** Returns the number of waiting online requests. */
@@ -353,8 +311,8 @@
                 });
     }
 
-    private Holder holder(String ip) {
-        return holders.computeIfAbsent(ip, key -> new Holder());
+    private SlotHolder holder(String ip) {
+        return holders.computeIfAbsent(ip, SlotHolder::new);
     }
 
     private void removeUnusedTargets() {
@@ -370,20 +328,19 @@
     }
 
     /** Removes what a gateway holds and wants, but for grants that it had not received. */
-    private void removeKnownTo(Holder state, String holder, long grantsReceived) {
-        for (Lease lease : List.copyOf(state.leases.values())) {
+    private void removeKnownTo(SlotHolder state, String holder, long grantsReceived) {
+        for (Lease lease : List.copyOf(state.leases().values())) {
             if (lease.grantNumber() <= grantsReceived) {
-                state.leases.remove(lease.ticket());
+                state.leases().remove(lease.ticket());
                 lease.target().remove(lease);
             }
         }
-        state.demand = BatchDemand.NONE;
         waiting.removeIf(request -> request.holder().equals(holder));
         removeUnusedTargets();
     }
 
-    private void add(Holder holder, Lease lease) {
-        Lease previous = holder.leases.put(lease.ticket(), lease);
+    private void add(SlotHolder holder, Lease lease) {
+        Lease previous = holder.leases().put(lease.ticket(), lease);
         if (previous != null) {
             previous.target().remove(previous);
         }
@@ -404,11 +361,11 @@
         preempted.ifPresent(
                 lease -> {
                     target.remove(lease);
-                    Holder holder = holders.get(lease.holder());
-                    holder.leases.remove(lease.ticket());
+                    SlotHolder holder = holders.get(lease.holder());
+                    holder.leases().remove(lease.ticket());
                     decisions.add(
                             new SlotDecision.Preempted(
-                                    lease.holder(), lease.ticket(), holder.exchange));
+                                    lease.holder(), lease.ticket(), holder.exchange()));
                 });
         return preempted.isPresent();
     }
@@ -487,15 +444,15 @@
         if (startable <= 0) {
             return;
         }
-        List<Map.Entry<String, Holder>> demands = new ArrayList<>();
-        for (Map.Entry<String, Holder> entry : holders.entrySet()) {
+        List<Map.Entry<String, SlotHolder>> demands = new ArrayList<>();
+        for (Map.Entry<String, SlotHolder> entry : holders.entrySet()) {
             if (entry.getValue().ungrantedItems() > 0) {
                 demands.add(entry);
             }
         }
-        demands.sort(Comparator.comparingLong(entry -> entry.getValue().demand.dueMillis()));
-        for (Map.Entry<String, Holder> entry : demands) {
-            Holder holder = entry.getValue();
+        demands.sort(Comparator.comparingLong(entry -> entry.getValue().demand().dueMillis()));
+        for (Map.Entry<String, SlotHolder> entry : demands) {
+            SlotHolder holder = entry.getValue();
             while (startable > 0
                     && holder.ungrantedItems() > 0
                     && startBatchItem(entry.getKey(), holder, free, now, decisions)) {
@@ -506,21 +463,17 @@
 
     private boolean startBatchItem(
             String ip,
-            Holder holder,
+            SlotHolder holder,
             List<TargetSlots> free,
             long now,
             List<SlotDecision> decisions) {
-        Optional<TargetSlots> chosen = choice.forBatchItem(free, holder.demand, now);
+        Optional<TargetSlots> chosen = choice.forBatchItem(free, holder.demand(), now);
         if (chosen.isEmpty()) {
             return false;
         }
         long ticket = nextBatchTicket++;
-        long dueMillis = holder.demand.dueMillis();
-        int reservedTokens = holder.demand.largestItemTokens();
-        if (holder.unconfirmedGrants() == 0) {
-            holder.unconfirmedSinceNanos = now;
-        }
-        holder.batchGrants++;
+        long dueMillis = holder.demand().dueMillis();
+        int reservedTokens = holder.demand().largestItemTokens();
         add(
                 holder,
                 new Lease(
@@ -529,7 +482,7 @@
                         chosen.get(),
                         TrafficClass.BATCH,
                         dueMillis,
-                        holder.batchGrants,
+                        holder.countGrant(now),
                         now,
                         PoolWork.startItem(chosen.get(), reservedTokens)));
         chosen.get().requestGranted(now);
@@ -537,7 +490,7 @@
                 new SlotDecision.BatchGranted(
                         ip,
                         ticket,
-                        holder.exchange,
+                        holder.exchange(),
                         chosen.get().id(),
                         dueMillis,
                         chosen.get().hasRequestLimit(),
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/PoolReplay.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/PoolReplay.java
@@ -292,6 +292,7 @@
                 case Refused refused -> refused(refused);
                 case BatchGranted granted -> startItem(granted.ticket());
                 case Preempted preempted -> cut(preempted.ticket());
+                case SlotDecision.HoldingsQueried query -> throw new AssertionError(query);
                 case Queued queued -> {}
             }
         }
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -16,6 +16,7 @@
 import org.fuchsiaspindle.core.serving.TargetInstance;
 import org.fuchsiaspindle.core.slot.SlotDecision.BatchGranted;
 import org.fuchsiaspindle.core.slot.SlotDecision.Granted;
+import org.fuchsiaspindle.core.slot.SlotDecision.HoldingsQueried;
 import org.fuchsiaspindle.core.slot.SlotDecision.Preempted;
 import org.fuchsiaspindle.core.slot.SlotDecision.Queued;
 import org.fuchsiaspindle.core.slot.SlotDecision.Refusal;
@@ -297,11 +298,11 @@
     @Test
     void grantsOfAnExchangeThatIsOver_areForgottenAndNotCounted() {
         targets("a");
-        assertThat(demand("g1", SLOTS, 1000)).hasSize(SLOTS);
-        pool.replaceHoldings("g1", List.of(), new ReceivedGrants(EXCHANGE + 1, 0), now);
+        begin("g1", EXCHANGE);
+        assertThat(demandIn(EXCHANGE, 0, SLOTS)).hasSize(SLOTS);
+        begin("g1", EXCHANGE + 1);
         assertThat(pool.occupiedSlots()).isZero();
-        ReceivedGrants none = new ReceivedGrants(EXCHANGE + 1, 0);
-        assertThat(pool.demand("g1", new BatchDemand(2, 1000, none, ImmutableSet.of(), 0), now))
+        assertThat(demandIn(EXCHANGE + 1, 0, 2))
                 .hasSize(2)
                 .allSatisfy(
                         decision ->
@@ -309,29 +310,45 @@
                                         .isEqualTo(EXCHANGE + 1));
     }
 
-    /** Guards against a gateway whose grants still count after it has forgotten them. */
+    /** Guards against a lost grant that nobody notices. */
     @Test
-    void demandOfANewExchange_isNotReducedByEarlierGrants() {
-        targets("a", "b");
-        List<SlotDecision> granted = demand("g1", SLOTS, 1000);
-        granted.forEach(grant -> release("g1", ((BatchGranted) grant).ticket(), LeaseOutcome.DONE));
-        ReceivedGrants none = new ReceivedGrants(EXCHANGE + 1, 0);
-        assertThat(pool.demand("g1", new BatchDemand(SLOTS, 1000, none, ImmutableSet.of(), 0), now))
-                .hasSize(SLOTS);
+    void holderThatDoesNotConfirmItsGrants_isAskedForItsSlots() {
+        targets("a");
+        begin("g1", EXCHANGE);
+        demandIn(EXCHANGE, 0, 2);
+        assertThat(pool.checkTimes(now)).isEmpty();
+        now += Duration.ofSeconds(3).toNanos();
+        HoldingsQueried query = new HoldingsQueried("g1", EXCHANGE, 2, 0, 2, 2);
+        assertThat(pool.checkTimes(now)).containsExactly(query);
+        assertThat(pool.checkTimes(now)).isEmpty();
+        now += Duration.ofSeconds(1).toNanos();
+        assertThat(pool.checkTimes(now)).containsExactly(query);
+        demandIn(EXCHANGE, 2, 0);
+        now += Duration.ofSeconds(1).toNanos();
+        assertThat(pool.checkTimes(now)).isEmpty();
     }
 
-    /** Guards against a lost grant that nobody notices. */
+    /** Guards against decisions that are lost between two connections that both seem sound. */
     @Test
-    void unconfirmedGrants_areReportedAfterSomeTime() {
+    void holderThatMayHaveMissedDecisions_isAskedForItsSlots() {
         targets("a");
-        demand("g1", 2, 1000);
-        Duration time = Duration.ofSeconds(2);
-        assertThat(pool.unconfirmedGrants(time, now)).isEmpty();
-        now += Duration.ofSeconds(3).toNanos();
-        assertThat(pool.unconfirmedGrants(time, now))
-                .containsExactly(new UnconfirmedGrants("g1", 2, 0, 2, 2));
-        pool.demand("g1", new BatchDemand(0, 0, received(2), ImmutableSet.of(), 0), now);
-        assertThat(pool.unconfirmedGrants(time, now)).isEmpty();
+        begin("g1", EXCHANGE);
+        assertThat(pool.recordLoss("g1", now)).isEmpty();
+        demandIn(EXCHANGE, 0, 2);
+        assertThat(pool.recordLoss("g1", now)).hasOnlyElementsOfType(HoldingsQueried.class);
+        begin("g1", EXCHANGE + 1);
+        assertThat(pool.occupiedSlots()).isZero();
+        assertThat(pool.recordLoss("g1", now)).isEmpty();
+    }
+
+    /** Guards against a coordinator that forgot a gateway which goes on as before. */
+    @Test
+    void demandOfAnUnknownExchange_isServedAndTheHolderAsked() {
+        targets("a");
+        assertThat(demandIn(EXCHANGE, 5, 1))
+                .hasSize(2)
+                .hasAtLeastOneElementOfType(BatchGranted.class)
+                .contains(new HoldingsQueried("g1", EXCHANGE, 6, 5, 1, 1));
     }
 
     @Test
@@ -581,8 +598,17 @@
                 holder, new BatchDemand(waiting, due, received(0), ImmutableSet.of(), 0), now);
     }
 
+    private void begin(String holder, long exchange) {
+        pool.replaceHoldings(holder, List.of(), new ReceivedGrants(exchange, 0), now);
+    }
+
+    private List<SlotDecision> demandIn(long exchange, long received, int waiting) {
+        ReceivedGrants grants = new ReceivedGrants(exchange, received);
+        return pool.demand("g1", new BatchDemand(waiting, 1000, grants, ImmutableSet.of(), 0), now);
+    }
+
     private static ReceivedGrants received(long count) {
-        return new ReceivedGrants(EXCHANGE, count);
+        return new ReceivedGrants(ReceivedGrants.NO_EXCHANGE, count);
     }
 
     private List<SlotDecision> release(String holder, long ticket, LeaseOutcome outcome) {
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/TargetChoiceTest.java
@@ -249,8 +249,8 @@
         now++;
         List<SlotDecision> decisions = request(size);
         for (SlotDecision decision : decisions) {
-            if (decision instanceof Preempted) {
-                stopped.add(decision.ticket());
+            if (decision instanceof Preempted preempted) {
+                stopped.add(preempted.ticket());
             }
         }
         return (Granted) decisions.getLast();
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -34,6 +34,7 @@
 import org.fuchsiaspindle.gateway.view.TargetDirectory;
 import org.fuchsiaspindle.wire.peer.BatchGrant;
 import org.fuchsiaspindle.wire.peer.CoordinatorCheck;
+import org.fuchsiaspindle.wire.peer.HoldingsQuery;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
 import org.fuchsiaspindle.wire.peer.SlotReply;
 import org.fuchsiaspindle.wire.peer.SlotRevocation;
@@ -258,8 +259,7 @@
             case SLOT_REPLY -> onReply(peerIp, frame.getSlotReply());
             case BATCH_GRANT -> onBatchGrant(peerIp, frame.getBatchGrant());
             case SLOT_REVOCATION -> onRevocation(peerIp, frame.getSlotRevocation());
-            case HOLDINGS_QUERY ->
-                    onHoldingsQuery(peerIp, SlotCodec.decode(frame.getHoldingsQuery().getPool()));
+            case HOLDINGS_QUERY -> onHoldingsQuery(peerIp, frame.getHoldingsQuery());
             case COORDINATOR_CHECK -> {
                 if (!frame.getCoordinatorCheck().getResponse()) {
                     send(peerIp, check(true));
@@ -285,6 +285,7 @@
                         beginExchange(pool, holdings, holdings.coordinator());
                     }
                 });
+        coordinator.onFramesLost(peerIp);
         refreshCoordinators();
     }
 
@@ -387,22 +388,35 @@
     }
 
     /**
-     * Handles the query of a gateway that started to coordinate a pool. If this gateway has another
-     * coordinator, it finds out whether that one still answers.
+     * Handles the query of a gateway that started to coordinate a pool, or is out of step. If this
+     * gateway has another coordinator, it finds out whether that one still answers.
      */
-    private void onHoldingsQuery(String ip, PoolId pool) {
+    private void onHoldingsQuery(String ip, HoldingsQuery query) {
+        PoolId pool = SlotCodec.decode(query.getPool());
         PoolHoldings holdings = pools.get(pool);
-        if (holdings == null || !holdings.isInUse() && requestLimits(pool).isEmpty()) {
+        if (holdings == null) {
+            if (query.getExchange() != ReceivedGrants.NO_EXCHANGE) {
+                sendNothingHeld(pool, ip, 0);
+            }
             return;
         }
         refreshCoordinator(pool, holdings);
-        if (holdings.coordinator().equals(ip)) {
-            beginExchange(pool, holdings, holdings.coordinator());
-        } else {
-            sendCheck(holdings.coordinator());
+        boolean hasReport = holdings.isInUse() || !requestLimits(pool).isEmpty();
+        switch (holdings.exchange().answerQuery(ip, query.getExchange(), hasReport)) {
+            case BEGIN -> beginExchange(pool, holdings, ip);
+            case NOTHING_HELD -> sendNothingHeld(pool, ip, holdings.grantsInAllExchanges());
+            case CHECK_COORDINATOR -> sendCheck(holdings.coordinator());
+            case NONE -> {}
         }
     }
 
+    private void sendNothingHeld(PoolId pool, String ip, long grantsInAllExchanges) {
+        send(
+                ip,
+                SlotCodec.holdings(
+                        pool, List.of(), Map.of(), nextExchange(), grantsInAllExchanges));
+    }
+
     private void checkCoordinators() {
         long now = System.nanoTime();
         checksSentNanos.forEach(
@@ -442,14 +456,7 @@
     private void refreshCoordinator(PoolId pool, PoolHoldings holdings) {
         String chosen = coordinators.of(pool, System.nanoTime());
         if (!chosen.equals(holdings.coordinator())) {
-            send(
-                    holdings.coordinator(),
-                    SlotCodec.holdings(
-                            pool,
-                            List.of(),
-                            Map.of(),
-                            nextExchange(),
-                            holdings.grantsInAllExchanges()));
+            sendNothingHeld(pool, holdings.coordinator(), holdings.grantsInAllExchanges());
             beginExchange(pool, holdings, chosen);
         }
     }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCodec.java
@@ -311,13 +311,14 @@
         switch (decision) {
             case SlotDecision.Granted granted ->
                     frame.setSlotReply(
-                            reply(encodedPool, granted)
+                            reply(encodedPool, granted.ticket())
                                     .setGrantedTarget(granted.target())
                                     .setTargetLimited(granted.targetLimited()));
             case SlotDecision.Queued queued ->
-                    frame.setSlotReply(reply(encodedPool, queued).setQueued(true));
+                    frame.setSlotReply(reply(encodedPool, queued.ticket()).setQueued(true));
             case SlotDecision.Refused refused ->
-                    frame.setSlotReply(reply(encodedPool, refused).setRefusal(encode(refused)));
+                    frame.setSlotReply(
+                            reply(encodedPool, refused.ticket()).setRefusal(encode(refused)));
             case SlotDecision.BatchGranted granted ->
                     frame.setBatchGrant(
                             BatchGrant.newBuilder()
@@ -334,12 +335,17 @@
                                     .setPool(encodedPool)
                                     .setTicket(preempted.ticket())
                                     .setExchange(preempted.exchange()));
+            case SlotDecision.HoldingsQueried queried ->
+                    frame.setHoldingsQuery(
+                            HoldingsQuery.newBuilder()
+                                    .setPool(encodedPool)
+                                    .setExchange(queried.exchange()));
         }
         return frame.build();
     }
 
-    private static SlotReply.Builder reply(Pool pool, SlotDecision decision) {
-        return SlotReply.newBuilder().setPool(pool).setTicket(decision.ticket());
+    private static SlotReply.Builder reply(Pool pool, long ticket) {
+        return SlotReply.newBuilder().setPool(pool).setTicket(ticket);
     }
 
     private static SlotRefusal encode(SlotDecision.Refused refused) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotCoordinator.java
@@ -6,11 +6,9 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Duration;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiConsumer;
@@ -20,7 +18,6 @@
 import org.fuchsiaspindle.core.slot.PoolPlan;
 import org.fuchsiaspindle.core.slot.SlotDecision;
 import org.fuchsiaspindle.core.slot.SlotPool;
-import org.fuchsiaspindle.core.slot.UnconfirmedGrants;
 import org.fuchsiaspindle.gateway.peer.PeerMesh;
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
@@ -48,9 +45,6 @@
     /** Time between two checks while nothing waits. */
     private static final Duration REST_CHECK_INTERVAL = Duration.ofSeconds(1);
 
-    /** Time after which an unconfirmed grant is lost or its holder is out of step. */
-    private static final Duration CONFIRMATION_TIMEOUT = Duration.ofMillis(2500);
-
     /** Time without a frame after which an idle pool is dropped. */
     private static final Duration IDLE_POOL_EXPIRY = Duration.ofSeconds(30);
 
@@ -69,7 +63,6 @@
     private static final class CoordinatedPool {
         private final SlotPool slots;
         private long lastFrameNanos;
-        private Set<String> unconfirming = Set.of();
 
         CoordinatedPool(SlotPool slots) {
             this.slots = slots;
@@ -213,6 +206,12 @@
         pools.forEach((id, pool) -> send(id, pool.slots.removeHolder(peerIp, now)));
     }
 
+    /** Asks a gateway for its slots, because decisions may not have reached it. */
+    void onFramesLost(String peerIp) {
+        long now = System.nanoTime();
+        pools.forEach((id, pool) -> send(id, pool.slots.recordLoss(peerIp, now)));
+    }
+
     /** Returns the number of pools that this gateway coordinates. */
     int poolCount() {
         return pools.size();
@@ -261,11 +260,7 @@
     private void checkPools() {
         nextCheck = null;
         long now = System.nanoTime();
-        pools.forEach(
-                (id, pool) -> {
-                    logUnconfirmedGrants(id, pool, now);
-                    send(id, pool.slots.checkTimes(now));
-                });
+        pools.forEach((id, pool) -> send(id, pool.slots.checkTimes(now)));
         pools.entrySet()
                 .removeIf(
                         entry ->
@@ -275,28 +270,18 @@
         scheduleCheck();
     }
 
-    /** Logs the holders that do not confirm grants, once each until they do. */
-    private void logUnconfirmedGrants(PoolId id, CoordinatedPool pool, long now) {
-        Set<String> holders = new HashSet<>();
-        for (UnconfirmedGrants grants : pool.slots.unconfirmedGrants(CONFIRMATION_TIMEOUT, now)) {
-            holders.add(grants.holder());
-            if (!pool.unconfirming.contains(grants.holder())) {
-                metrics.countSlotEvent("unconfirmed");
-                LOG.info("slots: batch grants not confirmed pool={} {}", id, grants);
-            }
-        }
-        pool.unconfirming = holders;
-    }
-
     private void send(PoolId id, List<SlotDecision> decisions) {
         for (SlotDecision decision : decisions) {
+            if (decision instanceof SlotDecision.HoldingsQueried query) {
+                metrics.countSlotEvent("out_of_step");
+                LOG.info("slots: holder out of step pool={} {}", id, query);
+            }
             PeerFrame frame = SlotCodec.decision(id, decision);
             if (decision.holder().equals(ip)) {
                 // Deferred, so that the receiver does not run inside of its own request.
                 loop.execute(() -> selfReceiver.accept(ip, frame));
             } else if (!mesh.send(decision.holder(), frame)) {
-                // The holder asks another coordinator when it gets no answer, and reports its slots
-                // when it is connected again.
+                // The holder is asked for its slots when the connection takes frames again.
                 LOG.debug("slots: decision not sent pool={} holder={}", id, decision.holder());
             }
         }
