Tell peers anew what was discarded on connections that they read too slowly

What callers would see: batch items wait beside idle targets and slots stay taken after a gateway was frozen or cut off while much was sent to it.

Cause: frames are discarded on a connection that holds more than its peer has read. It stays open, so nobody begins a new exchange: a discarded release, grant, revocation or report of a replaced coordinator is missing for ever.

Quarantined prompt parts are sent as after a new connection. Counted as frames_discarded (fuchsiaspindle_peer_events_total).

DeadPeerConnectionTest.peerThatReadsSlowly_isToldAnewWhatItMissed is new; a gateway in the simulation no longer hears itself, which let it lose itself.

--- a/core/src/test/java/org/fuchsiaspindle/core/slot/ExchangeTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/ExchangeTest.java
@@ -29,11 +29,13 @@
     private static final long FINISH_TIME = 18 * SECOND;
 
     /** Those that let one gateway coordinate all the time. */
-    private static final Fault[] STRICT_FAULTS = {Fault.RESET, Fault.HOLD};
+    private static final Fault[] STRICT_FAULTS = {Fault.RESET, Fault.HOLD, Fault.DISCARD};
 
     private enum Fault {
         /** Frames on their way on one connection are lost, and it is replaced. */
         RESET,
+        /** The receiver reads too slowly, so that frames are discarded. */
+        DISCARD,
         /** Frames arrive late. */
         HOLD,
         /** Frames arrive late in both directions. */
@@ -118,7 +120,7 @@
         Fault fault = faults[random.nextInt(faults.length)];
         int count = simulation.gateways.size();
         // A gateway whose own connection to its coordinator is lost chooses another one.
-        int first = strict ? 0 : random.nextInt(count);
+        int first = strict && fault != Fault.DISCARD ? 0 : random.nextInt(count);
         int second = (first + 1 + random.nextInt(count - 1)) % count;
         boolean unnoticed = strict || random.nextBoolean();
         simulation.at(
@@ -145,6 +147,7 @@
         ExchangeSimulation.Link link = simulation.link(first, second);
         switch (fault) {
             case RESET -> link.replace(unnoticed);
+            case DISCARD -> link.discard(length);
             case HOLD -> link.hold(strict ? Math.min(length, SECOND) : length);
             case CUT -> {
                 link.hold(length);
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
@@ -186,12 +186,14 @@
     }
 
     private void handle(int from, Message message) {
-        if (!heardNanos.containsKey(from)) {
+        boolean isHeard = from == index || heardNanos.containsKey(from);
+        if (from != index) {
             heardNanos.put(from, simulation.now());
+            unansweredSinceNanos.remove(from);
+        }
+        if (!isHeard) {
             refreshCoordinator();
         }
-        heardNanos.put(from, simulation.now());
-        unansweredSinceNanos.remove(from);
         switch (message) {
             case Message.Heartbeat heartbeat -> {}
             case Message.Decision decision -> handle(from, decision.decision());
@@ -234,7 +236,17 @@
         }
     }
 
-    void framesLost(int peer) {}
+    void framesLost(int peer) {
+        execute(
+                () -> {
+                    if (exchange != null && indexOf(exchange.coordinator()) == peer) {
+                        beginExchange(peer);
+                    } else {
+                        send(peer, new Message.Holdings(simulation.unique(), List.of()));
+                    }
+                    recordLossAsCoordinator(peer);
+                });
+    }
 
     private boolean send(int to, Message message) {
         if (to == index) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerLink.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerLink.java
@@ -48,6 +48,7 @@
     private boolean connecting;
     private int attempts;
     private int failures;
+    private boolean framesLost;
     private long lastConnectedNanos;
     private long heartbeatSentNanos;
     private Duration announcedInterval = PeerMesh.HEARTBEAT_INTERVAL;
@@ -126,6 +127,7 @@
         connecting = false;
         failures = 0;
         channel = newChannel;
+        framesLost = false;
         lastConnectedNanos = System.nanoTime();
         announcement = new AddressAnnouncement();
         echo.reset();
@@ -153,7 +155,22 @@
 
     /** Sends a frame; returns whether it was handed to a connection. */
     boolean send(PeerFrame frame) {
-        return isOpen() && PeerChannels.send(channel, frame);
+        if (!isOpen()) {
+            return false;
+        }
+        boolean sent = PeerChannels.send(channel, frame);
+        framesLost |= !sent;
+        return sent;
+    }
+
+    /**
+     * Returns whether frames were discarded because the peer read too slowly, and frames are taken
+     * again; true only once for the same loss.
+     */
+    boolean endFrameLoss() {
+        boolean ended = framesLost && isOpen() && channel.isWritable();
+        framesLost &= !ended;
+        return ended;
     }
 
     /** Closes a connection that is dead, which may never be reported as closed. */
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/peer/PeerMesh.java
@@ -67,6 +67,12 @@
         /** Called after a connection to a peer was opened. */
         void onConnected(String peerIp);
 
+        /**
+         * Called when frames to a peer were discarded, because it read too slowly, and its
+         * connection takes frames again.
+         */
+        void onFramesLost(String peerIp);
+
         /** Called when a peer was added or removed, or announced that it is shutting down. */
         void onMembersChanged();
     }
@@ -77,7 +83,10 @@
         /** Called with each frame about prompts. */
         void onPromptFrame(PeerFrame frame);
 
-        /** Called after a connection to a peer was opened. */
+        /**
+         * Called after a connection to a peer was opened, or takes frames again after some were
+         * discarded.
+         */
         void onConnected(String peerIp);
     }
 
@@ -316,6 +325,9 @@
         Duration distantInterval = distantInterval();
         for (PeerLink link : List.copyOf(links.values())) {
             if (link.isOpen()) {
+                if (link.endFrameLoss()) {
+                    handleFramesLost(link.ip());
+                }
                 boolean isClose = close.contains(link.ip());
                 Duration interval = isClose ? HEARTBEAT_INTERVAL : distantInterval;
                 if (stateChanged || link.isHeartbeatDue(interval, now)) {
@@ -330,6 +342,13 @@
                 .ifPresent(request -> send(request.peerIp(), request.frame()));
     }
 
+    private void handleFramesLost(String ip) {
+        LOG.info("peer: frames were discarded ip={}", ip);
+        metrics.countPeerEvent("frames_discarded");
+        peerListener.onFramesLost(ip);
+        promptListener.onConnected(ip);
+    }
+
     private AnnouncedState state() {
         return new AnnouncedState(
                 viewHolder.view().configVersion(), storeHealth.isReachable(), stopping);
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -289,6 +289,23 @@
         refreshCoordinators();
     }
 
+    @Override
+    public void onFramesLost(String peerIp) {
+        List.copyOf(pools.entrySet())
+                .forEach(
+                        entry -> {
+                            PoolHoldings holdings = entry.getValue();
+                            if (holdings.coordinator().equals(peerIp)) {
+                                beginExchange(entry.getKey(), holdings, peerIp);
+                            } else {
+                                // It may not know that it was replaced.
+                                sendNothingHeld(
+                                        entry.getKey(), peerIp, holdings.grantsInAllExchanges());
+                            }
+                        });
+        coordinator.onFramesLost(peerIp);
+    }
+
     @Override
     public void onMembersChanged() {
         coordinators.membersChanged();
--- a/gateway/src/test/java/org/fuchsiaspindle/gateway/peer/DeadPeerConnectionTest.java
+++ b/gateway/src/test/java/org/fuchsiaspindle/gateway/peer/DeadPeerConnectionTest.java
@@ -20,6 +20,7 @@
 import org.fuchsiaspindle.gateway.watch.StoreHealth;
 import org.fuchsiaspindle.wire.peer.CoordinatorCheck;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
+import org.fuchsiaspindle.wire.peer.SilenceReport;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -42,6 +43,7 @@
             new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final BlockingQueue<String> received = new LinkedBlockingQueue<>();
+    private final BlockingQueue<String> framesLost = new LinkedBlockingQueue<>();
     private PeerMesh first;
     private PeerMesh second;
     private SilentRelay toFirst;
@@ -98,6 +100,27 @@
         awaitBothWays();
     }
 
+    /** Guards against frames that are discarded while their connection stays open, unnoticed. */
+    @Test
+    void peerThatReadsSlowly_isToldAnewWhatItMissed() throws Exception {
+        toSecond.withoutReading(() -> loop.submit(this::sendUntilDiscarded).syncUninterruptibly());
+        assertThat(framesLost.poll(REPAIR_TIME.toSeconds(), TimeUnit.SECONDS)).isEqualTo(SECOND);
+        assertThat(framesLost).isEmpty();
+        awaitBothWays();
+    }
+
+    private void sendUntilDiscarded() {
+        PeerFrame large =
+                PeerFrame.newBuilder()
+                        .setSilenceReport(SilenceReport.newBuilder().setTarget("x".repeat(1 << 16)))
+                        .build();
+        boolean sent = true;
+        for (int i = 0; sent && i < 10_000; i++) {
+            sent = first.send(SECOND, large);
+        }
+        assertThat(sent).as("frames are discarded").isFalse();
+    }
+
     private void awaitBothWays() throws Exception {
         long endNanos = System.nanoTime() + REPAIR_TIME.toNanos();
         received.clear();
@@ -130,14 +153,14 @@
                         new PeerMesh.Self("node-" + ip, ip, port, "first", "zone", 1),
                         new FleetViewHolder(),
                         StoreHealth.create(Clock.system()),
-                        new Receiver(received),
+                        new Receiver(received, framesLost),
                         new GatewayMetrics());
-        mesh.setPromptListener(new Receiver(received));
+        mesh.setPromptListener(new Receiver(received, framesLost));
         return mesh;
     }
 
-    /** Keeps the senders of the frames that arrive. */
-    private record Receiver(BlockingQueue<String> senders)
+    /** Keeps the senders of the frames that arrive, and the peers that missed some. */
+    private record Receiver(BlockingQueue<String> senders, BlockingQueue<String> framesLost)
             implements PeerMesh.PeerListener, PeerMesh.PromptListener {
 
         @Override
@@ -154,6 +177,11 @@
         @Override
         public void onConnected(String peerIp) {}
 
+        @Override
+        public void onFramesLost(String peerIp) {
+            framesLost.add(peerIp);
+        }
+
         @Override
         public void onMembersChanged() {}
     }
--- a/gateway/src/test/java/org/fuchsiaspindle/gateway/peer/PeerMeshTest.java
+++ b/gateway/src/test/java/org/fuchsiaspindle/gateway/peer/PeerMeshTest.java
@@ -106,6 +106,9 @@
             connected.countDown();
         }
 
+        @Override
+        public void onFramesLost(String peerIp) {}
+
         @Override
         public void onMembersChanged() {}
     }
--- a/gateway/src/test/java/org/fuchsiaspindle/gateway/peer/SilentRelay.java
+++ b/gateway/src/test/java/org/fuchsiaspindle/gateway/peer/SilentRelay.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.locks.ReentrantLock;
 
 /**
  * Passes connections on to another port of the same address; open ones can be made silent, which
@@ -21,6 +22,7 @@
     private final String ip;
     private final int targetPort;
     private final AtomicBoolean nextSilent = new AtomicBoolean();
+    private final ReentrantLock reading = new ReentrantLock();
     private final List<Connection> connections = new CopyOnWriteArrayList<>();
 
     private SilentRelay(ServerSocket server, String ip, int targetPort) {
@@ -50,6 +52,16 @@
         nextSilent.set(true);
     }
 
+    /** Reads nothing while an action runs, so that senders can't write any more. */
+    void withoutReading(Runnable action) {
+        reading.lock();
+        try {
+            action.run();
+        } finally {
+            reading.unlock();
+        }
+    }
+
     @Override
     public void close() throws IOException {
         server.close();
@@ -76,7 +88,7 @@
         }
     }
 
-    private static void pass(Connection connection, Socket from, Socket to) {
+    private void pass(Connection connection, Socket from, Socket to) {
         try {
             transfer(connection, from.getInputStream(), to.getOutputStream());
             if (!connection.silent().get()) {
@@ -89,11 +101,14 @@
         }
     }
 
-    private static void transfer(Connection connection, InputStream in, OutputStream out)
+    private void transfer(Connection connection, InputStream in, OutputStream out)
             throws IOException {
         byte[] buffer = new byte[8192];
         int length;
         while ((length = in.read(buffer)) >= 0) {
+            // Waits while nothing is read.
+            reading.lock();
+            reading.unlock();
             if (!connection.silent().get()) {
                 out.write(buffer, 0, length);
             }
