Begin a new exchange when a coordinator sends on a new connection

What callers would see: an online request that waits for a slot hears nothing until its own deadline, though its coordinator has refused it.

Cause: a refusal, like a grant, is lost when the coordinator's connection to the gateway is replaced and its old one is not seen to end. A request that was told that it waits has no time limit of its own, and the coordinator's query after the loss was left out for a gateway that holds and wants no batch slots.

Change: a gateway that hears a coordinator on a new connection begins a new exchange, in which its requests ask again; a coordinator asks every gateway that has used the pool. Exchanges after a new connection are begun from a copy of the pools, because requests that ask again may look at pools that are not known yet.

--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotHolder.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotHolder.java
@@ -101,7 +101,7 @@
 
     /** Records that frames to the gateway or from it may be lost. */
     void recordLoss() {
-        outOfStep |= !leases.isEmpty() || demand.waiting() > 0;
+        outOfStep = true;
         queriedNanos = Optional.empty();
     }
 
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotPool.java
@@ -179,8 +179,8 @@
 
     /**
      * Records that decisions may not have reached a gateway, or that its releases may be lost,
-     * because a connection was replaced or did not take them. It is asked for its slots if it has
-     * any or wants some.
+     * because a connection was replaced or did not take them. A gateway that has used the pool is
+     * asked for its slots.
      */
     public List<SlotDecision> recordLoss(String holder, long now) {
         SlotHolder state = holders.get(holder);
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
@@ -197,6 +197,7 @@
         switch (message) {
             case Message.Heartbeat heartbeat -> {
                 if (heartbeat.first() && isHeard) {
+                    beginExchangeWith(from);
                     recordLossAsCoordinator(from);
                 }
             }
@@ -227,11 +228,15 @@
     }
 
     void connected(int peer) {
+        beginExchangeWith(peer);
+        recordLossAsCoordinator(peer);
+        refreshCoordinator();
+    }
+
+    private void beginExchangeWith(int peer) {
         if (exchange != null && indexOf(exchange.coordinator()) == peer) {
             beginExchange(peer);
         }
-        recordLossAsCoordinator(peer);
-        refreshCoordinator();
     }
 
     private void recordLossAsCoordinator(int peer) {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -278,37 +278,38 @@
 
     @Override
     public void onConnected(String peerIp) {
-        pools.forEach(
-                (pool, holdings) -> {
-                    if (holdings.coordinator().equals(peerIp)) {
-                        // The peer forgot what this gateway held when the old connection closed.
-                        beginExchange(pool, holdings, holdings.coordinator());
-                    }
-                });
+        beginExchangesWith(peerIp);
         coordinator.onFramesLost(peerIp);
         refreshCoordinators();
     }
 
+    @Override
+    public void onConnectionReplaced(String peerIp) {
+        beginExchangesWith(peerIp);
+        coordinator.onFramesLost(peerIp);
+    }
+
     @Override
     public void onFramesLost(String peerIp) {
-        List.copyOf(pools.entrySet())
+        beginExchangesWith(peerIp);
+        List.copyOf(pools.entrySet()).stream()
+                .filter(entry -> !entry.getValue().coordinator().equals(peerIp))
+                // The peer may not know that it was replaced.
                 .forEach(
-                        entry -> {
-                            PoolHoldings holdings = entry.getValue();
-                            if (holdings.coordinator().equals(peerIp)) {
-                                beginExchange(entry.getKey(), holdings, peerIp);
-                            } else {
-                                // It may not know that it was replaced.
+                        entry ->
                                 sendNothingHeld(
-                                        entry.getKey(), peerIp, holdings.grantsInAllExchanges());
-                            }
-                        });
+                                        entry.getKey(),
+                                        peerIp,
+                                        entry.getValue().grantsInAllExchanges()));
         coordinator.onFramesLost(peerIp);
     }
 
-    @Override
-    public void onConnectionReplaced(String peerIp) {
-        coordinator.onFramesLost(peerIp);
+    /** Tells a peer anew what this gateway holds and wants of the pools that it coordinates. */
+    private void beginExchangesWith(String peerIp) {
+        // A copy, because requests that start again may look at further pools.
+        List.copyOf(pools.entrySet()).stream()
+                .filter(entry -> entry.getValue().coordinator().equals(peerIp))
+                .forEach(entry -> beginExchange(entry.getKey(), entry.getValue(), peerIp));
     }
 
     @Override
