Take the ports of the emulated platform from below those of outgoing connections

Cause: suspected, not shown. The emulator took ports that the system gives to any connection, and another process could take one between its choice and its use, or while a gateway was down.

Change: testbed.fleet.Ports, which the tests of the own interface use, chooses below that range, for one JVM at a time; the emulator's second copy is gone.

--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -2,11 +2,8 @@
 
 import com.google.common.net.HostAndPort;
 import java.io.IOException;
-import java.io.UncheckedIOException;
-import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -14,6 +11,7 @@
 import java.util.OptionalInt;
 import org.fuchsiaspindle.gateway.Gateway;
 import org.fuchsiaspindle.platform.settings.ProcessSettings;
+import org.fuchsiaspindle.testbed.fleet.Ports;
 
 /**
  * A complete deployment in one JVM: a store, engines and gateways on loopback addresses.
@@ -38,10 +36,10 @@
     private final StoreEmulator store = StoreEmulator.start(STORE_IP);
     private final Map<String, EngineEmulator> engines = new HashMap<>();
     private final Map<String, Gateway> gateways = new HashMap<>();
-    private final List<Integer> freePorts = freePorts(3);
-    private final int clientPort = freePorts.get(0);
-    private final int statusPort = freePorts.get(1);
-    private int peerPort = freePorts.get(2);
+    private final int clientPort = Ports.allocate();
+    private final int statusPort = Ports.allocate();
+    private final int ownPeerPort = Ports.allocate();
+    private int peerPort = ownPeerPort;
     private double capacity = 1;
     private Duration resultRetention = Duration.ofSeconds(120);
     private long itemMemoryBytes = 64L << 20;
@@ -224,6 +222,9 @@
         List.copyOf(gateways.values()).forEach(Gateway::close);
         engines.values().forEach(EngineEmulator::close);
         store.close();
+        Ports.release(clientPort);
+        Ports.release(statusPort);
+        Ports.release(ownPeerPort);
     }
 
     private ProcessSettings settings(String ip, List<String> seeds) {
@@ -241,21 +242,4 @@
                 STOP_GRACE,
                 itemMemoryBytes);
     }
-
-    /** Returns different free ports; all are held until the last one is chosen. */
-    public static List<Integer> freePorts(int count) {
-        List<ServerSocket> sockets = new ArrayList<>();
-        try {
-            for (int i = 0; i < count; i++) {
-                sockets.add(new ServerSocket(0));
-            }
-            List<Integer> ports = sockets.stream().map(ServerSocket::getLocalPort).toList();
-            for (ServerSocket socket : sockets) {
-                socket.close();
-            }
-            return ports;
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
-        }
-    }
 }
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/BatchGrantsTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/BatchGrantsTest.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.fuchsiaspindle.testbed.fleet.Ports;
 import org.fuchsiaspindle.testbed.proxy.FaultProxy;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -47,6 +48,8 @@
     private static final Duration EVENT_TIME = Duration.ofMillis(10);
 
     private final PlatformEmulator platform = PlatformEmulator.start();
+    private final int firstPort = Ports.allocate();
+    private final int secondPort = Ports.allocate();
     private EngineEmulator engine;
     private FaultProxy toFirst;
     private FaultProxy toSecond;
@@ -57,13 +60,12 @@
         configureAll(platform);
         engine = platform.addEngine("engine-1", "model", SLOTS, EVENT_TIME);
         platform.addEngine("plain-1", "plain", SLOTS, Duration.ofMillis(5));
-        List<Integer> ports = PlatformEmulator.freePorts(2);
-        toSecond = proxy(SECOND, ports.get(0), ports.get(1));
-        toFirst = proxy(FIRST, ports.get(1), ports.get(0));
-        platform.setPeerPort(ports.get(0));
+        toSecond = proxy(SECOND, firstPort, secondPort);
+        toFirst = proxy(FIRST, secondPort, firstPort);
+        platform.setPeerPort(firstPort);
         platform.startGateway(1, List.of(SECOND));
         platform.setCapacity(0.25);
-        platform.setPeerPort(ports.get(1));
+        platform.setPeerPort(secondPort);
         platform.startGateway(2, List.of(FIRST));
         awaitReady(platform, FIRST, SECOND);
     }
@@ -78,6 +80,8 @@
         platform.close();
         toFirst.close();
         toSecond.close();
+        Ports.release(firstPort);
+        Ports.release(secondPort);
     }
 
     /** Guards against a count that begins anew at one side only when a pool is empty for a time. */
