Answer queries about an earlier exchange once its report must have arrived, and ask no earlier versions

What would be seen: a coordinator that missed the report of an exchange asks for the slots each second for ever, because its holder takes the query for answered; a gateway of an earlier version that holds nothing is asked for ever as well.

Change: a query about an earlier exchange is answered if the present one began more than 1 s ago. A gateway whose exchange is not known reports by itself, as in earlier versions, and is not asked.

--- a/core/src/main/java/org/fuchsiaspindle/core/slot/PoolExchange.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/PoolExchange.java
@@ -25,8 +25,12 @@
     /** Time after which grants are confirmed if nothing else is said to the coordinator. */
     public static final Duration CONFIRMATION_DELAY = Duration.ofSeconds(1);
 
+    /** Time in which the report of a new exchange reaches the coordinator, unless it is lost. */
+    private static final Duration REPORT_TIME = Duration.ofSeconds(1);
+
     private String coordinator;
     private ReceivedGrants received;
+    private long begunNanos;
     private BatchDemand sentDemand = BatchDemand.NONE;
     private long demandSentNanos;
 
@@ -47,9 +51,10 @@
      *
      * @param coordinator the address of the coordinator, not null
      * @param number a number that no other exchange of the gateway has, not 0
+     * @param now the time
      */
-    public PoolExchange(String coordinator, long number) {
-        begin(coordinator, number);
+    public PoolExchange(String coordinator, long number, long now) {
+        begin(coordinator, number, now);
     }
 
     /**
@@ -57,12 +62,14 @@
      *
      * @param newCoordinator the address of the coordinator, not null
      * @param number a number that no other exchange of the gateway has, not 0
+     * @param now the time
      */
-    public void begin(String newCoordinator, long number) {
+    public void begin(String newCoordinator, long number, long now) {
         checkArgument(number != ReceivedGrants.NO_EXCHANGE, "an exchange needs a number");
         coordinator = checkNotNull(newCoordinator, "newCoordinator");
         received = new ReceivedGrants(number, 0);
         sentDemand = BatchDemand.NONE;
+        begunNanos = now;
     }
 
     /** Returns the address of the coordinator. */
@@ -99,8 +106,9 @@
      * @param exchange the exchange in which it is out of step, {@link ReceivedGrants#NO_EXCHANGE}
      *     if it is a new coordinator, which knows of none
      * @param hasReport whether there is something to report
+     * @param now the time
      */
-    public QueryAnswer answerQuery(String from, long exchange, boolean hasReport) {
+    public QueryAnswer answerQuery(String from, long exchange, boolean hasReport, long now) {
         boolean isNew = exchange == ReceivedGrants.NO_EXCHANGE;
         if (!coordinator.equals(from)) {
             if (!isNew) {
@@ -108,8 +116,11 @@
             }
             return hasReport ? QueryAnswer.CHECK_COORDINATOR : QueryAnswer.NONE;
         }
-        boolean outOfStep = isNew ? hasReport : exchange == received.exchange();
-        return outOfStep ? QueryAnswer.BEGIN : QueryAnswer.NONE;
+        // A coordinator that still knows another exchange by then has missed the report of this
+        // one.
+        boolean isCurrent =
+                exchange == received.exchange() || now - begunNanos > REPORT_TIME.toNanos();
+        return (isNew ? hasReport : isCurrent) ? QueryAnswer.BEGIN : QueryAnswer.NONE;
     }
 
     /**
--- a/core/src/main/java/org/fuchsiaspindle/core/slot/SlotHolder.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/SlotHolder.java
@@ -107,12 +107,14 @@
 
     /**
      * Returns the query that is due because the gateway may know of other slots than this
-     * coordinator, empty if none is.
+     * coordinator, empty if none is. A gateway of an earlier version reports its slots by itself,
+     * and confirms grants only with its next demand.
      */
     Optional<SlotDecision.HoldingsQueried> dueQuery(long now) {
         boolean queried =
                 queriedNanos.filter(nanos -> now - nanos < QUERY_INTERVAL.toNanos()).isPresent();
-        if (queried || !(outOfStep || isConfirmationOverdue(now))) {
+        boolean isDue = outOfStep || isConfirmationOverdue(now);
+        if (exchange == ReceivedGrants.NO_EXCHANGE || queried || !isDue) {
             return Optional.empty();
         }
         queriedNanos = Optional.of(now);
@@ -126,10 +128,8 @@
                         leases.size()));
     }
 
-    /** Gateways of earlier versions confirm grants only with their next demand. */
     private boolean isConfirmationOverdue(long now) {
-        return exchange != ReceivedGrants.NO_EXCHANGE
-                && unconfirmedGrants() > 0
+        return unconfirmedGrants() > 0
                 && now - unconfirmedSinceNanos > CONFIRMATION_TIMEOUT.toNanos();
     }
 }
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/PoolExchangeTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/PoolExchangeTest.java
@@ -13,16 +13,17 @@
 
     private static final String COORDINATOR = "10.0.0.1";
     private static final String OTHER = "10.0.0.2";
+    private static final long START = Duration.ofSeconds(100).toNanos();
 
-    private final PoolExchange exchange = new PoolExchange(COORDINATOR, 5);
-    private long now = Duration.ofSeconds(100).toNanos();
+    private final PoolExchange exchange = new PoolExchange(COORDINATOR, 5, START);
+    private long now = START;
 
     /** Guards against grants that the coordinator has forgotten, and would make a second time. */
     @Test
     void onlyGrantsOfTheExchange_haveAnEffect() {
         assertThat(exchange.includes(COORDINATOR, 5)).isTrue();
         assertThat(exchange.includes(OTHER, 5)).isFalse();
-        exchange.begin(COORDINATOR, 6);
+        exchange.begin(COORDINATOR, 6, now);
         assertThat(exchange.includes(COORDINATOR, 5)).isFalse();
         assertThat(exchange.includes(COORDINATOR, 6)).isTrue();
     }
@@ -39,7 +40,7 @@
         assertThat(demand(3)).isPresent();
         exchange.countGrant();
         assertThat(demand(2)).isEmpty();
-        exchange.begin(COORDINATOR, 6);
+        exchange.begin(COORDINATOR, 6, now);
         assertThat(demand(2).orElseThrow().received()).isEqualTo(new ReceivedGrants(6, 0));
     }
 
@@ -67,19 +68,27 @@
     /** Guards against queries that begin one exchange after the other, and against unheard ones. */
     @Test
     void query_isAnsweredOnceForEachExchange() {
-        assertThat(exchange.answerQuery(COORDINATOR, 5, false)).isEqualTo(QueryAnswer.BEGIN);
-        exchange.begin(COORDINATOR, 6);
-        assertThat(exchange.answerQuery(COORDINATOR, 5, true)).isEqualTo(QueryAnswer.NONE);
-        assertThat(exchange.answerQuery(OTHER, 5, true)).isEqualTo(QueryAnswer.NOTHING_HELD);
+        assertThat(exchange.answerQuery(COORDINATOR, 5, false, now)).isEqualTo(QueryAnswer.BEGIN);
+        exchange.begin(COORDINATOR, 6, now);
+        assertThat(exchange.answerQuery(COORDINATOR, 5, true, now)).isEqualTo(QueryAnswer.NONE);
+        assertThat(exchange.answerQuery(OTHER, 5, true, now)).isEqualTo(QueryAnswer.NOTHING_HELD);
+    }
+
+    /** Guards against a coordinator that asks for ever, because it missed the report. */
+    @Test
+    void queryAboutAnEarlierExchange_isAnsweredWhenItsReportMustHaveArrived() {
+        exchange.begin(COORDINATOR, 6, now);
+        now += Duration.ofSeconds(2).toNanos();
+        assertThat(exchange.answerQuery(COORDINATOR, 5, true, now)).isEqualTo(QueryAnswer.BEGIN);
     }
 
     @Test
     void queryOfANewCoordinator_isAnsweredIfThereIsSomethingToReport() {
         long none = ReceivedGrants.NO_EXCHANGE;
-        assertThat(exchange.answerQuery(COORDINATOR, none, false)).isEqualTo(QueryAnswer.NONE);
-        assertThat(exchange.answerQuery(COORDINATOR, none, true)).isEqualTo(QueryAnswer.BEGIN);
-        assertThat(exchange.answerQuery(OTHER, none, false)).isEqualTo(QueryAnswer.NONE);
-        assertThat(exchange.answerQuery(OTHER, none, true))
+        assertThat(exchange.answerQuery(COORDINATOR, none, false, now)).isEqualTo(QueryAnswer.NONE);
+        assertThat(exchange.answerQuery(COORDINATOR, none, true, now)).isEqualTo(QueryAnswer.BEGIN);
+        assertThat(exchange.answerQuery(OTHER, none, false, now)).isEqualTo(QueryAnswer.NONE);
+        assertThat(exchange.answerQuery(OTHER, none, true, now))
                 .isEqualTo(QueryAnswer.CHECK_COORDINATOR);
     }
 
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
@@ -296,7 +296,7 @@
     private PoolExchange exchange() {
         if (exchange == null) {
             int coordinator = chooseCoordinator();
-            exchange = new PoolExchange(ip(coordinator), simulation.unique());
+            exchange = new PoolExchange(ip(coordinator), simulation.unique(), simulation.now());
             sendHoldings();
         }
         return exchange;
@@ -340,7 +340,7 @@
     }
 
     private void beginExchange(int coordinator) {
-        exchange.begin(ip(coordinator), simulation.unique());
+        exchange.begin(ip(coordinator), simulation.unique(), simulation.now());
         sendHoldings();
         for (OnlineRequest request : List.copyOf(requests.values())) {
             withdraw(request);
@@ -551,7 +551,7 @@
             return;
         }
         refreshCoordinator();
-        switch (exchange.answerQuery(ip(from), about, isInUse())) {
+        switch (exchange.answerQuery(ip(from), about, isInUse(), simulation.now())) {
             case BEGIN -> beginExchange(from);
             case NOTHING_HELD -> send(from, new Message.Holdings(simulation.unique(), List.of()));
             case CHECK_COORDINATOR, NONE -> {}
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SlotPoolTest.java
@@ -343,6 +343,16 @@
         assertThat(pool.checkTimes(now)).isEmpty();
     }
 
+    /** Guards against queries that an earlier version does not answer. */
+    @Test
+    void holderOfAnEarlierVersion_isNotAsked() {
+        targets("a");
+        demand("g1", 2, 1000);
+        assertThat(pool.recordLoss("g1", now)).isEmpty();
+        now += Duration.ofSeconds(5).toNanos();
+        assertThat(pool.checkTimes(now)).isEmpty();
+    }
+
     /** Guards against a coordinator that forgot a gateway which goes on as before. */
     @Test
     void demandOfAnUnknownExchange_isServedAndTheHolderAsked() {
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -425,7 +425,8 @@
         }
         refreshCoordinator(pool, holdings);
         boolean hasReport = holdings.isInUse() || !requestLimits(pool).isEmpty();
-        switch (holdings.exchange().answerQuery(ip, query.getExchange(), hasReport)) {
+        long now = System.nanoTime();
+        switch (holdings.exchange().answerQuery(ip, query.getExchange(), hasReport, now)) {
             case BEGIN -> beginExchange(pool, holdings, ip);
             case NOTHING_HELD -> sendNothingHeld(pool, ip, holdings.grantsInAllExchanges());
             case CHECK_COORDINATOR -> sendCheck(holdings.coordinator());
@@ -486,7 +487,7 @@
 
     /** Tells the coordinator of a pool everything that it must know of this gateway. */
     private void beginExchange(PoolId pool, PoolHoldings holdings, String chosen) {
-        holdings.exchange().begin(chosen, nextExchange());
+        holdings.exchange().begin(chosen, nextExchange(), System.nanoTime());
         sendHoldings(pool, holdings);
         List.copyOf(holdings.acquisitions().values()).forEach(SlotAcquisition::restart);
         batchDemands.changed();
@@ -583,8 +584,9 @@
         if (known != null) {
             return known;
         }
-        String chosen = coordinators.of(pool, System.nanoTime());
-        PoolHoldings holdings = new PoolHoldings(new PoolExchange(chosen, nextExchange()));
+        long now = System.nanoTime();
+        String chosen = coordinators.of(pool, now);
+        PoolHoldings holdings = new PoolHoldings(new PoolExchange(chosen, nextExchange(), now));
         pools.put(pool, holdings);
         // The coordinator may remember grants to this gateway from before the pool was dropped.
         sendHoldings(pool, holdings);
