--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -33,7 +33,6 @@
 import org.fuchsiaspindle.gateway.telemetry.GatewayMetrics;
 import org.fuchsiaspindle.gateway.view.TargetDirectory;
 import org.fuchsiaspindle.wire.peer.BatchGrant;
-import org.fuchsiaspindle.wire.peer.CoordinatorCheck;
 import org.fuchsiaspindle.wire.peer.HoldingsQuery;
 import org.fuchsiaspindle.wire.peer.PeerFrame;
 import org.fuchsiaspindle.wire.peer.SlotReply;
@@ -52,14 +51,6 @@
 
     private static final Logger LOG = LoggerFactory.getLogger(SlotClient.class);
 
-    private static final Duration CHECK_INTERVAL = Duration.ofMillis(500);
-
-    /** Time between two checks while a coordinator does not answer. */
-    private static final Duration UNANSWERED_CHECK_INTERVAL = Duration.ofMillis(60);
-
-    /** Time for which an answer to a check may take before the coordinator is avoided. */
-    private static final Duration CHECK_TIMEOUT = Duration.ofMillis(120);
-
     /** Time for which a granted target that this gateway does not know is avoided. */
     private static final Duration UNUSABLE_TIME = Duration.ofSeconds(1);
 
@@ -84,17 +75,16 @@
     private final GatewayMetrics metrics;
     private final Function<String, Optional<TargetModel>> models;
     private final Map<PoolId, PoolHoldings> pools = new HashMap<>();
-    private final Map<String, Long> checksSentNanos = new HashMap<>();
     private final Map<String, Long> unusableUntilNanos = new HashMap<>();
     private final Map<String, Long> lastRequestNanosByService = new HashMap<>();
     private final long createdNanos = System.nanoTime();
     private PoolPlan plan;
     private PeerMesh mesh;
     private Coordinators coordinators;
+    private CoordinatorChecks checks;
     private SlotCoordinator coordinator;
     private BatchDemands batchDemands;
     private Targets targets;
-    private ScheduledFuture<?> nextCheck;
     private long nextTicket = ThreadLocalRandom.current().nextLong();
     private long nextExchange = ThreadLocalRandom.current().nextLong();
 
@@ -136,6 +126,7 @@
         mesh = checkNotNull(newMesh, "newMesh");
         targets = checkNotNull(newTargets, "newTargets");
         coordinators = new Coordinators(self, newMesh);
+        checks = new CoordinatorChecks(this, coordinators, newMesh);
         coordinator =
                 SlotCoordinator.create(
                         loop,
@@ -147,14 +138,7 @@
                         metrics);
         batchDemands = new BatchDemands(this, loop);
         newMesh.setClosePeers(this::coordinatorsInUse);
-        scheduleCheck(CHECK_INTERVAL);
-    }
-
-    private void scheduleCheck(Duration delay) {
-        if (nextCheck != null) {
-            nextCheck.cancel(false);
-        }
-        nextCheck = schedule(this::checkCoordinators, delay);
+        checks.start();
     }
 
     /** Replaces the known targets. */
@@ -253,18 +237,13 @@
 
     @Override
     public void onFrame(String peerIp, PeerFrame frame) {
-        checksSentNanos.remove(peerIp);
-        coordinators.recordAnswer(peerIp);
+        checks.recordAnswer(peerIp);
         switch (frame.getBodyCase()) {
             case SLOT_REPLY -> onReply(peerIp, frame.getSlotReply());
             case BATCH_GRANT -> onBatchGrant(peerIp, frame.getBatchGrant());
             case SLOT_REVOCATION -> onRevocation(peerIp, frame.getSlotRevocation());
             case HOLDINGS_QUERY -> onHoldingsQuery(peerIp, frame.getHoldingsQuery());
-            case COORDINATOR_CHECK -> {
-                if (!frame.getCoordinatorCheck().getResponse()) {
-                    send(peerIp, check(true));
-                }
-            }
+            case COORDINATOR_CHECK -> checks.onCheck(peerIp, frame.getCoordinatorCheck());
             default -> coordinator.onFrame(peerIp, frame);
         }
     }
@@ -429,7 +408,7 @@
         switch (holdings.exchange().answerQuery(ip, query.getExchange(), hasReport, now)) {
             case BEGIN -> beginExchange(pool, holdings, ip);
             case NOTHING_HELD -> sendNothingHeld(pool, ip, holdings.grantsInAllExchanges());
-            case CHECK_COORDINATOR -> sendCheck(holdings.coordinator());
+            case CHECK_COORDINATOR -> checks.check(holdings.coordinator());
             case NONE -> {}
         }
     }
@@ -441,34 +420,10 @@
                         pool, List.of(), Map.of(), nextExchange(), grantsInAllExchanges));
     }
 
-    private void checkCoordinators() {
-        long now = System.nanoTime();
-        checksSentNanos.forEach(
-                (ip, sentNanos) -> {
-                    if (now - sentNanos > CHECK_TIMEOUT.toNanos()) {
-                        coordinators.recordUnanswered(ip, sentNanos, now);
-                    }
-                });
-        checksSentNanos.keySet().removeIf(ip -> !mesh.isConnected(ip));
-        coordinators.unanswering().forEach(this::sendCheck);
+    /** Chooses coordinators anew after a round of checks. */
+    void onCoordinatorsChecked(long now) {
         unusableUntilNanos.values().removeIf(until -> now - until > 0);
         refreshCoordinators();
-        scheduleCheck(checksSentNanos.isEmpty() ? CHECK_INTERVAL : UNANSWERED_CHECK_INTERVAL);
-    }
-
-    private void sendCheck(String ip) {
-        if (!ip.equals(self.ip())) {
-            if (checksSentNanos.putIfAbsent(ip, System.nanoTime()) == null) {
-                scheduleCheck(UNANSWERED_CHECK_INTERVAL);
-            }
-            send(ip, check(false));
-        }
-    }
-
-    private static PeerFrame check(boolean response) {
-        return PeerFrame.newBuilder()
-                .setCoordinatorCheck(CoordinatorCheck.newBuilder().setResponse(response))
-                .build();
     }
 
     private void refreshCoordinators() {
@@ -615,8 +570,7 @@
 
     void recordUnanswered(String ip, long askedNanos) {
         metrics.countSlotEvent("unanswered");
-        coordinators.recordUnanswered(ip, askedNanos, System.nanoTime());
-        sendCheck(ip);
+        checks.recordUnanswered(ip, askedNanos);
     }
 
     void withdraw(PoolId pool, long ticket, String ip) {
