--- a/core/src/test/java/org/fuchsiaspindle/core/slot/ExchangeTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/ExchangeTest.java
@@ -174,6 +174,7 @@
                 String id = unnoticed ? "a" : "b";
                 simulation.after(length, () -> simulation.setTargets(id));
             }
+            default -> throw new AssertionError(fault);
         }
     }
 
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
@@ -554,7 +554,9 @@
         switch (exchange.answerQuery(ip(from), about, isInUse(), simulation.now())) {
             case BEGIN -> beginExchange(from);
             case NOTHING_HELD -> send(from, new Message.Holdings(simulation.unique(), List.of()));
-            case CHECK_COORDINATOR, NONE -> {}
+            default -> {
+                // Heartbeats show whether its coordinator answers.
+            }
         }
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -409,7 +409,9 @@
             case BEGIN -> beginExchange(pool, holdings, ip);
             case NOTHING_HELD -> sendNothingHeld(pool, ip, holdings.grantsInAllExchanges());
             case CHECK_COORDINATOR -> checks.check(holdings.coordinator());
-            case NONE -> {}
+            default -> {
+                // A new exchange is under way already, or there is nothing to report.
+            }
         }
     }
 
