--- a/cli/src/main/java/org/fuchsiaspindle/cli/ChangeOptions.java
+++ b/cli/src/main/java/org/fuchsiaspindle/cli/ChangeOptions.java
@@ -82,14 +82,12 @@
      * Sends a change to a document and prints the outcome.
      *
      * @param document the new document; null deletes the existing one
-     * @param baseVersion the configuration version that the change is based on, or null for any
+     * @param base the configuration version that the change is based on
      */
-    void sendDocument(String kind, String name, JsonNode document, Long baseVersion) {
+    void sendDocument(String kind, String name, JsonNode document, BaseVersion base) {
         ObjectNode body = JSON.createObjectNode().put("kind", kind).put("name", name);
         body.set("document", document);
-        if (baseVersion != null) {
-            body.put("base_version", baseVersion);
-        }
+        base.version().ifPresent(version -> body.put("base_version", version));
         write(send("/changes", body), kind + "/" + name);
     }
 
--- a/cli/src/main/java/org/fuchsiaspindle/cli/ConfigCommand.java
+++ b/cli/src/main/java/org/fuchsiaspindle/cli/ConfigCommand.java
@@ -37,14 +37,8 @@
                             paramLabel = "FILE",
                             description = "File with the document as JSON; - for standard input.")
                     String file,
-            @Option(
-                            names = "--base-version",
-                            paramLabel = "N",
-                            description =
-                                    "Reject the change unless this is the current configuration"
-                                            + " version.")
-                    Long baseVersion) {
-        change.sendDocument(kind.name(), name, DocumentFile.readObject(file), baseVersion);
+            @Mixin BaseVersion base) {
+        change.sendDocument(kind.name(), name, DocumentFile.readObject(file), base);
         return ExitCodes.OK;
     }
 
@@ -122,14 +116,8 @@
                             paramLabel = "NAME",
                             description = "Name of the document; for settings: fleet.")
                     String name,
-            @Option(
-                            names = "--base-version",
-                            paramLabel = "N",
-                            description =
-                                    "Reject the change unless this is the current configuration"
-                                            + " version.")
-                    Long baseVersion) {
-        change.sendDocument(kind.name(), name, null, baseVersion);
+            @Mixin BaseVersion base) {
+        change.sendDocument(kind.name(), name, null, base);
         return ExitCodes.OK;
     }
 }
--- a/cli/src/main/java/org/fuchsiaspindle/cli/ContractCommand.java
+++ b/cli/src/main/java/org/fuchsiaspindle/cli/ContractCommand.java
@@ -41,16 +41,10 @@
                             paramLabel = "FILE",
                             description = "File with API keys of the customer, one per line.")
                     String keyFile,
-            @Option(
-                            names = "--base-version",
-                            paramLabel = "N",
-                            description =
-                                    "Reject the change unless this is the current configuration"
-                                            + " version.")
-                    Long baseVersion) {
+            @Mixin BaseVersion base) {
         ObjectNode document = DocumentFile.readObject(file);
         addKeys(document, keys, keyFile);
-        change.sendDocument(KIND, customer, document, baseVersion);
+        change.sendDocument(KIND, customer, document, base);
         return ExitCodes.OK;
     }
 
@@ -119,14 +113,8 @@
             @Mixin ChangeOptions change,
             @Parameters(paramLabel = "CUSTOMER", description = "Name of the customer.")
                     String customer,
-            @Option(
-                            names = "--base-version",
-                            paramLabel = "N",
-                            description =
-                                    "Reject the change unless this is the current configuration"
-                                            + " version.")
-                    Long baseVersion) {
-        change.sendDocument(KIND, customer, null, baseVersion);
+            @Mixin BaseVersion base) {
+        change.sendDocument(KIND, customer, null, base);
         return ExitCodes.OK;
     }
 
