--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
@@ -15,7 +15,7 @@
 import org.fuchsiaspindle.core.slot.SlotDecision.Refused;
 import org.fuchsiaspindle.core.work.RequestSize;
 
-/** One gateway of an {@link ExchangeSimulation}, as holder and as coordinator of the pool. */
+/** One gateway of an {@link ExchangeSimulation}, which obtains slots and coordinates the pool. */
 final class SimulatedGateway {
 
     private static final long ANSWER_TIMEOUT = 120 * MILLI;
@@ -26,11 +26,9 @@
     /** Time in which an online request must start. */
     private static final long START_TIME = 4 * SECOND;
 
-    /** Shorter than in the product, so that pools are dropped more often. */
-    private static final long IDLE_POOL_EXPIRY = 3 * SECOND;
-
     private final ExchangeSimulation simulation;
     private final int index;
+    private final SimulatedCoordinator coordinator;
     private final Map<Integer, Long> heardNanos = new HashMap<>();
     private final Map<Integer, Long> unansweredSinceNanos = new HashMap<>();
     private final Map<Integer, Long> excludedUntilNanos = new HashMap<>();
@@ -42,10 +40,6 @@
     private final Map<Long, Run> runs = new HashMap<>();
     private final Map<Long, OnlineRequest> requests = new HashMap<>();
     private int waitingItems;
-    private int finishedItems;
-
-    private SlotPool pool;
-    private long poolUsedNanos;
 
     /** An item or request in a slot. */
     private record Run(HeldSlot slot, long nanos, int incarnation) {}
@@ -66,6 +60,7 @@
     SimulatedGateway(ExchangeSimulation simulation, int index) {
         this.simulation = simulation;
         this.index = index;
+        coordinator = new SimulatedCoordinator(simulation, this);
     }
 
     int index() {
@@ -76,7 +71,7 @@
         return "10.0.0." + index;
     }
 
-    private static int indexOf(String ip) {
+    static int indexOf(String ip) {
         return Integer.parseInt(ip.substring(ip.lastIndexOf('.') + 1));
     }
 
@@ -93,8 +88,7 @@
         if (exchange == null) {
             return 0;
         }
-        SlotPool used = simulation.gateways.get(indexOf(exchange.coordinator())).pool;
-        return used == null ? 0 : used.occupiedSlots();
+        return simulation.gateways.get(indexOf(exchange.coordinator())).coordinator.occupiedSlots();
     }
 
     long runningOn(String target) {
@@ -134,7 +128,7 @@
         runs.clear();
         requests.clear();
         waitingItems = 0;
-        pool = null;
+        coordinator.reset();
         heardNanos.clear();
         unansweredSinceNanos.clear();
         excludedUntilNanos.clear();
@@ -198,12 +192,12 @@
             case Message.Heartbeat heartbeat -> {
                 if (heartbeat.first() && isHeard) {
                     beginExchangeWith(from);
-                    recordLossAsCoordinator(from);
+                    coordinator.recordLoss(ip(from));
                 }
             }
             case Message.Decision decision -> handle(from, decision.decision());
             case Message.Query query -> answerQuery(from, ReceivedGrants.NO_EXCHANGE);
-            default -> coordinate(from, message);
+            default -> coordinator.handle(ip(from), message);
         }
     }
 
@@ -220,16 +214,14 @@
         if (heardNanos.remove(peer) != null) {
             unansweredSinceNanos.remove(peer);
             excludedUntilNanos.remove(peer);
-            if (pool != null) {
-                send(pool.removeHolder(simulation.gateways.get(peer).ip(), simulation.now()));
-            }
+            coordinator.removeHolder(ip(peer));
             refreshCoordinator();
         }
     }
 
     void connected(int peer) {
         beginExchangeWith(peer);
-        recordLossAsCoordinator(peer);
+        coordinator.recordLoss(ip(peer));
         refreshCoordinator();
     }
 
@@ -239,12 +231,6 @@
         }
     }
 
-    private void recordLossAsCoordinator(int peer) {
-        if (pool != null) {
-            send(pool.recordLoss(ip(peer), simulation.now()));
-        }
-    }
-
     void framesLost(int peer) {
         execute(
                 () -> {
@@ -253,11 +239,11 @@
                     } else {
                         send(peer, new Message.Holdings(simulation.unique(), List.of()));
                     }
-                    recordLossAsCoordinator(peer);
+                    coordinator.recordLoss(ip(peer));
                 });
     }
 
-    private boolean send(int to, Message message) {
+    boolean send(int to, Message message) {
         if (to == index) {
             int sentBy = incarnation;
             simulation.after(
@@ -295,8 +281,8 @@
 
     private PoolExchange exchange() {
         if (exchange == null) {
-            int coordinator = chooseCoordinator();
-            exchange = new PoolExchange(ip(coordinator), simulation.unique(), simulation.now());
+            String chosen = ip(chooseCoordinator());
+            exchange = new PoolExchange(chosen, simulation.unique(), simulation.now());
             sendHoldings();
         }
         return exchange;
@@ -311,9 +297,7 @@
     }
 
     void targetsChanged() {
-        if (pool != null) {
-            send(pool.setTargets(simulation.targets(), simulation.now()));
-        }
+        coordinator.targetsChanged();
         if (exchange != null && simulation.targets().isEmpty() && !isInUse()) {
             exchange = null;
         }
@@ -339,8 +323,8 @@
         }
     }
 
-    private void beginExchange(int coordinator) {
-        exchange.begin(ip(coordinator), simulation.unique(), simulation.now());
+    private void beginExchange(int chosen) {
+        exchange.begin(ip(chosen), simulation.unique(), simulation.now());
         sendHoldings();
         for (OnlineRequest request : List.copyOf(requests.values())) {
             withdraw(request);
@@ -375,12 +359,7 @@
             refreshCoordinator();
         }
         sendDemand();
-        if (pool != null) {
-            send(pool.checkTimes(simulation.now()));
-            if (pool.isIdle() && simulation.now() - poolUsedNanos > IDLE_POOL_EXPIRY) {
-                pool = null;
-            }
-        }
+        coordinator.tick();
     }
 
     private void checkAnswers() {
@@ -413,11 +392,11 @@
         request.queued = false;
         exchange();
         requests.put(request.ticket, request);
-        int coordinator = indexOf(exchange.coordinator());
-        long asked = simulation.now();
+        int asked = indexOf(exchange.coordinator());
+        long askedNanos = simulation.now();
         long ticket = request.ticket;
         send(
-                coordinator,
+                asked,
                 new Message.Request(
                         new SlotRequest(
                                 ip(),
@@ -439,14 +418,14 @@
                                     if (askedBy == incarnation
                                             && requests.get(ticket) == request
                                             && !request.queued) {
-                                        answerMissing(request, coordinator, asked);
+                                        answerMissing(request, asked, askedNanos);
                                     }
                                 }));
     }
 
-    private void answerMissing(OnlineRequest request, int coordinator, long asked) {
-        if (coordinator != index) {
-            unansweredSinceNanos.putIfAbsent(coordinator, asked);
+    private void answerMissing(OnlineRequest request, int asked, long askedNanos) {
+        if (asked != index) {
+            unansweredSinceNanos.putIfAbsent(asked, askedNanos);
         }
         withdraw(request);
         if (simulation.now() < request.startUntilNanos) {
@@ -529,12 +508,8 @@
         if (!runs.remove(run.slot().ticket(), run)) {
             return;
         }
-        if (run.slot().trafficClass() == TrafficClass.BATCH) {
-            if (outcome == LeaseOutcome.DONE) {
-                finishedItems++;
-            } else {
-                waitingItems++;
-            }
+        if (run.slot().trafficClass() == TrafficClass.BATCH && outcome != LeaseOutcome.DONE) {
+            waitingItems++;
         }
         sendRelease(indexOf(exchange().coordinator()), run.slot().ticket(), outcome);
     }
@@ -559,53 +534,4 @@
             }
         }
     }
-
-    // Coordinator
-
-    private void coordinate(int from, Message message) {
-        String holder = ip(from);
-        if (pool == null && !startsCoordination(message)) {
-            return;
-        }
-        long now = simulation.now();
-        if (pool == null) {
-            pool = SlotPool.create(1_000_000_000L * simulation.unique());
-            send(pool.setTargets(simulation.targets(), now));
-            for (SimulatedGateway peer : simulation.gateways) {
-                if (peer != this) {
-                    send(peer.index, new Message.Query());
-                }
-            }
-        }
-        poolUsedNanos = now;
-        switch (message) {
-            case Message.Holdings holdings ->
-                    send(
-                            pool.replaceHoldings(
-                                    holder,
-                                    holdings.slots(),
-                                    new ReceivedGrants(holdings.exchange(), 0),
-                                    now));
-            case Message.Demand demand -> send(pool.demand(holder, demand.demand(), now));
-            case Message.Request request -> send(pool.request(request.request(), now));
-            case Message.Release release ->
-                    send(pool.release(holder, release.ticket(), release.report(), now));
-            default -> throw new AssertionError(message);
-        }
-    }
-
-    private static boolean startsCoordination(Message message) {
-        return switch (message) {
-            case Message.Request request -> true;
-            case Message.Demand demand -> demand.demand().waiting() > 0;
-            case Message.Holdings holdings -> !holdings.slots().isEmpty();
-            default -> false;
-        };
-    }
-
-    private void send(List<SlotDecision> decisions) {
-        for (SlotDecision decision : decisions) {
-            send(indexOf(decision.holder()), new Message.Decision(decision));
-        }
-    }
 }
