--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/SilentConnectionsTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/SilentConnectionsTest.java
@@ -21,7 +21,6 @@
 import org.fuchsiaspindle.testbed.emulator.EngineEmulator.Run;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against sound targets that are not used again after some connections went silent. */
@@ -92,7 +91,6 @@
 
     /** Guards against items on dead connections to an engine that answers others all the time. */
     @Test
-    @Tag("known-red")
     void batchItems_moveFromDeadConnectionsWhileOthersAreAnswered() throws Exception {
         for (int job = 0; job < 4; job++) {
             submit(job % 2 == 0 ? first : second, "job-" + job);
