Repeat the demand when the coordinator that it made asks

What callers saw: items of a job that is due later ran first, where a pool was first used.

Cause: a gateway that starts to coordinate a pool asks all peers for their slots, also the one whose demand it is handling. That one holds nothing, but began a new exchange, and so returned the grants that came right behind the query. Their slots went to the next gateway.

Change: a gateway that has nothing to report but its demand repeats that within its exchange (PoolExchange.answerQuery).

--- a/core/src/main/java/org/fuchsiaspindle/core/slot/PoolExchange.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/PoolExchange.java
@@ -38,6 +38,8 @@
     public enum QueryAnswer {
         /** It begins a new exchange. */
         BEGIN,
+        /** It says again what it wants. It has nothing to report, so its exchange goes on. */
+        REPEAT_DEMAND,
         /** It says that it holds nothing of that coordinator, because it has another one. */
         NOTHING_HELD,
         /** It has another coordinator, and finds out whether that one still answers. */
@@ -105,7 +107,7 @@
      * @param from the gateway that asks
      * @param exchange the exchange in which it is out of step, {@link ReceivedGrants#NO_EXCHANGE}
      *     if it is a new coordinator, which knows of none
-     * @param hasReport whether there is something to report
+     * @param hasReport whether there is something else to report than the demand
      * @param now the time
      */
     public QueryAnswer answerQuery(String from, long exchange, boolean hasReport, long now) {
@@ -114,13 +116,18 @@
             if (!isNew) {
                 return QueryAnswer.NOTHING_HELD;
             }
-            return hasReport ? QueryAnswer.CHECK_COORDINATOR : QueryAnswer.NONE;
+            return hasReport || hasSentDemand() ? QueryAnswer.CHECK_COORDINATOR : QueryAnswer.NONE;
+        }
+        if (isNew && !hasReport) {
+            // The demand may be what made the coordinator ask, with its grants on their way. A new
+            // exchange would return them, and their slots could go to items that are due later.
+            return hasSentDemand() ? QueryAnswer.REPEAT_DEMAND : QueryAnswer.NONE;
         }
         // A coordinator that still knows another exchange by then has missed the report of this
         // one.
         boolean isCurrent =
                 exchange == received.exchange() || now - begunNanos > REPORT_TIME.toNanos();
-        return (isNew ? hasReport : isCurrent) ? QueryAnswer.BEGIN : QueryAnswer.NONE;
+        return isNew || isCurrent ? QueryAnswer.BEGIN : QueryAnswer.NONE;
     }
 
     /**
@@ -162,6 +169,11 @@
                         && demand.avoided().equals(sentDemand.avoided());
     }
 
+    /** Makes the next demand be sent although the coordinator was told it already. */
+    public void repeatDemand(long now) {
+        demandSentNanos = now - REPEAT_INTERVAL.toNanos();
+    }
+
     /** Returns whether the coordinator was last told that batch items wait. */
     public boolean hasSentDemand() {
         return sentDemand.waiting() > 0;
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/ExchangeSimulation.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/ExchangeSimulation.java
@@ -40,6 +40,9 @@
     /** Whether no slot may be granted twice at any time, because one gateway coordinates always. */
     boolean strict;
 
+    /** How many grants a gateway returned because they belong to an earlier exchange. */
+    int returnedGrants;
+
     private final PriorityQueue<Event> events =
             new PriorityQueue<>(
                     Comparator.comparingLong(Event::atNanos).thenComparingLong(Event::number));
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/ExchangeTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/ExchangeTest.java
@@ -61,6 +61,24 @@
         assertNoViolations(true);
     }
 
+    /** Guards against slots that go to items that are due later, when a pool is first used. */
+    @Test
+    void withoutFaults_noGrantIsReturned() {
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + 200; seed++) {
+            Random random = new Random(seed);
+            ExchangeSimulation simulation = new ExchangeSimulation(seed, 2 + random.nextInt(3));
+            simulation.strict = true;
+            simulation.setTargets("a");
+            simulation.start();
+            simulation.run(2 * SECOND);
+            addLoad(simulation, random, true);
+            simulation.run(simulation.now() + BUSY_TIME + FINISH_TIME);
+            check(simulation);
+            assertEquals(List.of(), simulation.violations, "seed " + seed);
+            assertEquals(0, simulation.returnedGrants, "seed " + seed);
+        }
+    }
+
     /** A holder drops an empty pool while a release is lost on a connection that went silent. */
     @Test
     void seedThatFailedOnce_failsNoMore() {
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/PoolExchangeTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/PoolExchangeTest.java
@@ -92,6 +92,29 @@
                 .isEqualTo(QueryAnswer.CHECK_COORDINATOR);
     }
 
+    /** Guards against first grants that are returned because their demand began a pool. */
+    @Test
+    void queryOfANewCoordinator_endsNoExchangeThatHasOnlyADemand() {
+        long none = ReceivedGrants.NO_EXCHANGE;
+        demand(3);
+        assertThat(exchange.answerQuery(COORDINATOR, none, false, now))
+                .isEqualTo(QueryAnswer.REPEAT_DEMAND);
+        assertThat(exchange.answerQuery(COORDINATOR, none, true, now)).isEqualTo(QueryAnswer.BEGIN);
+        assertThat(exchange.answerQuery(OTHER, none, false, now))
+                .isEqualTo(QueryAnswer.CHECK_COORDINATOR);
+    }
+
+    /** Guards against a coordinator that goes on granting what nobody wants any more. */
+    @Test
+    void repeatedDemand_isToldAlsoIfItHasEnded() {
+        demand(3);
+        exchange.repeatDemand(now);
+        assertThat(demand(3)).isPresent();
+        assertThat(demand(3)).isEmpty();
+        exchange.repeatDemand(now);
+        assertThat(demand(0).orElseThrow().waiting()).isZero();
+    }
+
     private Optional<BatchDemand> demand(int items) {
         return exchange.demandToSend(items, 1000, ImmutableSet.of(), 0, now);
     }
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/SimulatedGateway.java
@@ -292,8 +292,12 @@
         return simulation.gateways.get(peer).ip();
     }
 
+    private boolean holdsOrRequestsSlots() {
+        return !runs.isEmpty() || !requests.isEmpty();
+    }
+
     private boolean isInUse() {
-        return !runs.isEmpty() || !requests.isEmpty() || exchange.hasSentDemand();
+        return holdsOrRequestsSlots() || exchange.hasSentDemand();
     }
 
     void targetsChanged() {
@@ -474,6 +478,7 @@
 
     private void startItem(int from, BatchGranted granted) {
         if (!exchange().includes(ip(from), granted.exchange())) {
+            simulation.returnedGrants++;
             sendRelease(from, granted.ticket(), LeaseOutcome.CANCELLED);
             return;
         }
@@ -526,8 +531,13 @@
             return;
         }
         refreshCoordinator();
-        switch (exchange.answerQuery(ip(from), about, isInUse(), simulation.now())) {
+        boolean hasReport = holdsOrRequestsSlots();
+        switch (exchange.answerQuery(ip(from), about, hasReport, simulation.now())) {
             case BEGIN -> beginExchange(from);
+            case REPEAT_DEMAND -> {
+                exchange.repeatDemand(simulation.now());
+                sendDemand();
+            }
             case NOTHING_HELD -> send(from, new Message.Holdings(simulation.unique(), List.of()));
             default -> {
                 // Heartbeats show whether its coordinator answers.
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/PoolHoldings.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/PoolHoldings.java
@@ -65,8 +65,13 @@
         grantsByCoordinator.merge(coordinator(), 1L, Long::sum);
     }
 
+    /** Returns whether this gateway holds slots or waits for slots for online requests. */
+    boolean holdsOrRequestsSlots() {
+        return !leases.isEmpty() || !acquisitions.isEmpty();
+    }
+
     /** Returns whether the coordinator must notice soon that this gateway is lost. */
     boolean isInUse() {
-        return !leases.isEmpty() || !acquisitions.isEmpty() || exchange.hasSentDemand();
+        return holdsOrRequestsSlots() || exchange.hasSentDemand();
     }
 }
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/slot/SlotClient.java
@@ -403,10 +403,14 @@
             return;
         }
         refreshCoordinator(pool, holdings);
-        boolean hasReport = holdings.isInUse() || !requestLimits(pool).isEmpty();
+        boolean hasReport = holdings.holdsOrRequestsSlots() || !requestLimits(pool).isEmpty();
         long now = System.nanoTime();
         switch (holdings.exchange().answerQuery(ip, query.getExchange(), hasReport, now)) {
             case BEGIN -> beginExchange(pool, holdings, ip);
+            case REPEAT_DEMAND -> {
+                holdings.exchange().repeatDemand(now);
+                batchDemands.changed();
+            }
             case NOTHING_HELD -> sendNothingHeld(pool, ip, holdings.grantsInAllExchanges());
             case CHECK_COORDINATOR -> checks.check(holdings.coordinator());
             default -> {
--- a/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/BatchGrantsTest.java
+++ b/testbed/src/test/java/org/fuchsiaspindle/testbed/emulator/BatchGrantsTest.java
@@ -82,6 +82,15 @@
         toSecond.close();
     }
 
+    /** Guards against first grants that are returned, whose slots items that are due later get. */
+    @Test
+    void firstItemsOfAPool_runInTheSlotsThatWereGranted() throws Exception {
+        submit(SECOND, "job-a", 2 * SLOTS, SHORT);
+        awaitResults("job-a", 2 * SLOTS);
+        assertThat(platform.metric("fuchsiaspindle_slot_events_total{event=\"batch_returned\""))
+                .isZero();
+    }
+
     /** Guards against a count that begins anew at one side only when a pool is empty for a time. */
     @Test
     void items_runAfterThePoolWasEmpty() throws Exception {
