Close all channels of event loops that are busy when they end

What was seen: "Address already in use" in the tests' JVM, after gateways that were closed; in the product the process ends then.

Cause: loops are ended without a quiet period. A loop of Netty 4.2 closes its channels in the round after it was told to stop, but one in the middle of a round ends before that, when all tasks have run. Ruled out: a close that is still under way (the sockets are open 1.5 s later and the threads gone), gateways that are not closed.

Change: EventLoops.create gives each loop a shutdown hook that closes what is open. Tried and dropped: a quiet period of 1 ns, which does not help, and closing in IoHandler.destroy, which logs rejected tasks.

--- a/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/TargetClient.java
+++ b/daemon/src/main/java/org/fuchsiaspindle/daemon/agent/target/TargetClient.java
@@ -5,8 +5,6 @@
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import java.io.IOException;
 import java.net.URI;
@@ -15,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.fuchsiaspindle.platform.channel.HttpConnection;
+import org.fuchsiaspindle.wire.transport.EventLoops;
 
 /**
  * Sends requests to one target over HTTP with a single event loop.
@@ -37,11 +36,7 @@
     private TargetClient(URI base) {
         this.base = base;
         this.address = HostAndPort.fromString(base.getRawAuthority()).withDefaultPort(DEFAULT_PORT);
-        this.group =
-                new MultiThreadIoEventLoopGroup(
-                        1,
-                        new DefaultThreadFactory("target-client", true),
-                        NioIoHandler.newFactory());
+        this.group = EventLoops.create(1, new DefaultThreadFactory("target-client", true));
         this.loop = group.next();
     }
 
--- a/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
+++ b/gateway/src/main/java/org/fuchsiaspindle/gateway/Gateway.java
@@ -5,8 +5,6 @@
 import com.google.common.net.HostAndPort;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.time.Duration;
 import java.util.List;
 import java.util.Map;
@@ -50,6 +48,7 @@
 import org.fuchsiaspindle.platform.store.HttpStoreClient;
 import org.fuchsiaspindle.platform.store.StoreClient;
 import org.fuchsiaspindle.platform.store.StoreClock;
+import org.fuchsiaspindle.wire.transport.EventLoops;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 
@@ -68,8 +67,7 @@
     private static final Duration STOP_CHECK_INTERVAL = Duration.ofMillis(50);
 
     private final ProcessSettings settings;
-    private final EventLoopGroup group =
-            new MultiThreadIoEventLoopGroup(2, NioIoHandler.newFactory());
+    private final EventLoopGroup group = EventLoops.create(2);
     private final EventLoop requestLoop = group.next();
     private final EventLoop storeLoop = group.next();
     private final FleetViewHolder viewHolder = new FleetViewHolder();
--- a/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
+++ b/testbed/src/main/java/org/fuchsiaspindle/testbed/emulator/PlatformEmulator.java
@@ -221,7 +221,7 @@
         List.copyOf(gateways.values()).forEach(Gateway::close);
         engines.values().forEach(EngineEmulator::close);
         store.close();
-        // The ports are not released: a listener of a closed gateway may still be open.
+        // The ports are not released, so that nothing late reaches a gateway of another test.
     }
 
     private ProcessSettings settings(String ip, List<String> seeds) {
--- a/wire/src/main/java/org/fuchsiaspindle/wire/transport/FleetTransport.java
+++ b/wire/src/main/java/org/fuchsiaspindle/wire/transport/FleetTransport.java
@@ -9,9 +9,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
-import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.timeout.IdleStateHandler;
@@ -48,7 +46,7 @@
 
     private FleetTransport(FleetIdentity identity, int ioThreads) {
         this.identity = identity;
-        this.group = new MultiThreadIoEventLoopGroup(ioThreads, NioIoHandler.newFactory());
+        this.group = EventLoops.create(ioThreads);
     }
 
     /**
