--- a/core/src/main/java/org/fuchsiaspindle/core/slot/PoolExchange.java
+++ b/core/src/main/java/org/fuchsiaspindle/core/slot/PoolExchange.java
@@ -38,7 +38,7 @@
     public enum QueryAnswer {
         /** It begins a new exchange. */
         BEGIN,
-        /** It says again what it wants. It has nothing to report, so its exchange goes on. */
+        /** It repeats its demand. It has nothing else to report, so its exchange goes on. */
         REPEAT_DEMAND,
         /** It says that it holds nothing of that coordinator, because it has another one. */
         NOTHING_HELD,
@@ -169,7 +169,11 @@
                         && demand.avoided().equals(sentDemand.avoided());
     }
 
-    /** Makes the next demand be sent although the coordinator was told it already. */
+    /**
+     * Makes the next demand be sent although the coordinator was told it already.
+     *
+     * @param now the time
+     */
     public void repeatDemand(long now) {
         demandSentNanos = now - REPEAT_INTERVAL.toNanos();
     }
--- a/core/src/test/java/org/fuchsiaspindle/core/slot/ExchangeTest.java
+++ b/core/src/test/java/org/fuchsiaspindle/core/slot/ExchangeTest.java
@@ -22,6 +22,8 @@
     private static final long FIRST_SEED = Long.getLong("exchange.seed", 1);
     private static final int CASES = Integer.getInteger("exchange.cases", 3000);
 
+    private static final int CALM_CASES = 200;
+
     /** Time in which load and faults begin. */
     private static final long BUSY_TIME = 6 * SECOND;
 
@@ -64,13 +66,9 @@
     /** Guards against slots that go to items that are due later, when a pool is first used. */
     @Test
     void withoutFaults_noGrantIsReturned() {
-        for (long seed = FIRST_SEED; seed < FIRST_SEED + 200; seed++) {
+        for (long seed = FIRST_SEED; seed < FIRST_SEED + CALM_CASES; seed++) {
             Random random = new Random(seed);
-            ExchangeSimulation simulation = new ExchangeSimulation(seed, 2 + random.nextInt(3));
-            simulation.strict = true;
-            simulation.setTargets("a");
-            simulation.start();
-            simulation.run(2 * SECOND);
+            ExchangeSimulation simulation = start(seed, random, true);
             addLoad(simulation, random, true);
             simulation.run(simulation.now() + BUSY_TIME + FINISH_TIME);
             check(simulation);
@@ -101,11 +99,7 @@
 
     private static String run(long seed, boolean strict) {
         Random random = new Random(seed);
-        ExchangeSimulation simulation = new ExchangeSimulation(seed, 2 + random.nextInt(3));
-        simulation.strict = strict;
-        simulation.setTargets("a");
-        simulation.start();
-        simulation.run(2 * SECOND);
+        ExchangeSimulation simulation = start(seed, random, strict);
         List<String> course = new ArrayList<>();
         addLoad(simulation, random, strict);
         int faults = 1 + random.nextInt(4);
@@ -123,6 +117,16 @@
                 : "seed %d: %s after %s".formatted(seed, simulation.violations, course);
     }
 
+    /** Starts two to four gateways with one target, and waits until they know each other. */
+    private static ExchangeSimulation start(long seed, Random random, boolean strict) {
+        ExchangeSimulation simulation = new ExchangeSimulation(seed, 2 + random.nextInt(3));
+        simulation.strict = strict;
+        simulation.setTargets("a");
+        simulation.start();
+        simulation.run(2 * SECOND);
+        return simulation;
+    }
+
     private static void addLoad(ExchangeSimulation simulation, Random random, boolean strict) {
         for (SimulatedGateway gateway : simulation.gateways) {
             for (int job = 0; job < 1 + random.nextInt(4); job++) {
